--- /dev/null
+++ b/packages/corianderpitch-client/corianderpitch_client/__init__.py
@@ -0,0 +1,1 @@
+"""Operator command line and caller library."""
--- /dev/null
+++ b/packages/corianderpitch-standins/corianderpitch_standins/instance.py
@@ -0,0 +1,132 @@
+"""Stand-in for an instance of a service on an endpoint VM.
+
+It answers ``POST /run`` after the time that the body asks for
+(``{"run_ms": 50}``), with the body inside the answer. It refuses what exceeds
+its slots, and everything while it is leaving, with ``X-Not-Run``. Every run is
+logged, so that tests can count.
+"""
+
+import warnings
+
+warnings.filterwarnings("ignore", message="\\s*Eventlet is deprecated")
+
+import argparse
+import json
+import random
+from typing import Any
+
+import eventlet
+
+from corianderpitch_standins.jsonserver import RawReply, announce, listen, serve
+
+DEFAULT_SLOTS = 8
+DEFAULT_RUN_MS = 20.0
+
+
+class Instance:
+    """Slots, faults and run log of one instance."""
+
+    def __init__(self, slots: int, seed: int):
+        self._slots = slots
+        self._rng = random.Random(seed)
+        self._running = 0
+        self._is_leaving = False
+        self._is_silent = False
+        self._log: list[str] = []
+        self._started = 0
+        self._max_running = 0
+        self._refused_busy = 0
+        self._refused_leaving = 0
+        self._cut_off = 0
+
+    def handle(self, method: str, path: str, body: bytes) -> Any:
+        """Handle one HTTP request."""
+        match (method, path):
+            case ("POST", "/run"):
+                return self._run(body)
+            case ("GET", "/load"):
+                self._hold_while_silent()
+                return {"running": self._running, "leaving": self._is_leaving}
+            case ("GET", "/log"):
+                return self._report()
+            case ("POST", "/control"):
+                return self._control(json.loads(body))
+        return RawReply("404 Not Found", b"")
+
+    def _run(self, body: bytes) -> Any:
+        if self._is_leaving:
+            self._refused_leaving += 1
+            return _refusal("leaving")
+        if self._running >= self._slots:
+            self._refused_busy += 1
+            return _refusal("busy")
+        request = _parse(body)
+        self._running += 1
+        self._started += 1
+        self._max_running = max(self._max_running, self._running)
+        self._log.append(str(request.get("key", "")))
+        try:
+            self._work(request)
+        finally:
+            self._running -= 1
+        return {"echo": body.decode(errors="replace")}
+
+    def _work(self, request: dict[str, Any]) -> None:
+        run_ms = float(request.get("run_ms", DEFAULT_RUN_MS))
+        if request.get("exponential"):
+            run_ms = self._rng.expovariate(1.0 / run_ms)
+        eventlet.sleep(run_ms / 1000.0)
+        self._hold_while_silent()
+
+    def _hold_while_silent(self) -> None:
+        while self._is_silent:
+            eventlet.sleep(0.02)
+
+    def _report(self) -> dict[str, Any]:
+        return {
+            "log": self._log,
+            "started": self._started,
+            "max_running": self._max_running,
+            "refused_busy": self._refused_busy,
+            "refused_leaving": self._refused_leaving,
+            "cut_off": self._cut_off,
+        }
+
+    def _control(self, command: dict[str, Any]) -> dict[str, Any]:
+        """Change the instance's state; a stop counts the work it cuts off."""
+        if command.get("stop"):
+            self._cut_off += self._running
+            self._is_leaving = True
+        if "leaving" in command:
+            self._is_leaving = command["leaving"]
+        if "silent" in command:
+            self._is_silent = command["silent"]
+        return {"running": self._running}
+
+
+def _refusal(reason: str) -> RawReply:
+    return RawReply("503 Service Unavailable", b"", (("X-Not-Run", reason),))
+
+
+def _parse(body: bytes) -> dict[str, Any]:
+    try:
+        request = json.loads(body)
+    except ValueError:
+        return {}
+    return request if isinstance(request, dict) else {}
+
+
+def main() -> None:
+    """Serve one instance."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--slots", type=int, default=DEFAULT_SLOTS)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    listener = listen(arguments.host)
+    announce(http=listener)
+    serve(listener, Instance(arguments.slots, arguments.seed).handle)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/corianderpitch-standins/corianderpitch_standins/localfleet.py
@@ -0,0 +1,292 @@
+"""A fleet of real processes on this machine, for tests, demo and bench."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import urllib3
+
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+POLL_S = 0.02
+
+PLATFORM = "corianderpitch_standins.platform"
+INSTANCE = "corianderpitch_standins.instance"
+PROXY = "corianderpitch_standins.faultproxy"
+DAEMON = "corianderpitch.daemon.main"
+
+
+class ProcessFailed(Exception):
+    """A process ended or did not become ready in time."""
+
+
+class ConditionNotMet(Exception):
+    """A condition did not become true in time."""
+
+
+def wait_until(
+    condition: Callable[[], Any], timeout_s: float = 10.0, what: str = "condition"
+) -> Any:
+    """Poll until ``condition`` returns a true value, and return it."""
+    deadline_s = time.monotonic() + timeout_s
+    while time.monotonic() < deadline_s:
+        value = condition()
+        if value:
+            return value
+        time.sleep(POLL_S)
+    raise ConditionNotMet(f"{what} not met within {timeout_s} s")
+
+
+class Process:
+    """One process and the addresses that it announced."""
+
+    def __init__(self, module: str, arguments: list[str], verbose: bool = False):
+        stderr = None if verbose else subprocess.DEVNULL
+        self._popen = subprocess.Popen(
+            [sys.executable, "-m", module, *arguments],
+            stdout=subprocess.PIPE,
+            stderr=stderr,
+            text=True,
+        )
+        self._module = module
+        self.addresses: dict[str, str] = {}
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self._popen.pid
+
+    def wait_ready(self) -> "Process":
+        """Read the line that announces the addresses."""
+        line = self._popen.stdout.readline()
+        if not line.startswith("ready"):
+            raise ProcessFailed(f"{self._module} printed {line!r}")
+        pairs = [part.split("=", 1) for part in line.split()[1:]]
+        self.addresses = dict(pairs)
+        return self
+
+    def pause(self) -> None:
+        """Stop the process where it is."""
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a paused process go on."""
+        os.kill(self.pid, signal.SIGCONT)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self._popen.kill()
+        self._popen.wait()
+
+    def terminate(self) -> int:
+        """Ask the process to leave; returns its exit code."""
+        self._popen.terminate()
+        return self._popen.wait(STOP_TIMEOUT_S)
+
+    def ask_to_leave(self) -> None:
+        """Send SIGTERM without waiting."""
+        self._popen.terminate()
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process runs."""
+        return self._popen.poll() is None
+
+
+@dataclass
+class Vm:
+    """An endpoint VM and its instance's process."""
+
+    vm_id: str
+    data_center: str
+    rack: str
+    pool: str
+    process: Process
+
+    @property
+    def address(self) -> str:
+        """Return the instance's ip:port."""
+        return self.process.addresses["http"]
+
+
+@dataclass
+class EntryProcess:
+    """An entry, its data centre and its process."""
+
+    name: str
+    data_center: str
+    process: Process
+    peer_map: int = -1
+
+    @property
+    def url(self) -> str:
+        """Return the callers' URL."""
+        return f"http://{self.process.addresses['callers']}"
+
+    @property
+    def operator_url(self) -> str:
+        """Return the operators' URL."""
+        return f"http://{self.process.addresses['operators']}"
+
+
+@dataclass
+class LocalFleet:
+    """Platform, fault proxy, VMs and entries; end it with :meth:`close`.
+
+    Every entry reaches the platform and its peers through the proxy, from the
+    loopback address of its data centre, so that rules can cut either.
+    """
+
+    data_centers: list[str]
+    verbose: bool = False
+    vms: dict[str, Vm] = field(default_factory=dict)
+    entries: dict[str, EntryProcess] = field(default_factory=dict)
+
+    def __post_init__(self):
+        self.http = urllib3.PoolManager(retries=False, timeout=30.0, maxsize=64)
+        self.platform = Process(PLATFORM, [], self.verbose).wait_ready()
+        self.proxy = Process(PROXY, [], self.verbose).wait_ready()
+        target = self.platform.addresses["http"]
+        self.platform_map = self.ask_proxy("/maps", {"target": target})
+
+    def __enter__(self) -> "LocalFleet":
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        self.close()
+
+    def host(self, data_center: str) -> str:
+        """Return the loopback address of a data centre."""
+        return f"127.0.{self.data_centers.index(data_center) + 1}.1"
+
+    def ask_proxy(self, path: str, command: dict[str, Any]) -> Any:
+        """Send a control request to the proxy."""
+        url = f"http://{self.proxy.addresses['http']}{path}"
+        return self.http.request("POST", url, json=command).json()
+
+    def set_rules(self, *rules: dict[str, Any]) -> None:
+        """Replace the faults in force."""
+        self.ask_proxy("/rules", {"rules": list(rules)})
+
+    def cut_platform(self, *data_centers: str) -> list[dict[str, Any]]:
+        """Return rules that cut data centres off from the platform."""
+        maps = [self.platform_map["map"]]
+        return [
+            {"source": self.host(dc), "maps": maps, "mode": "cut"}
+            for dc in data_centers
+        ]
+
+    def cut_site(self, data_center: str) -> list[dict[str, Any]]:
+        """Return rules that cut a data centre off from the others and the platform."""
+        inside = [
+            e.peer_map for e in self.entries.values() if e.data_center == data_center
+        ]
+        outside = [
+            e.peer_map for e in self.entries.values() if e.data_center != data_center
+        ]
+        rules = self.cut_platform(data_center)
+        rules.append({"source": self.host(data_center), "maps": outside, "mode": "cut"})
+        for other in self.data_centers:
+            if other != data_center:
+                rules.append(
+                    {"source": self.host(other), "maps": inside, "mode": "cut"}
+                )
+        return rules
+
+    def control_platform(self, **command: Any) -> None:
+        """Switch faults of the platform."""
+        url = f"http://{self.platform.addresses['http']}/control"
+        self.http.request("POST", url, json=command)
+
+    def platform_counts(self) -> dict[str, Any]:
+        """Return the platform's counts of requests and VM actions."""
+        url = f"http://{self.platform.addresses['http']}/counts"
+        return self.http.request("GET", url).json()
+
+    def add_vms(self, wanted: list[tuple[str, str, str, str]], slots: int = 8) -> None:
+        """Start VMs given as (id, data centre, rack, pool) and list them."""
+        started = []
+        for vm_id, data_center, rack, pool in wanted:
+            arguments = ["--slots", str(slots), "--seed", str(len(self.vms) + 1)]
+            process = Process(INSTANCE, arguments, self.verbose)
+            vm = Vm(vm_id, data_center, rack, pool, process)
+            self.vms[vm_id] = vm
+            started.append(vm)
+        for vm in started:
+            vm.process.wait_ready()
+        self.control_platform(vms=[_listed(vm, "live") for vm in started])
+
+    def list_vm(self, vm_id: str, status: str) -> None:
+        """Change a VM's status in the platform's list."""
+        self.control_platform(vms=[_listed(self.vms[vm_id], status)])
+
+    def vm_log(self, vm_id: str) -> dict[str, Any]:
+        """Return an instance's run log."""
+        url = f"http://{self.vms[vm_id].address}/log"
+        return self.http.request("GET", url).json()
+
+    def control_vm(self, vm_id: str, **command: Any) -> None:
+        """Switch faults of an instance."""
+        url = f"http://{self.vms[vm_id].address}/control"
+        self.http.request("POST", url, json=command)
+
+    def start_entry(
+        self, name: str, data_center: str, *arguments: str, wait: bool = True
+    ) -> EntryProcess:
+        """Start an entry behind the proxy."""
+        peer_map = self.ask_proxy("/maps", {})
+        host = self.host(data_center)
+        platform_url = f"http://{self.platform_map['address']}"
+        flags = {
+            "--entry": name,
+            "--data-center": data_center,
+            "--listen": f"{host}:0",
+            "--operator-listen": f"{host}:0",
+            "--peer-listen": f"{host}:0",
+            "--peer-advertise": peer_map["address"],
+            "--platform": platform_url,
+            "--drain-grace-ms": "200",
+        }
+        command = [part for pair in flags.items() for part in pair]
+        process = Process(DAEMON, [*command, *arguments], self.verbose)
+        entry = EntryProcess(name, data_center, process, peer_map["map"])
+        self.entries[name] = entry
+        if wait:
+            self.finish_start(entry)
+        return entry
+
+    def finish_start(self, entry: EntryProcess) -> None:
+        """Wait until an entry listens, and forward its peers to it."""
+        entry.process.wait_ready()
+        target = {"target": entry.process.addresses["peers"]}
+        self.ask_proxy(f"/maps/{entry.peer_map}", target)
+
+    def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait until every running entry is ready."""
+        for entry in self.entries.values():
+            if entry.process.is_running:
+                wait_until(
+                    lambda url=entry.url: self._is_ready(url), timeout_s, entry.name
+                )
+
+    def _is_ready(self, url: str) -> bool:
+        try:
+            return self.http.request("GET", f"{url}/readyz").status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def close(self) -> None:
+        """End every process that this fleet started."""
+        processes = [e.process for e in self.entries.values()]
+        processes += [vm.process for vm in self.vms.values()]
+        for process in [*processes, self.proxy, self.platform]:
+            process.kill()
+
+
+def _listed(vm: Vm, status: str) -> list[str]:
+    return [vm.vm_id, vm.data_center, vm.rack, vm.pool, vm.address, status]
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet capacity and maintenance manager."""
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the ports: real ones and in-memory twins."""
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/adapters/platformhttp.py
@@ -0,0 +1,111 @@
+"""Client of the platform's services over HTTP with msgpack bodies.
+
+A failure before the request was sent is ``PlatformUnavailable``; a failure
+after it is ``OutcomeLost``, because the effect may have taken place.
+"""
+
+from collections.abc import Mapping
+from typing import Any
+
+import msgpack
+import urllib3
+from returns.result import Failure, Result, Success
+
+from corianderpitch.domain.platform import ListedVm, VmAction, VmActionState, VmStatus
+from corianderpitch.errors import (
+    CommitError,
+    OutcomeLost,
+    PlatformError,
+    PlatformUnavailable,
+    RateLimited,
+    RowConflict,
+)
+from corianderpitch.ids import OperationId
+from corianderpitch.ports import Check, Row, TableService, VmActions, VmList, Write
+
+CONNECT_TIMEOUT_S = 0.5
+READ_TIMEOUT_S = 2.0
+HTTP_OK = 200
+HTTP_CONFLICT = 409
+HTTP_TOO_MANY_REQUESTS = 429
+HTTP_UNAVAILABLE = 503
+
+_NOT_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
+
+
+class HttpPlatform(TableService, VmList, VmActions):
+    """The platform's table, VM list and VM actions."""
+
+    def __init__(self, base_url: str):
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+        self._base_url = base_url
+        self._pool = urllib3.PoolManager(timeout=timeout, retries=False, maxsize=4)
+
+    def read(self, known: Mapping[str, int]) -> Result[dict[str, Row], PlatformError]:
+        """Read the rows whose version differs from the known one."""
+        rows = self._post("/table/read", dict(known))
+        return rows.map(lambda items: {row[0]: Row(*row) for row in items})
+
+    def scan(self, prefix: str) -> Result[list[Row], PlatformError]:
+        """Read the rows under a prefix, in key order."""
+        rows = self._post("/table/scan", prefix)
+        return rows.map(lambda items: [Row(*row) for row in items])
+
+    def commit(
+        self, checks: tuple[Check, ...], writes: tuple[Write, ...]
+    ) -> Result[dict[str, int], CommitError]:
+        """Write all rows if every check holds."""
+        check_items = [[check.key, check.version] for check in checks]
+        write_items = [[write.key, write.value] for write in writes]
+        return self._post("/table/commit", [check_items, write_items])
+
+    def list_vms(self) -> Result[list[ListedVm], PlatformError]:
+        """Return every VM that the platform knows."""
+        items = self._post("/vms/list", None)
+        return items.map(lambda rows: [_listed_vm(row) for row in rows])
+
+    def start(self, action: VmAction) -> Result[VmActionState, PlatformError]:
+        """Start an action, or return the state of the one already started."""
+        fields = [action.operation_id, action.vm_id, action.kind.value, action.pool]
+        return self._post("/vms/start", fields).map(VmActionState)
+
+    def state(self, operation_id: OperationId) -> Result[VmActionState, PlatformError]:
+        """Return how far an action has come."""
+        return self._post("/vms/state", operation_id).map(VmActionState)
+
+    def _post(self, path: str, body: Any) -> Result[Any, Any]:
+        try:
+            response = self._pool.request(
+                "POST",
+                self._base_url + path,
+                body=msgpack.packb(body),
+                headers={"Content-Type": "application/msgpack"},
+            )
+        except _NOT_SENT as error:
+            return Failure(PlatformUnavailable(type(error).__name__))
+        except urllib3.exceptions.HTTPError as error:
+            return Failure(OutcomeLost(type(error).__name__))
+        return _read_response(response)
+
+
+def _read_response(response: urllib3.BaseHTTPResponse) -> Result[Any, Any]:
+    match response.status:
+        case status if status == HTTP_OK:
+            return Success(msgpack.unpackb(response.data))
+        case status if status == HTTP_CONFLICT:
+            return Failure(RowConflict(tuple(msgpack.unpackb(response.data))))
+        case status if status == HTTP_TOO_MANY_REQUESTS:
+            retry_after_s = float(response.headers.get("Retry-After", "1"))
+            return Failure(RateLimited(int(retry_after_s * 1000)))
+        case status if status == HTTP_UNAVAILABLE:
+            return Failure(PlatformUnavailable("refused"))
+        case status:
+            return Failure(OutcomeLost(f"status {status}"))
+
+
+def _listed_vm(row: list[Any]) -> ListedVm:
+    vm_id, data_center, rack, pool, address, status = row
+    return ListedVm(vm_id, data_center, rack, pool, address, VmStatus(status))
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/adapters/sample.py
@@ -0,0 +1,94 @@
+"""A small platform in memory, for running the daemon by itself.
+
+It lists two VMs whose instances answer every request with its own body, and
+holds a configuration with the one service ``sample``.
+"""
+
+from returns.result import Result
+
+from corianderpitch.adapters.memory import (
+    MemoryEndpoint,
+    MemoryTable,
+    MemoryVmActions,
+    MemoryVmList,
+)
+from corianderpitch.domain.platform import (
+    ListedVm,
+    VmAction,
+    VmActionState,
+    VmStatus,
+)
+from corianderpitch.errors import PlatformError
+from corianderpitch.ids import (
+    DataCenterId,
+    OperationId,
+    PoolName,
+    RackId,
+    Revision,
+    VmId,
+)
+from corianderpitch.ports import VmActions, VmList, Write
+from corianderpitch.records import (
+    CONFIG_HEAD_KEY,
+    ConfigRecord,
+    config_revision_key,
+    encode_row,
+)
+
+SAMPLE_FLEET = """\
+name = "sample"
+
+[sites.{site}]
+region = "sample"
+
+[pools.sample]
+vm_processors = 1
+vm_memory_mb = 512
+
+[services.sample]
+pool = "sample"
+instance_slots = 8
+instance_connections = 64
+budget = {{ min_available = 1 }}
+"""
+
+
+class SamplePlatform(MemoryTable, VmList, VmActions):
+    """Table, VM list and VM actions of the sample, in one object."""
+
+    def __init__(self, site: DataCenterId):
+        super().__init__()
+        self.endpoint = MemoryEndpoint()
+        self._actions = MemoryVmActions()
+        vms = (_sample_vm(site, 1), _sample_vm(site, 2))
+        self._vm_list = MemoryVmList(vms)
+        text = SAMPLE_FLEET.format(site=site)
+        record = ConfigRecord(
+            Revision(1), Revision(0), OperationId("sample"), "sample", 0, text, {}
+        )
+        value = encode_row(record)
+        keys = (CONFIG_HEAD_KEY, config_revision_key(Revision(1)))
+        self.commit((), tuple(Write(key, value) for key in keys))
+
+    def list_vms(self) -> Result[list[ListedVm], PlatformError]:
+        """Return the two VMs."""
+        return self._vm_list.list_vms()
+
+    def start(self, action: VmAction) -> Result[VmActionState, PlatformError]:
+        """Perform an action at once."""
+        return self._actions.start(action)
+
+    def state(self, operation_id: OperationId) -> Result[VmActionState, PlatformError]:
+        """Return the state of an action."""
+        return self._actions.state(operation_id)
+
+
+def _sample_vm(site: DataCenterId, number: int) -> ListedVm:
+    return ListedVm(
+        VmId(f"sample-{number}"),
+        site,
+        RackId("rack-1"),
+        PoolName("sample"),
+        "memory",
+        VmStatus.LIVE,
+    )
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/clock.py
@@ -0,0 +1,57 @@
+"""Clocks that count in milliseconds."""
+
+import abc
+import time
+
+
+class Clock(abc.ABC):
+    """Source of the current time in milliseconds.
+
+    ``now_ms`` is monotonic and starts anywhere; it serves deadlines and
+    leases. ``wall_ms`` is Unix time; it serves display only.
+    """
+
+    @abc.abstractmethod
+    def now_ms(self) -> float:
+        """Return monotonic time in milliseconds."""
+
+    @abc.abstractmethod
+    def wall_ms(self) -> int:
+        """Return Unix time in milliseconds."""
+
+
+class SystemClock(Clock):
+    """Clock of the operating system."""
+
+    def now_ms(self) -> float:
+        """Return monotonic time in milliseconds."""
+        return time.monotonic() * 1000.0
+
+    def wall_ms(self) -> int:
+        """Return Unix time in milliseconds."""
+        return int(time.time() * 1000)
+
+
+class ManualClock(Clock):
+    """Clock that moves only when told to.
+
+    >>> clock = ManualClock()
+    >>> clock.advance(250)
+    >>> clock.now_ms()
+    250.0
+    """
+
+    def __init__(self, start_ms: float = 0.0):
+        self._now_ms = start_ms
+
+    def now_ms(self) -> float:
+        """Return the time set so far."""
+        return self._now_ms
+
+    def wall_ms(self) -> int:
+        """Return the time set so far, as an integer."""
+        return int(self._now_ms)
+
+    def advance(self, step_ms: float) -> None:
+        """Move the clock forward."""
+        self._now_ms += step_ms
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of ``corianderpitchd`` and their wiring."""
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -0,0 +1,284 @@
+"""Wiring of one entry: sockets, tasks and the order of start and stop."""
+
+import os
+import random
+import secrets
+
+import eventlet
+from eventlet import wsgi
+from eventlet.green import socket
+
+from corianderpitch.adapters.endpointhttp import HttpEndpoint
+from corianderpitch.adapters.platformhttp import HttpPlatform
+from corianderpitch.adapters.platformlimits import PacedPlatform
+from corianderpitch.adapters.sample import SamplePlatform
+from corianderpitch.clock import SystemClock
+from corianderpitch.daemon.callers import CallerApp
+from corianderpitch.daemon.documents import DocumentTask
+from corianderpitch.daemon.leases import LeaseTask
+from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.managers import ManagerTask
+from corianderpitch.daemon.members import MembershipTask
+from corianderpitch.daemon.metrics import Metrics
+from corianderpitch.daemon.network import PeerNetwork
+from corianderpitch.daemon.operations import Operations
+from corianderpitch.daemon.operators import OperatorApp
+from corianderpitch.daemon.owners import OwnerTask
+from corianderpitch.daemon.permits import PermitDesk
+from corianderpitch.daemon.reports import Reporter
+from corianderpitch.daemon.requests import RequestRunner
+from corianderpitch.daemon.settings import Address, Settings
+from corianderpitch.daemon.statuses import StatusDesk
+from corianderpitch.daemon.tickets import TicketDesk
+from corianderpitch.daemon.views import service_views
+from corianderpitch.domain.membership import MemberInfo, Membership
+from corianderpitch.ids import DataCenterId, EntryId, VmId
+from corianderpitch.messages import EntryStatus, Members
+
+MAX_CALLER_CONNECTIONS = 2048
+HEADER_TIMEOUT_S = 10
+IDLE_CONNECTIONS_PER_INSTANCE = 6  # of 64, for up to 8 entries beside 8 slots
+INCARNATION_BYTES = 4
+STOP_CHECK_S = 0.02
+
+log = logger("entry")
+
+
+class Entry:
+    """One entry with all of its tasks."""
+
+    def __init__(self, settings: Settings):
+        self._settings = settings
+        self._clock = SystemClock()
+        self._rng = random.Random(secrets.randbits(64))
+        self._stop_requested = False
+        self._caller_listener = _listen("listen", settings.listen)
+        self._operator_listener = _listen("operator-listen", settings.operator_listen)
+        self._peer_listener = _listen("peer-listen", settings.peer_listen)
+        own = MemberInfo(
+            EntryId(settings.entry),
+            secrets.token_hex(INCARNATION_BYTES),
+            DataCenterId(settings.data_center),
+            settings.peer_advertise or _address_text(self._peer_listener),
+        )
+        self._build_platform()
+        self._build_serving(own)
+        self._build_management(own)
+        self._connect_parts()
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> "Entry":
+        """Open the sockets and build the tasks of an entry."""
+        return cls(settings)
+
+    def _build_platform(self) -> None:
+        if self._settings.platform:
+            services = HttpPlatform(self._settings.platform)
+            self._endpoint = HttpEndpoint(self._clock, IDLE_CONNECTIONS_PER_INSTANCE)
+        else:
+            sample = SamplePlatform(DataCenterId(self._settings.data_center))
+            services = sample
+            self._endpoint = sample.endpoint
+        self._platform = PacedPlatform(
+            services, services, services, self._clock, self._rng
+        )
+
+    def _build_serving(self, own: MemberInfo) -> None:
+        clock = self._clock
+        self._metrics = Metrics()
+        self._membership = Membership(own, clock.now_ms())
+        source_host = Address.from_text("", self._settings.peer_listen).host
+        self._network = PeerNetwork(own, clock, source_host)
+        self._members = MembershipTask(
+            self._membership, self._network, clock, self._rng
+        )
+        self._documents = DocumentTask(
+            self._membership, self._network, self._members, self._platform, clock
+        )
+        self._desk = PermitDesk(self._membership, self._network, clock)
+        self._owners = OwnerTask(
+            self._membership,
+            self._network,
+            self._desk,
+            self._endpoint,
+            clock,
+            self._rng,
+        )
+        self._runner = RequestRunner(self._desk, self._endpoint, self._metrics, clock)
+        self._tickets = TicketDesk(self._membership, self._network, self._runner, clock)
+        self._callers = CallerApp(
+            own, self._runner, self._tickets, self._documents, self._metrics
+        )
+
+    def _build_management(self, own: MemberInfo) -> None:
+        clock = self._clock
+        self._leases = LeaseTask(self._membership, self._members, self._platform, clock)
+        self._manager = ManagerTask(
+            self._membership,
+            self._members,
+            self._network,
+            self._documents,
+            self._platform,
+            self._platform,
+            self._platform,
+            clock,
+        )
+        self._reporter = Reporter(
+            self._membership,
+            self._network,
+            self._members,
+            self._owners,
+            self._desk,
+            clock,
+            self._owners.fleet_version,
+        )
+        self._statuses = StatusDesk(
+            self._membership, self._network, clock, self._own_status
+        )
+        operations = Operations(self._platform, self._documents, clock)
+        self._operators = OperatorApp(
+            operations, self._statuses, self._manager, self._owners
+        )
+
+    def _connect_parts(self) -> None:
+        self._documents.on_change = self._apply_documents
+        self._members.on_new_member = self._tickets.greet
+        self._members.own_unavailable = self._unavailable_vms
+        self._metrics.on_render(self._refresh_gauges)
+
+    def run(self) -> None:
+        """Serve until a stop is requested, then leave in order."""
+        log.info(
+            "Entry {} in {} serves callers on {}, operators on {}, peers on {}.",
+            self._settings.entry,
+            self._settings.data_center,
+            _address_text(self._caller_listener),
+            _address_text(self._operator_listener),
+            _address_text(self._peer_listener),
+        )
+        eventlet.spawn(self._network.serve, self._peer_listener)
+        tasks = (self._members, self._leases, self._documents, self._owners)
+        for task in (*tasks, self._manager):
+            eventlet.spawn(_keep_running, task)
+        for peer in self._settings.peers:
+            own = (self._membership.own,)
+            self._network.send_to_address(peer, Members(own))
+        callers = self._serve_http(self._caller_listener, self._callers)
+        self._serve_http(self._operator_listener, self._operators)
+        self._announce()
+        while not self._stop_requested:
+            eventlet.sleep(STOP_CHECK_S)
+        self._leave(callers)
+
+    def _announce(self) -> None:
+        """Print the addresses in use, for whoever started the program."""
+        print(
+            "ready",
+            f"callers={_address_text(self._caller_listener)}",
+            f"operators={_address_text(self._operator_listener)}",
+            f"peers={_address_text(self._peer_listener)}",
+            flush=True,
+        )
+
+    def request_stop(self) -> None:
+        """Ask the entry to leave; safe in a signal handler."""
+        self._stop_requested = True
+
+    def _leave(self, callers: eventlet.greenthread.GreenThread) -> None:
+        """Report not ready, close the door, finish what runs, hand over, exit."""
+        log.info("Leaving.")
+        self._callers.is_draining = True
+        eventlet.sleep(self._settings.drain_grace_ms / 1000.0)
+        callers.kill()
+        self._caller_listener.close()
+        self._callers.is_closed = True
+        while self._callers.in_flight or self._tickets.running_count:
+            eventlet.sleep(STOP_CHECK_S)
+        self._owners.give_up()
+        successor = self._successor()
+        if successor is not None and not self._tickets.hand_over(successor):
+            log.warning("{} did not confirm the tickets.", successor)
+        self._members.say_goodbye()
+        self._leases.give_up()
+        eventlet.sleep(STOP_CHECK_S)
+        log.info("Left.")
+        os._exit(0)
+
+    def _successor(self) -> EntryId | None:
+        """Return the entry that takes the tickets: a live one of this site first."""
+        own = self._membership.own.entry
+        live = self._membership.live(self._clock.now_ms()) - {own}
+        elsewhere = {
+            info.entry
+            for info in self._membership.known()
+            if not self._membership.is_gone(info.entry)
+        }
+        return min(live or elsewhere, default=None)
+
+    def _serve_http(self, listener: socket.socket, app: object):
+        return eventlet.spawn(
+            wsgi.server,
+            listener,
+            app,
+            log_output=False,
+            max_size=MAX_CALLER_CONNECTIONS,
+            socket_timeout=HEADER_TIMEOUT_S,
+        )
+
+    def _apply_documents(self) -> None:
+        config = self._documents.config
+        if config is not None:
+            site = config.for_site(self._membership.own.data_center)
+            views = service_views(site, self._documents.fleet)
+            self._owners.set_views(views, self._documents.versions()[1])
+
+    def _unavailable_vms(self) -> tuple[VmId, ...]:
+        now_ms = self._clock.now_ms()
+        return tuple(
+            vm_id
+            for dispatcher in self._owners.owned().values()
+            for vm_id in dispatcher.ledger.unavailable_vms(now_ms)
+        )
+
+    def _own_status(self) -> EntryStatus:
+        record = self._documents.config_record
+        return EntryStatus(
+            self._membership.own.entry,
+            self._membership.own.data_center,
+            record.revision if record else 0,
+            self._documents.versions()[1],
+            self._platform.age_ms,
+            self._manager.is_holder,
+            self._callers.is_draining,
+            tuple(self._owners.owned()),
+        )
+
+    def _refresh_gauges(self) -> None:
+        now_ms = self._clock.now_ms()
+        for service, dispatcher in self._owners.owned().items():
+            ledger = dispatcher.ledger
+            free = ledger.free_slots(now_ms)
+            self._metrics.set_service(
+                service, dispatcher.queue_length, ledger.held_slots(), free
+            )
+        self._metrics.set_traffic(self._network.sent_bytes, self._platform.requests)
+
+
+def _keep_running(task) -> None:
+    """Run a task for ever; a failure is logged and the task goes on."""
+    while True:
+        try:
+            task.run()
+        except Exception:
+            log.exception("{} failed; starting it again.", type(task).__name__)
+            eventlet.sleep(1.0)
+
+
+def _listen(name: str, text: str) -> socket.socket:
+    address = Address.from_text(name, text)
+    return eventlet.listen((address.host, address.port), backlog=1024)
+
+
+def _address_text(listener: socket.socket) -> str:
+    host, port = listener.getsockname()[:2]
+    return f"{host}:{port}"
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/members.py
@@ -0,0 +1,167 @@
+"""Membership task: heartbeats, leases in the table, detection of silent links."""
+
+import random
+from collections.abc import Callable
+
+import eventlet
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.network import PeerNetwork
+from corianderpitch.domain.membership import (
+    HEARTBEAT_INTERVAL_MS,
+    MemberInfo,
+    Membership,
+)
+from corianderpitch.ids import EntryId, VmId
+from corianderpitch.messages import Heartbeat, Leaving, Members
+
+CROSS_SITE_INTERVAL_MS = 1000.0
+SILENT_HEARTBEATS = 4
+
+log = logger("members")
+
+
+class MembershipTask:
+    """Sends heartbeats to the entries of its data centre and samples of others.
+
+    The representative of a data centre, its live entry with the lowest name,
+    exchanges heartbeats with one random entry of every other data centre.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        network: PeerNetwork,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self._membership = membership
+        self._network = network
+        self._clock = clock
+        self._rng = rng
+        self._sequence: dict[EntryId, int] = {}
+        self._echo: dict[EntryId, int] = {}
+        self._acked: dict[EntryId, int] = {}
+        self._next_cross_site_ms = 0.0
+        self._unavailable: dict[EntryId, tuple[VmId, ...]] = {}
+        self.versions: Callable[[], tuple[int, int]] = lambda: (0, 0)
+        self.on_versions: Callable[[EntryId, int, int], None] = (
+            lambda entry, config, fleet: None
+        )
+        self.on_new_member: Callable[[MemberInfo], None] = lambda info: None
+        self.own_unavailable: Callable[[], tuple[VmId, ...]] = lambda: ()
+        network.find = membership.info
+        network.on_hello = self._on_hello
+        network.on_refused = self._on_refused
+        network.handle(Heartbeat, self._on_heartbeat)
+        network.handle(Leaving, self._on_leaving)
+        network.handle(Members, self._on_members)
+
+    def run(self) -> None:
+        """Send heartbeats for ever."""
+        while True:
+            self.beat()
+            eventlet.sleep(HEARTBEAT_INTERVAL_MS / 1000.0)
+
+    def beat(self) -> None:
+        """Send one round of heartbeats."""
+        for info in self._membership.known():
+            if info.data_center == self._membership.own.data_center:
+                self._check_silence(info.entry)
+                self._send_heartbeat(info.entry)
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._next_cross_site_ms and self.is_representative():
+            self._next_cross_site_ms = now_ms + CROSS_SITE_INTERVAL_MS
+            self.greet_other_sites()
+
+    def greet_other_sites(self) -> None:
+        """Send a heartbeat to a random entry of every other data centre."""
+        for data_center in self._membership.data_centers():
+            known = self._membership.known()
+            there = [i.entry for i in known if i.data_center == data_center]
+            self._send_heartbeat(self._rng.choice(there))
+
+    def is_representative(self) -> bool:
+        """Tell whether this entry speaks for its data centre."""
+        live = self._membership.live(self._clock.now_ms())
+        return min(live) == self._membership.own.entry
+
+    def learn(self, infos: list[MemberInfo]) -> None:
+        """Take in entries found in the table or named by a peer."""
+        for info in self._membership.learn(infos):
+            log.info("Learnt of {} in {}.", info.entry, info.data_center)
+            self.on_new_member(info)
+            self._reset_counters(info.entry)
+            if info.data_center == self._membership.own.data_center:
+                self._send_heartbeat(info.entry)
+
+    def unavailable(self) -> tuple[VmId, ...]:
+        """Return the VMs that do not answer some live entry of this site."""
+        live = self._membership.live(self._clock.now_ms())
+        named = {v for e in live for v in self._unavailable.get(e, ())}
+        return tuple(sorted(named | set(self.own_unavailable())))
+
+    def say_goodbye(self) -> None:
+        """Tell every entry that this one is about to exit."""
+        for info in self._membership.known():
+            self._network.send(info.entry, Leaving())
+
+    def _send_heartbeat(self, entry: EntryId) -> None:
+        self._sequence[entry] = self._sequence.get(entry, 0) + 1
+        config_version, fleet_version = self.versions()
+        beat = Heartbeat(
+            self._sequence[entry],
+            self._echo.get(entry, 0),
+            config_version,
+            fleet_version,
+            self.own_unavailable(),
+        )
+        self._network.send(entry, beat)
+
+    def _check_silence(self, entry: EntryId) -> None:
+        """Replace a link whose heartbeats the other side does not confirm."""
+        is_live = entry in self._membership.live(self._clock.now_ms())
+        sent = self._sequence.get(entry, 0)
+        unconfirmed = sent - self._acked.get(entry, sent)
+        if is_live and unconfirmed > SILENT_HEARTBEATS:
+            log.warning("Link to {} is silent; opening a new one.", entry)
+            self._network.reset(entry)
+            self._acked[entry] = sent
+
+    def _reset_counters(self, entry: EntryId) -> None:
+        for counters in (self._sequence, self._echo, self._acked):
+            counters.pop(entry, None)
+
+    def _on_hello(self, info: MemberInfo) -> None:
+        is_new = self._membership.info(info.entry) != info
+        self.learn([info])
+        self._membership.heard(info.entry, self._clock.now_ms())
+        if is_new:
+            known = (*self._membership.known(), self._membership.own)
+            self._network.send(info.entry, Members(known))
+
+    def _on_heartbeat(self, sender: EntryId, beat: Heartbeat) -> None:
+        self._membership.heard(sender, self._clock.now_ms())
+        self._echo[sender] = beat.sequence
+        self._acked[sender] = max(beat.echo, self._acked.get(sender, 0))
+        self._unavailable[sender] = beat.unavailable
+        info = self._membership.info(sender)
+        if info is None:
+            return
+        is_same_site = info.data_center == self._membership.own.data_center
+        fleet_version = beat.fleet_version if is_same_site else 0
+        self.on_versions(sender, beat.config_version, fleet_version)
+        is_behind = beat.config_version < self.versions()[0]
+        if is_behind and not is_same_site:
+            self._send_heartbeat(sender)
+
+    def _on_leaving(self, sender: EntryId, message: Leaving) -> None:
+        log.info("{} is leaving.", sender)
+        self._membership.left(sender)
+
+    def _on_members(self, sender: EntryId, message: Members) -> None:
+        self.learn(list(message.members))
+
+    def _on_refused(self, entry: EntryId) -> None:
+        self._membership.lost(entry)
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/owners.py
@@ -0,0 +1,349 @@
+"""Owner task: runs the dispatchers of the services that this entry owns."""
+
+import random
+from dataclasses import dataclass
+from typing import Any
+
+import eventlet
+from eventlet.queue import Empty, LightQueue
+from returns.result import Success
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.network import PeerNetwork
+from corianderpitch.daemon.permits import PermitDesk
+from corianderpitch.domain.dispatch import (
+    AskForSlots,
+    DispatchPolicy,
+    Effect,
+    LendSlots,
+    ProbeLoad,
+    ReturnOffer,
+    SendGrant,
+    SendRefusal,
+    ServiceDispatcher,
+)
+from corianderpitch.domain.fairqueue import Waiting
+from corianderpitch.domain.membership import Membership
+from corianderpitch.domain.slots import InstanceSpec, Permit, RunResult
+from corianderpitch.ids import EntryId, ServiceName, VmId
+from corianderpitch.messages import (
+    Attach,
+    NotOwner,
+    PermitCancel,
+    PermitGrant,
+    PermitRefusal,
+    PermitRelease,
+    PermitRequest,
+    SlotAsk,
+    SlotOffers,
+)
+from corianderpitch.ports import Endpoint
+
+BUSY_TICK_MS = 10.0
+IDLE_TICK_MS = 100.0
+PAUSE_MS = 500.0  # a later tick means that this process did not run
+
+log = logger("owners")
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceView:
+    """A service as one data centre sees it now."""
+
+    service: ServiceName
+    policy: DispatchPolicy
+    instances: tuple[InstanceSpec, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _NewViews:
+    views: tuple[ServiceView, ...]
+    fleet_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class _LoadSeen:
+    service: ServiceName
+    vm_id: VmId
+    running: int
+    is_leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _LoadUnseen:
+    service: ServiceName
+    vm_id: VmId
+
+
+class OwnerTask:
+    """Feeds messages to the dispatchers of owned services, one at a time."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        network: PeerNetwork,
+        desk: PermitDesk,
+        endpoint: Endpoint,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self._membership = membership
+        self._network = network
+        self._desk = desk
+        self._endpoint = endpoint
+        self._clock = clock
+        self._rng = rng
+        self._inbox: LightQueue = LightQueue()
+        self._views: dict[ServiceName, ServiceView] = {}
+        self._owned: dict[ServiceName, ServiceDispatcher] = {}
+        self._owners: dict[ServiceName, EntryId | None] = {}
+        self._generation = 0
+        self._fleet_version = 0
+        self._probe_pool = eventlet.GreenPool(64)
+        self._next_tick_ms = clock.now_ms()
+        handled = (
+            PermitRequest,
+            PermitCancel,
+            PermitRelease,
+            Attach,
+            SlotAsk,
+            SlotOffers,
+        )
+        for message_type in handled:
+            network.handle(message_type, self._enqueue)
+        network.on_link_up = self._on_link_up
+
+    def set_views(self, views: list[ServiceView], fleet_version: int) -> None:
+        """Put new services, limits and instances in force."""
+        update = _NewViews(tuple(views), fleet_version)
+        self._inbox.put((self._membership.own.entry, update))
+
+    def fleet_version(self) -> int:
+        """Return the version of the fleet that the dispatchers work with."""
+        return self._fleet_version
+
+    def owned(self) -> dict[ServiceName, ServiceDispatcher]:
+        """Return the dispatchers of this entry, for reports."""
+        return self._owned
+
+    def knows(self, service: ServiceName) -> bool:
+        """Tell whether a service is configured."""
+        return service in self._views
+
+    def give_up(self) -> None:
+        """Resign from every service, before an orderly exit."""
+        self._membership.settle(float("inf"))
+        for service in list(self._owned):
+            self._resign(service)
+
+    def run(self) -> None:
+        """Process messages and time for ever."""
+        while True:
+            wait_ms = max(0.0, self._next_tick_ms - self._clock.now_ms())
+            try:
+                received = self._inbox.get(timeout=wait_ms / 1000.0)
+            except Empty:
+                received = None
+            self._check_pause()
+            if received is not None:
+                self._process(*received)
+            if self._clock.now_ms() >= self._next_tick_ms:
+                self._tick()
+
+    def _check_pause(self) -> None:
+        """Give up ownership after a pause, when others may have taken over."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._next_tick_ms < PAUSE_MS:
+            return
+        log.warning("Paused for {:.0f} ms; settling.", now_ms - self._next_tick_ms)
+        self._next_tick_ms = now_ms
+        self._membership.settle(now_ms)
+        for service in list(self._owned):
+            self._resign(service)
+            self._owners.pop(service, None)
+
+    def _enqueue(self, sender: EntryId, message: Any) -> None:
+        self._inbox.put((sender, message))
+
+    def _on_link_up(self, entry: EntryId) -> None:
+        self._desk.reattach(entry)
+
+    def _process(self, sender: EntryId, message: Any) -> None:
+        if isinstance(message, _NewViews):
+            self._apply_views(message.views)
+            self._fleet_version = message.fleet_version
+            return
+        dispatcher = self._owned.get(message.service)
+        if dispatcher is None:
+            self._redirect(sender, message)
+            return
+        now_ms = self._clock.now_ms()
+        effects = self._handle(dispatcher, sender, message, now_ms)
+        self._perform(message.service, effects)
+
+    def _handle(
+        self,
+        dispatcher: ServiceDispatcher,
+        sender: EntryId,
+        message: Any,
+        now_ms: float,
+    ) -> list[Effect]:
+        match message:
+            case PermitRequest():
+                return dispatcher.request(_waiting(sender, message, now_ms), now_ms)
+            case PermitCancel(request_id=request_id):
+                dispatcher.cancel(request_id)
+                return []
+            case PermitRelease(permit_id=permit_id, result=result, run_ms=run_ms):
+                return dispatcher.release(permit_id, result, run_ms, now_ms)
+            case Attach(permits=held):
+                permits = [
+                    Permit(
+                        h.permit_id, h.vm_id, sender, now_ms, now_ms + h.remaining_ms
+                    )
+                    for h in held
+                ]
+                return dispatcher.attach(sender, permits, now_ms)
+            case SlotAsk():
+                return dispatcher.lend(
+                    message.borrower,
+                    message.ask_id,
+                    message.count,
+                    message.remaining_ms,
+                    now_ms,
+                )
+            case SlotOffers():
+                return dispatcher.take_offers(
+                    message.data_center, message.ask_id, message.offers, now_ms
+                )
+            case _LoadSeen():
+                return dispatcher.record_load(
+                    message.vm_id, message.running, message.is_leaving, now_ms
+                )
+            case _LoadUnseen():
+                return dispatcher.record_unreachable(message.vm_id, now_ms)
+        return []
+
+    def _redirect(self, sender: EntryId, message: Any) -> None:
+        """Deal with a message for a service that this entry does not own."""
+        match message:
+            case PermitRequest():
+                reply = NotOwner(message.service, message.request_id)
+                self._network.send(sender, reply)
+            case SlotAsk() if sender == message.borrower:
+                owner = self._owners.get(message.service)
+                if owner not in (None, self._membership.own.entry):
+                    self._network.send(owner, message)
+            case SlotOffers():
+                for offer in message.offers:
+                    unused = PermitRelease(
+                        message.service, offer.permit_id, RunResult.UNUSED, 0.0
+                    )
+                    self._network.send(offer.lender, unused)
+
+    def _apply_views(self, views: tuple[ServiceView, ...]) -> None:
+        self._views = {view.service: view for view in views}
+        self._update_ownership()
+        now_ms = self._clock.now_ms()
+        for service, dispatcher in self._owned.items():
+            view = self._views[service]
+            dispatcher.set_policy(view.policy)
+            effects = dispatcher.update_instances(list(view.instances), now_ms)
+            self._perform(service, effects)
+
+    def _tick(self) -> None:
+        self._update_ownership()
+        now_ms = self._clock.now_ms()
+        remotes = self._membership.data_centers()
+        is_busy = False
+        for service, dispatcher in self._owned.items():
+            dispatcher.set_remotes(remotes)
+            self._perform(service, dispatcher.tick(now_ms))
+            is_busy = is_busy or dispatcher.queue_length > 0
+        self._next_tick_ms = now_ms + (BUSY_TICK_MS if is_busy else IDLE_TICK_MS)
+
+    def _update_ownership(self) -> None:
+        now_ms = self._clock.now_ms()
+        for service in list(self._owned):
+            if service not in self._views:
+                self._resign(service)
+        for service in self._views:
+            owner = self._membership.owner(service, now_ms)
+            if service in self._owners and self._owners[service] == owner:
+                continue
+            self._owners[service] = owner
+            if owner == self._membership.own.entry:
+                self._take_over(service, now_ms)
+            elif service in self._owned:
+                self._resign(service)
+            self._desk.set_owner(service, owner)
+
+    def _take_over(self, service: ServiceName, now_ms: float) -> None:
+        log.info("Taking over {}.", service)
+        own = self._membership.own
+        self._generation += 1
+        dispatcher = ServiceDispatcher(
+            own.entry,
+            f"{own.entry}.{own.incarnation}.{self._generation}",
+            self._membership.live(now_ms),
+            self._views[service].policy,
+            now_ms,
+            self._rng,
+        )
+        self._owned[service] = dispatcher
+        instances = list(self._views[service].instances)
+        self._perform(service, dispatcher.update_instances(instances, now_ms))
+
+    def _resign(self, service: ServiceName) -> None:
+        log.info("Handing over {}.", service)
+        dispatcher = self._owned.pop(service)
+        for waiting in dispatcher.drop_queue():
+            reply = NotOwner(service, waiting.request_id)
+            self._network.send(waiting.member, reply)
+
+    def _perform(self, service: ServiceName, effects: list[Effect]) -> None:
+        for effect in effects:
+            self._perform_one(service, effect)
+
+    def _perform_one(self, service: ServiceName, effect: Effect) -> None:
+        send = self._network.send
+        match effect:
+            case SendGrant(member, request_id, offer):
+                send(member, PermitGrant(service, request_id, offer))
+            case SendRefusal(member, request_id, reason, retry_ms):
+                send(member, PermitRefusal(service, request_id, reason, retry_ms))
+            case AskForSlots(data_center, ask_id, count, remaining_ms):
+                owner = self._membership.remote_owner(data_center, service)
+                own = self._membership.own.entry
+                if owner is not None:
+                    send(owner, SlotAsk(service, own, ask_id, count, remaining_ms))
+            case LendSlots(borrower, ask_id, offers):
+                own_site = self._membership.own.data_center
+                send(borrower, SlotOffers(service, own_site, ask_id, offers))
+            case ReturnOffer(lender, permit_id):
+                unused = PermitRelease(service, permit_id, RunResult.UNUSED, 0.0)
+                send(lender, unused)
+            case ProbeLoad(vm_id, address):
+                self._probe_pool.spawn_n(self._probe, service, vm_id, address)
+
+    def _probe(self, service: ServiceName, vm_id: VmId, address: str) -> None:
+        match self._endpoint.load(vm_id, address):
+            case Success(load):
+                seen = _LoadSeen(service, vm_id, load.running, load.is_leaving)
+                self._enqueue(self._membership.own.entry, seen)
+            case _:
+                unseen = _LoadUnseen(service, vm_id)
+                self._enqueue(self._membership.own.entry, unseen)
+
+
+def _waiting(sender: EntryId, request: PermitRequest, now_ms: float) -> Waiting:
+    return Waiting(
+        request.request_id,
+        sender,
+        request.tenant,
+        request.class_name,
+        now_ms + request.remaining_ms,
+        now_ms,
+        request.excluded,
+    )
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/reports.py
@@ -0,0 +1,63 @@
+"""Reporter: answers the manager's queries about this entry."""
+
+from collections.abc import Callable
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.members import MembershipTask
+from corianderpitch.daemon.network import PeerNetwork
+from corianderpitch.daemon.owners import OwnerTask
+from corianderpitch.daemon.permits import PermitDesk
+from corianderpitch.domain.manager import DrainReport, EntryReport
+from corianderpitch.domain.membership import Membership
+from corianderpitch.ids import EntryId, VmId
+from corianderpitch.messages import Report, ReportQuery
+
+
+class Reporter:
+    """Says what is in flight on a VM, as seen from this entry.
+
+    ``fleet_version`` returns the version that the dispatchers work with; it
+    is asked for before anything is counted.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        network: PeerNetwork,
+        members: MembershipTask,
+        owners: OwnerTask,
+        desk: PermitDesk,
+        clock: Clock,
+        fleet_version: Callable[[], int],
+    ):
+        self._membership = membership
+        self._network = network
+        self._members = members
+        self._owners = owners
+        self._desk = desk
+        self._clock = clock
+        self._fleet_version = fleet_version
+        network.handle(ReportQuery, self._on_query)
+
+    def report(self, vm_ids: tuple[VmId, ...]) -> EntryReport:
+        """Return this entry's report on some VMs."""
+        fleet_version = self._fleet_version()
+        drains = tuple(DrainReport(vm_id, self._in_flight(vm_id)) for vm_id in vm_ids)
+        return EntryReport(
+            self._membership.own.entry,
+            self._membership.own.data_center,
+            fleet_version,
+            drains,
+            self._members.unavailable(),
+            self._membership.live(self._clock.now_ms()),
+        )
+
+    def _in_flight(self, vm_id: VmId) -> int:
+        granted = sum(
+            dispatcher.ledger.in_flight(vm_id)
+            for dispatcher in self._owners.owned().values()
+        )
+        return granted + self._desk.in_flight(vm_id)
+
+    def _on_query(self, sender: EntryId, query: ReportQuery) -> None:
+        self._network.send(sender, Report(self.report(query.vm_ids)))
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/requests.py
@@ -0,0 +1,159 @@
+"""Request runner: takes one request through permits and attempts to its outcome."""
+
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.metrics import Metrics
+from corianderpitch.daemon.permits import PermitDesk, Wanted
+from corianderpitch.domain.dispatch import Offer
+from corianderpitch.domain.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from corianderpitch.domain.retries import RetryBudget
+from corianderpitch.domain.slots import RunResult
+from corianderpitch.errors import (
+    InstanceBrokeOff,
+    InstanceError,
+    InstanceRefused,
+    InstanceSilent,
+    InstanceUnreachable,
+)
+from corianderpitch.ids import ClassName, RequestId, ServiceName, TenantName, VmId
+from corianderpitch.ports import Call, Endpoint
+
+RETRY_AFTER_FAILURE_MS = 500
+MAX_ATTEMPTS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's request; ``timeout_ms`` counts from when it was read whole."""
+
+    request_id: RequestId
+    service: ServiceName
+    tenant: TenantName
+    class_name: ClassName
+    timeout_ms: float
+    is_idempotent: bool
+    content_type: str
+    body: bytes
+
+
+class RequestRunner:
+    """Runs requests on instances, with retries where they are harmless."""
+
+    def __init__(
+        self,
+        desk: PermitDesk,
+        endpoint: Endpoint,
+        metrics: Metrics,
+        clock: Clock,
+    ):
+        self._desk = desk
+        self._endpoint = endpoint
+        self._metrics = metrics
+        self._clock = clock
+        self._budget = RetryBudget()
+
+    def run(self, request: Request) -> Outcome:
+        """Return the request's one outcome, by its deadline."""
+        started_ms = self._clock.now_ms()
+        outcome = self._attempts(request, started_ms + request.timeout_ms)
+        self._metrics.record_outcome(
+            request.service,
+            request.tenant,
+            request.class_name,
+            outcome,
+            self._clock.now_ms() - started_ms,
+        )
+        return outcome
+
+    def _attempts(self, request: Request, deadline_ms: float) -> Outcome:
+        """Try until there is an outcome that another attempt may not change.
+
+        Once an attempt may have run, no later failure is reported as "not
+        run".
+        """
+        self._budget.record_first_attempt()
+        excluded: frozenset[VmId] = frozenset()
+        lost: Unknown | None = None
+        for attempt in range(1, MAX_ATTEMPTS + 1):
+            offer = self._acquire(request, deadline_ms, excluded)
+            if isinstance(offer, NotRun):
+                return lost or offer
+            outcome = self._attempt(request, offer, deadline_ms)
+            if isinstance(outcome, Answered):
+                return outcome
+            if isinstance(outcome, Unknown):
+                lost = outcome
+            may_repeat = request.is_idempotent or isinstance(outcome, NotRun)
+            is_last = attempt == MAX_ATTEMPTS
+            if not may_repeat or is_last or not self._budget.try_spend():
+                return lost or outcome
+            excluded |= {offer.vm_id}
+        return lost or NotRun(Reason.NO_INSTANCE, RETRY_AFTER_FAILURE_MS)
+
+    def _acquire(
+        self, request: Request, deadline_ms: float, excluded: frozenset[VmId]
+    ) -> Offer | NotRun:
+        asked_ms = self._clock.now_ms()
+        wanted = Wanted(
+            request.request_id,
+            request.service,
+            request.tenant,
+            request.class_name,
+            deadline_ms,
+            excluded,
+        )
+        offer = self._desk.acquire(wanted)
+        if isinstance(offer, Offer):
+            wait_ms = self._clock.now_ms() - asked_ms
+            self._metrics.record_permit(request.service, request.class_name, wait_ms)
+        return offer
+
+    def _attempt(self, request: Request, offer: Offer, deadline_ms: float) -> Outcome:
+        """Use one permit; ``NotRun`` means that the instance ran nothing."""
+        started_ms = self._clock.now_ms()
+        if not self._desk.may_start(offer):
+            self._desk.release(offer, RunResult.UNUSED, 0.0)
+            return NotRun(Reason.DEADLINE, RETRY_AFTER_FAILURE_MS)
+        call = Call(
+            request.request_id,
+            request.content_type,
+            request.body,
+            deadline_ms - started_ms,
+            is_once=not request.is_idempotent,
+        )
+        result = RunResult.ABANDONED
+        run_ms = 0.0
+        try:
+            answer = self._endpoint.run(offer.vm_id, offer.address, call)
+            run_ms = self._clock.now_ms() - started_ms
+            match answer:
+                case Success(answered):
+                    result = RunResult.COMPLETED
+                    self._metrics.record_run(
+                        request.service, request.class_name, run_ms
+                    )
+                    return answered
+                case Failure(error):
+                    result, outcome = _judge(error)
+                    return outcome
+        finally:
+            self._desk.release(offer, result, run_ms)
+
+
+def _judge(error: InstanceError) -> tuple[RunResult, NotRun | Unknown]:
+    """Return what a failed attempt means for the slot and for the request."""
+    not_run = NotRun(Reason.NO_INSTANCE, RETRY_AFTER_FAILURE_MS)
+    match error:
+        case InstanceUnreachable():
+            return RunResult.UNREACHABLE, not_run
+        case InstanceRefused(is_leaving=True):
+            return RunResult.LEAVING, not_run
+        case InstanceRefused():
+            return RunResult.BUSY, not_run
+        case InstanceSilent():
+            return RunResult.ABANDONED, Unknown(Reason.INSTANCE_SILENT)
+        case InstanceBrokeOff():
+            return RunResult.ABANDONED, Unknown(Reason.INSTANCE_BROKE_OFF)
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/tickets.py
@@ -0,0 +1,309 @@
+"""Ticket desk: runs tickets once and passes them to the entry that may."""
+
+import itertools
+import secrets
+from dataclasses import dataclass
+
+import eventlet
+from eventlet import Timeout
+from eventlet.event import Event
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.network import Lane, PeerNetwork
+from corianderpitch.daemon.requests import Request, RequestRunner
+from corianderpitch.domain.membership import MemberInfo, Membership
+from corianderpitch.domain.outcomes import Outcome, Reason, Unknown
+from corianderpitch.domain.tickets import (
+    SECRET_BYTES,
+    Finished,
+    Invalid,
+    Join,
+    NotStarted,
+    Start,
+    Ticket,
+    TicketBook,
+    parse_ticket,
+)
+from corianderpitch.ids import (
+    ClassName,
+    EntryId,
+    RequestId,
+    ServiceName,
+    TenantName,
+    TicketId,
+)
+from corianderpitch.messages import (
+    FinishedTicket,
+    OutcomeRecord,
+    TicketCall,
+    TicketHandover,
+    TicketReply,
+    TicketSuccessor,
+)
+
+ISSUER_CHECK_MS = 50.0
+HANDOVER_TIMEOUT_MS = 2000.0
+
+log = logger("tickets")
+BookKey = tuple[EntryId, str]
+
+
+@dataclass(frozen=True, slots=True)
+class _HolderChanged:
+    """Another entry now answers for the ticket."""
+
+
+class TicketDesk:
+    """Tickets of this incarnation, and of those that handed theirs over."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        network: PeerNetwork,
+        runner: RequestRunner,
+        clock: Clock,
+    ):
+        self._membership = membership
+        self._network = network
+        self._runner = runner
+        self._clock = clock
+        own = membership.own
+        secret = secrets.token_bytes(SECRET_BYTES)
+        self._book = TicketBook(own.entry, own.incarnation, secret)
+        self._books: dict[BookKey, TicketBook] = {
+            (own.entry, own.incarnation): self._book
+        }
+        self._successors: dict[BookKey, EntryId] = {}
+        self._running: dict[TicketId, Event] = {}
+        self._calls: dict[str, Event] = {}
+        self._call_numbers = itertools.count()
+        self._is_handing_over = False
+        network.handle(TicketCall, self._on_call)
+        network.handle(TicketReply, self._on_reply)
+        network.handle(TicketHandover, self._on_handover)
+        network.handle(TicketSuccessor, self._on_successor)
+
+    @property
+    def running_count(self) -> int:
+        """Return how many tickets run on this entry."""
+        return len(self._running)
+
+    def issue(
+        self, service: ServiceName, tenant: TenantName, class_name: ClassName
+    ) -> TicketId:
+        """Return a ticket that only this incarnation may start."""
+        return self._book.issue(service, tenant, class_name, self._clock.now_ms())
+
+    def use(
+        self,
+        ticket_id: TicketId,
+        timeout_ms: float,
+        content_type: str,
+        body: bytes | None,
+    ) -> Outcome | None:
+        """Run a ticket, or join its run, and return the outcome.
+
+        Without a body a ticket that has not been started stays so. Returns
+        ``None`` for a ticket that is not valid, or not started.
+        """
+        ticket = parse_ticket(ticket_id)
+        if ticket is None:
+            return None
+        if (ticket.issuer, ticket.incarnation) in self._books:
+            return self._use_here(ticket_id, ticket, timeout_ms, content_type, body)
+        return self._use_elsewhere(ticket_id, ticket, timeout_ms, content_type, body)
+
+    def _use_here(
+        self,
+        ticket_id: TicketId,
+        ticket: Ticket,
+        timeout_ms: float,
+        content_type: str,
+        body: bytes | None,
+    ) -> Outcome | None:
+        book = self._books[(ticket.issuer, ticket.incarnation)]
+        if self._is_handing_over:
+            return self._use_elsewhere(
+                ticket_id, ticket, timeout_ms, content_type, body
+            )
+        now_ms = self._clock.now_ms()
+        state = (
+            book.look_up(ticket_id, now_ms)
+            if body is None
+            else book.begin(ticket_id, now_ms)
+        )
+        match state:
+            case Finished(outcome):
+                return outcome
+            case Invalid() | NotStarted():
+                return None
+            case Start():
+                self._running[ticket_id] = Event()
+                request = _request(ticket, ticket_id, timeout_ms, content_type, body)
+                eventlet.spawn_n(self._run, book, ticket_id, request)
+            case Join():
+                pass
+        return self._wait(self._running[ticket_id], timeout_ms)
+
+    def _run(self, book: TicketBook, ticket_id: TicketId, request: Request) -> None:
+        """Run a started ticket; it goes on when its caller hangs up."""
+        outcome: Outcome = Unknown(Reason.INSTANCE_BROKE_OFF)
+        try:
+            outcome = self._runner.run(request)
+        finally:
+            book.finish(ticket_id, outcome)
+            self._running.pop(ticket_id).send(outcome)
+
+    def _wait(self, event: Event, timeout_ms: float) -> Outcome:
+        try:
+            with Timeout(timeout_ms / 1000.0):
+                return event.wait()
+        except Timeout:
+            return Unknown(Reason.INSTANCE_SILENT)
+
+    def _use_elsewhere(
+        self,
+        ticket_id: TicketId,
+        ticket: Ticket,
+        timeout_ms: float,
+        content_type: str,
+        body: bytes | None,
+    ) -> Outcome | None:
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        while (holder := self._holder(ticket)) is not None:
+            remaining_ms = deadline_ms - self._clock.now_ms()
+            if remaining_ms <= 0:
+                return Unknown(Reason.INSTANCE_SILENT)
+            call = TicketCall(
+                self._next_call_id(), ticket_id, remaining_ms, content_type, body
+            )
+            reply = self._call(holder, ticket, call)
+            if not isinstance(reply, _HolderChanged):
+                return reply
+        return Unknown(Reason.ISSUER_LOST)
+
+    def _call(
+        self, holder: EntryId, ticket: Ticket, call: TicketCall
+    ) -> "Outcome | None | _HolderChanged":
+        """Send a call and wait; a new holder ends the wait early."""
+        self._calls[call.call_id] = reply = Event()
+        self._network.send(holder, call, Lane.BULK)
+        deadline_ms = self._clock.now_ms() + call.remaining_ms
+        try:
+            while self._clock.now_ms() < deadline_ms:
+                try:
+                    with Timeout(ISSUER_CHECK_MS / 1000.0):
+                        return reply.wait()
+                except Timeout:
+                    if self._holder(ticket) != holder:
+                        return _HolderChanged()
+            return Unknown(Reason.INSTANCE_SILENT)
+        finally:
+            del self._calls[call.call_id]
+
+    def _next_call_id(self) -> str:
+        own = self._membership.own
+        return f"{own.entry}.{own.incarnation}.{next(self._call_numbers)}"
+
+    def _holder(self, ticket: Ticket) -> EntryId | None:
+        """Return the entry that answers for a ticket, if it can be reached."""
+        key = (ticket.issuer, ticket.incarnation)
+        entry = self._successors.get(key, ticket.issuer)
+        info = self._membership.info(entry)
+        if info is None or self._membership.is_gone(entry):
+            return None
+        is_issuer = entry == ticket.issuer
+        if is_issuer and info.incarnation != ticket.incarnation:
+            return None
+        return entry
+
+    def _on_call(self, sender: EntryId, call: TicketCall) -> None:
+        eventlet.spawn_n(self._answer_call, sender, call)
+
+    def _answer_call(self, sender: EntryId, call: TicketCall) -> None:
+        ticket = parse_ticket(call.ticket)
+        outcome: Outcome | None = None
+        if ticket is not None and (ticket.issuer, ticket.incarnation) in self._books:
+            outcome = self._use_here(
+                call.ticket, ticket, call.remaining_ms, call.content_type, call.body
+            )
+        record = OutcomeRecord.from_outcome(outcome) if outcome is not None else None
+        self._network.send(sender, TicketReply(call.call_id, record), Lane.BULK)
+
+    def _on_reply(self, sender: EntryId, reply: TicketReply) -> None:
+        waiting = self._calls.get(reply.call_id)
+        if waiting is not None and not waiting.ready():
+            record = reply.outcome
+            waiting.send(record.to_outcome() if record is not None else None)
+
+    def hand_over(self, successor: EntryId) -> bool:
+        """Give every book to another entry, when all tickets here have ended.
+
+        Returns whether the successor confirmed in time.
+        """
+        self._is_handing_over = True
+        for (issuer, incarnation), book in self._books.items():
+            finished = tuple(
+                FinishedTicket(number, issued_ms, OutcomeRecord.from_outcome(outcome))
+                for number, issued_ms, outcome in book.finished()
+            )
+            now_ms = self._clock.now_ms() - book.clock_offset_ms
+            handover = TicketHandover(
+                issuer, incarnation, book.secret, now_ms, finished
+            )
+            self._network.send(successor, handover, Lane.BULK)
+        deadline_ms = self._clock.now_ms() + HANDOVER_TIMEOUT_MS
+        while self._clock.now_ms() < deadline_ms:
+            if self._books.keys() <= self._successors.keys():
+                return True
+            eventlet.sleep(0.01)
+        return False
+
+    def _on_handover(self, sender: EntryId, handover: TicketHandover) -> None:
+        key = (handover.issuer, handover.incarnation)
+        if key not in self._books:
+            offset_ms = self._clock.now_ms() - handover.now_ms
+            book = TicketBook(*key, handover.secret, offset_ms)
+            book.adopt(
+                [
+                    (item.number, item.issued_ms, item.outcome.to_outcome())
+                    for item in handover.finished
+                ]
+            )
+            self._books[key] = book
+            log.info("Answering for the tickets of {}.", handover.issuer)
+        successor = TicketSuccessor(*key, self._membership.own.entry)
+        for info in self._membership.known():
+            self._network.send(info.entry, successor)
+
+    def greet(self, info: MemberInfo) -> None:
+        """Tell a new entry which tickets have changed hands."""
+        own = self._membership.own.entry
+        for key in self._books:
+            if key != (own, self._membership.own.incarnation):
+                self._network.send(info.entry, TicketSuccessor(*key, own))
+
+    def _on_successor(self, sender: EntryId, message: TicketSuccessor) -> None:
+        key = (message.issuer, message.incarnation)
+        self._successors[key] = message.successor
+
+
+def _request(
+    ticket: Ticket,
+    ticket_id: TicketId,
+    timeout_ms: float,
+    content_type: str,
+    body: bytes,
+) -> Request:
+    request_id = RequestId(f"{ticket.issuer}.{ticket.incarnation}.t{ticket.number}")
+    return Request(
+        request_id,
+        ticket.service,
+        ticket.tenant,
+        ticket.class_name,
+        timeout_ms,
+        False,
+        content_type,
+        body,
+    )
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/views.py
@@ -0,0 +1,32 @@
+"""The services of a site, drawn up from its configuration and its fleet."""
+
+from corianderpitch.daemon.owners import ServiceView
+from corianderpitch.domain.dispatch import DispatchPolicy
+from corianderpitch.domain.fleetfile import FleetFile, ServiceSettings
+from corianderpitch.domain.slots import InstanceSpec
+from corianderpitch.domain.vms import SiteFleet, VmState
+
+
+def service_views(config: FleetFile, fleet: SiteFleet) -> list[ServiceView]:
+    """Return the view of every service; each VM of a pool runs one instance."""
+    return [
+        ServiceView(name, _policy(config, service), _instances(service, fleet))
+        for name, service in config.services.items()
+    ]
+
+
+def _instances(service: ServiceSettings, fleet: SiteFleet) -> tuple[InstanceSpec, ...]:
+    return tuple(
+        InstanceSpec(vm_id, record.address, service.instance_slots, record.is_open)
+        for vm_id, record in sorted(fleet.vms.items())
+        if record.pool == service.pool and record.state is not VmState.RETIRED
+    )
+
+
+def _policy(config: FleetFile, service: ServiceSettings) -> DispatchPolicy:
+    return DispatchPolicy(
+        service.run_quantile,
+        float(service.spill_wait_ms),
+        {name: tenant.weight for name, tenant in config.tenants.items()},
+        {name: item.weight for name, item in config.classes.items()},
+    )
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/fleetfile.py
@@ -0,0 +1,280 @@
+"""The fleet file: one base for all sites and one overlay per site.
+
+The base states everything; an overlay states only where its site differs, and
+may touch only the keys in ``OVERLAY_KEYS``. Checking finds every problem of
+all files, each with its file and path.
+"""
+
+import difflib
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+import pydantic
+from pydantic import BaseModel, ConfigDict, Field
+
+from corianderpitch.domain.problems import Problem, ProblemKind
+from corianderpitch.ids import (
+    ClassName,
+    DataCenterId,
+    PoolName,
+    ServiceName,
+    TenantName,
+)
+
+BASE_FILE = "fleet.toml"
+Positive = Annotated[int, Field(gt=0, strict=True)]
+Fraction = Annotated[float, Field(gt=0, lt=1)]
+Weight = Annotated[float, Field(gt=0)]
+NotNegative = Annotated[int, Field(ge=0, strict=True)]
+
+
+class _Section(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class SiteSettings(_Section):
+    """A data centre and its region."""
+
+    region: str
+
+
+class PoolSettings(_Section):
+    """A pool of VMs; at most one pool is the spare one."""
+
+    vm_processors: Positive
+    vm_memory_mb: Positive
+    is_spare: bool = False
+
+
+class BudgetSettings(_Section):
+    """Availability that planned disruptions must leave."""
+
+    min_available: NotNegative
+
+
+class ServiceSettings(_Section):
+    """A service, the pool that its instances run on, and its limits."""
+
+    pool: PoolName
+    instance_slots: Positive
+    instance_connections: Positive
+    budget: BudgetSettings
+    default_timeout_ms: Positive = 2000
+    run_quantile: Fraction = 0.9
+    spill_wait_ms: NotNegative = 0
+    max_body_bytes: Positive = 1_048_576
+
+
+class TenantSettings(_Section):
+    """A tenant and its share of each service's slots."""
+
+    weight: Weight = 1.0
+
+
+class ClassSettings(_Section):
+    """A class of requests and its share within a tenant."""
+
+    weight: Weight = 1.0
+
+
+class FleetFile(_Section):
+    """The merged configuration of one site."""
+
+    name: str
+    sites: dict[DataCenterId, SiteSettings]
+    pools: dict[PoolName, PoolSettings]
+    services: dict[ServiceName, ServiceSettings]
+    tenants: dict[TenantName, TenantSettings] = {}
+    classes: dict[ClassName, ClassSettings] = {}
+
+    def service_of_pool(self, pool: PoolName) -> ServiceName | None:
+        """Return the service whose instances run on a pool's VMs."""
+        for name, service in self.services.items():
+            if service.pool == pool:
+                return name
+        return None
+
+    def spare_pool(self) -> PoolName | None:
+        """Return the pool that lends VMs to the others."""
+        for name, pool in self.pools.items():
+            if pool.is_spare:
+                return name
+        return None
+
+
+OVERLAY_KEYS = {
+    "services": frozenset(
+        {"default_timeout_ms", "run_quantile", "spill_wait_ms", "max_body_bytes"}
+    ),
+    "tenants": frozenset({"weight"}),
+    "classes": frozenset({"weight"}),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class FleetConfig:
+    """A checked configuration: the source texts and one merged file per site."""
+
+    base_text: str
+    overlay_texts: Mapping[DataCenterId, str]
+    base: FleetFile
+    by_site: Mapping[DataCenterId, FleetFile]
+
+    def for_site(self, site: DataCenterId) -> FleetFile:
+        """Return the merged file of a site, or the base for an unknown one."""
+        return self.by_site.get(site, self.base)
+
+
+def overlay_file(site: DataCenterId) -> str:
+    """Return the name under which problems of a site's overlay are reported."""
+    return f"sites/{site}.toml"
+
+
+def check_fleet(
+    base_text: str, overlay_texts: Mapping[DataCenterId, str]
+) -> FleetConfig | list[Problem]:
+    """Return the checked configuration, or every problem found."""
+    problems: list[Problem] = []
+    base_data = _parse(BASE_FILE, base_text, problems)
+    overlays = {
+        site: _parse(overlay_file(site), text, problems)
+        for site, text in overlay_texts.items()
+    }
+    base = _validate(BASE_FILE, base_data, problems)
+    by_site = {}
+    for site, overlay in overlays.items():
+        file = overlay_file(site)
+        problems += _overlay_problems(file, overlay, base_data, site)
+        merged = _validate(file, _merge(base_data, overlay), [])
+        if merged is None and base is not None:
+            _validate(file, _merge(base_data, overlay), problems)
+        by_site[site] = merged
+    if base is not None:
+        problems += _consistency_problems(base)
+    if problems or base is None:
+        return problems
+    return FleetConfig(base_text, dict(overlay_texts), base, by_site)
+
+
+def _parse(file: str, text: str, problems: list[Problem]) -> dict[str, Any]:
+    try:
+        return tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        problems.append(Problem(file, "", ProblemKind.SYNTAX, str(error)))
+        return {}
+
+
+def _merge(base: dict[str, Any], overlay: dict[str, Any]) -> dict[str, Any]:
+    merged = dict(base)
+    for key, value in overlay.items():
+        both_tables = isinstance(value, dict) and isinstance(base.get(key), dict)
+        merged[key] = _merge(base[key], value) if both_tables else value
+    return merged
+
+
+def _validate(
+    file: str, data: dict[str, Any], problems: list[Problem]
+) -> FleetFile | None:
+    try:
+        return FleetFile.model_validate(data)
+    except pydantic.ValidationError as error:
+        problems += [_to_problem(file, item) for item in error.errors()]
+        return None
+
+
+def _to_problem(file: str, item: Any) -> Problem:
+    path = ".".join(str(part) for part in item["loc"])
+    match item["type"]:
+        case "extra_forbidden":
+            detail = _nearest_hint(item["loc"])
+            return Problem(file, path, ProblemKind.UNKNOWN_KEY, detail)
+        case "missing":
+            return Problem(file, path, ProblemKind.MISSING, "is required")
+        case _:
+            return Problem(file, path, ProblemKind.BAD_VALUE, item["msg"])
+
+
+_SECTIONS: dict[str, type[_Section]] = {
+    "sites": SiteSettings,
+    "pools": PoolSettings,
+    "services": ServiceSettings,
+    "tenants": TenantSettings,
+    "classes": ClassSettings,
+}
+
+
+def _nearest_hint(path: tuple[str | int, ...]) -> str:
+    model: type[_Section] = FleetFile
+    if len(path) > 1:
+        model = _SECTIONS.get(str(path[0]), FleetFile)
+    if len(path) > 3:
+        model = BudgetSettings
+    close = difflib.get_close_matches(str(path[-1]), list(model.model_fields), n=1)
+    return f"unknown key; did you mean {close[0]}?" if close else "unknown key"
+
+
+def _overlay_problems(
+    file: str, overlay: dict[str, Any], base: dict[str, Any], site: DataCenterId
+) -> list[Problem]:
+    problems = []
+    if site not in base.get("sites", {}):
+        detail = "the base file has no such site"
+        problems.append(Problem(file, "", ProblemKind.INCONSISTENT, detail))
+    for section, items in overlay.items():
+        allowed = OVERLAY_KEYS.get(section)
+        if allowed is None or not isinstance(items, dict):
+            detail = f"an overlay may change only {', '.join(OVERLAY_KEYS)}"
+            problems.append(Problem(file, section, ProblemKind.NOT_OVERRIDABLE, detail))
+            continue
+        known = base.get(section, {})
+        for name, fields in items.items():
+            path = f"{section}.{name}"
+            problems += _item_problems(file, path, fields, known.get(name), allowed)
+    return problems
+
+
+def _item_problems(
+    file: str, path: str, fields: Any, base: Any, allowed: frozenset[str]
+) -> list[Problem]:
+    if not isinstance(base, dict) or not isinstance(fields, dict):
+        detail = "the base file has no such entry"
+        return [Problem(file, path, ProblemKind.NOT_OVERRIDABLE, detail)]
+    problems = []
+    for key, value in fields.items():
+        key_path = f"{path}.{key}"
+        if key not in allowed:
+            detail = f"a site may change only {', '.join(sorted(allowed))}"
+            problems.append(
+                Problem(file, key_path, ProblemKind.NOT_OVERRIDABLE, detail)
+            )
+        elif base.get(key) == value:
+            detail = "has the same value in the base file"
+            problems.append(Problem(file, key_path, ProblemKind.NO_DIFFERENCE, detail))
+    return problems
+
+
+def _consistency_problems(base: FleetFile) -> list[Problem]:
+    problems = []
+    used: dict[PoolName, ServiceName] = {}
+    for name, service in base.services.items():
+        path = f"services.{name}.pool"
+        if service.pool not in base.pools:
+            close = difflib.get_close_matches(service.pool, list(base.pools), n=1)
+            hint = f"; did you mean {close[0]}?" if close else ""
+            detail = f"no pool is named {service.pool}{hint}"
+            problems.append(Problem(BASE_FILE, path, ProblemKind.INCONSISTENT, detail))
+        elif service.pool in used:
+            detail = f"the pool already serves {used[service.pool]}"
+            problems.append(Problem(BASE_FILE, path, ProblemKind.INCONSISTENT, detail))
+        used.setdefault(service.pool, name)
+        if service.instance_connections < service.instance_slots:
+            detail = "must be at least instance_slots"
+            path = f"services.{name}.instance_connections"
+            problems.append(Problem(BASE_FILE, path, ProblemKind.INCONSISTENT, detail))
+    spares = [name for name, pool in base.pools.items() if pool.is_spare]
+    if len(spares) > 1:
+        detail = f"only one pool can be spare: {', '.join(spares)}"
+        problems.append(Problem(BASE_FILE, "pools", ProblemKind.INCONSISTENT, detail))
+    return problems
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/membership.py
@@ -0,0 +1,158 @@
+"""View of the entries: who is known, and who is alive in one's data centre."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from corianderpitch.domain.rendezvous import choose_owner
+from corianderpitch.ids import DataCenterId, EntryId, ServiceName
+
+HEARTBEAT_INTERVAL_MS = 250.0
+SUSPECT_AFTER_MS = 1000.0
+SETTLE_MS = 600.0
+
+
+@dataclass(frozen=True, slots=True)
+class MemberInfo:
+    """How to reach an entry; ``incarnation`` is new with every start."""
+
+    entry: EntryId
+    incarnation: str
+    data_center: DataCenterId
+    peer_address: str
+
+
+@dataclass(slots=True)
+class _Member:
+    info: MemberInfo
+    heard_ms: float | None = None
+    has_left: bool = False
+    is_lost: bool = False
+
+
+class Membership:
+    """Known entries and their heartbeats, from the point of view of one entry.
+
+    Entries of the same data centre are alive while their heartbeats arrive.
+    Entries of other data centres are only known; a caller that cannot reach
+    one tries the next.
+    """
+
+    def __init__(self, own: MemberInfo, now_ms: float = 0.0):
+        self._own = own
+        self._settled_ms = now_ms + SETTLE_MS
+        self._members: dict[EntryId, _Member] = {}
+
+    @property
+    def own(self) -> MemberInfo:
+        """Return the entry whose view this is."""
+        return self._own
+
+    def settle(self, now_ms: float) -> None:
+        """Stop trusting one's own view, after a pause of this process.
+
+        For ``SETTLE_MS`` the entry owns nothing, so that an entry which slept
+        while others took over does not act on what it knew before.
+        """
+        self._settled_ms = now_ms + SETTLE_MS
+
+    def is_settled(self, now_ms: float) -> bool:
+        """Tell whether this entry has had time to hear from the others."""
+        return now_ms >= self._settled_ms
+
+    def learn(self, infos: Iterable[MemberInfo]) -> list[MemberInfo]:
+        """Add entries; returns those that are new or have a new incarnation."""
+        fresh = []
+        for info in infos:
+            known = self._members.get(info.entry)
+            is_known = known is not None and known.info == info
+            if info.entry == self._own.entry or is_known:
+                continue
+            self._members[info.entry] = _Member(info)
+            fresh.append(info)
+        return fresh
+
+    def forget(self, entry: EntryId) -> None:
+        """Drop an entry whose lease has lapsed."""
+        self._members.pop(entry, None)
+
+    def heard(self, entry: EntryId, now_ms: float) -> None:
+        """Record a sign of life."""
+        member = self._members.get(entry)
+        if member is not None and not member.has_left:
+            member.heard_ms = now_ms
+            member.is_lost = False
+
+    def lost(self, entry: EntryId) -> None:
+        """Record that an entry's process is gone; a heartbeat revives it."""
+        member = self._members.get(entry)
+        if member is not None:
+            member.heard_ms = None
+            member.is_lost = True
+
+    def left(self, entry: EntryId) -> None:
+        """Record that an entry said goodbye."""
+        member = self._members.get(entry)
+        if member is not None:
+            member.has_left = True
+            member.heard_ms = None
+
+    def info(self, entry: EntryId) -> MemberInfo | None:
+        """Return how to reach an entry."""
+        if entry == self._own.entry:
+            return self._own
+        member = self._members.get(entry)
+        return member.info if member else None
+
+    def is_gone(self, entry: EntryId) -> bool:
+        """Tell whether an entry is known to have exited."""
+        member = self._members.get(entry)
+        return member is not None and (member.has_left or member.is_lost)
+
+    def known(self) -> list[MemberInfo]:
+        """Return every known entry but oneself."""
+        return [m.info for m in self._members.values() if not m.has_left]
+
+    def live(self, now_ms: float) -> frozenset[EntryId]:
+        """Return the live entries of one's own data centre, oneself included."""
+        alive = {
+            entry
+            for entry, member in self._members.items()
+            if member.info.data_center == self._own.data_center
+            and member.heard_ms is not None
+            and now_ms - member.heard_ms < SUSPECT_AFTER_MS
+        }
+        return frozenset(alive | {self._own.entry})
+
+    def data_centers(self) -> frozenset[DataCenterId]:
+        """Return the other data centres with known entries."""
+        centers = {info.data_center for info in self.known()}
+        return frozenset(centers - {self._own.data_center})
+
+    def owner(self, service: ServiceName, now_ms: float) -> EntryId | None:
+        """Return the live entry that owns a service in one's data centre.
+
+        Returns ``None`` while this entry is not settled and would be the owner.
+        """
+        key = owner_key(self._own.data_center, service)
+        owner = choose_owner(key, self.live(now_ms))
+        if owner == self._own.entry and not self.is_settled(now_ms):
+            return None
+        return owner
+
+    def remote_owner(
+        self, data_center: DataCenterId, service: ServiceName
+    ) -> EntryId | None:
+        """Return the entry most likely to own a service elsewhere."""
+        entries = [
+            member.info.entry
+            for member in self._members.values()
+            if member.info.data_center == data_center
+            and not member.has_left
+            and not member.is_lost
+        ]
+        return choose_owner(owner_key(data_center, service), entries)
+
+
+def owner_key(data_center: DataCenterId, service: ServiceName) -> str:
+    """Return the rendezvous key of a service in a data centre."""
+    return f"{data_center}/{service}"
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/ids.py
@@ -0,0 +1,18 @@
+"""Identifiers, each a distinct type over ``str`` or ``int``."""
+
+from typing import NewType
+
+ClassName = NewType("ClassName", str)
+DataCenterId = NewType("DataCenterId", str)
+EntryId = NewType("EntryId", str)
+OperationId = NewType("OperationId", str)
+PermitId = NewType("PermitId", str)
+PoolName = NewType("PoolName", str)
+RackId = NewType("RackId", str)
+RequestId = NewType("RequestId", str)
+Revision = NewType("Revision", int)
+ServiceName = NewType("ServiceName", str)
+TenantName = NewType("TenantName", str)
+TicketId = NewType("TicketId", str)
+VmId = NewType("VmId", str)
+WaveName = NewType("WaveName", str)
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -0,0 +1,119 @@
+"""Interfaces between the daemon and the systems around it.
+
+Each port has a real adapter and an in-memory twin in ``adapters``.
+"""
+
+import abc
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from returns.result import Result
+
+from corianderpitch.domain.outcomes import Answered
+from corianderpitch.domain.platform import ListedVm, VmAction, VmActionState
+from corianderpitch.errors import CommitError, InstanceError, PlatformError
+from corianderpitch.ids import OperationId, VmId
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One row of the table service; ``version`` grows with every write."""
+
+    key: str
+    version: int
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """Condition of a transaction: the row has this version (0: is absent)."""
+
+    key: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """Write of a transaction; a value of ``None`` deletes the row."""
+
+    key: str
+    value: bytes | None
+
+
+class TableService(abc.ABC):
+    """The platform's transactional table."""
+
+    @abc.abstractmethod
+    def read(self, known: Mapping[str, int]) -> Result[dict[str, Row], PlatformError]:
+        """Read several rows in one request.
+
+        ``known`` maps each key to the version the reader has (0: none). Rows
+        that are absent or still have that version are left out.
+        """
+
+    @abc.abstractmethod
+    def scan(self, prefix: str) -> Result[list[Row], PlatformError]:
+        """Read every row whose key starts with ``prefix``, in key order."""
+
+    @abc.abstractmethod
+    def commit(
+        self, checks: tuple[Check, ...], writes: tuple[Write, ...]
+    ) -> Result[dict[str, int], CommitError]:
+        """Write all rows if every check holds; returns the new versions."""
+
+
+class VmList(abc.ABC):
+    """The platform's lagging list of VMs."""
+
+    @abc.abstractmethod
+    def list_vms(self) -> Result[list[ListedVm], PlatformError]:
+        """Return every VM that the platform knows."""
+
+
+class VmActions(abc.ABC):
+    """The platform's actions on VMs."""
+
+    @abc.abstractmethod
+    def start(self, action: VmAction) -> Result[VmActionState, PlatformError]:
+        """Start an action, or return the state of the one already started."""
+
+    @abc.abstractmethod
+    def state(self, operation_id: OperationId) -> Result[VmActionState, PlatformError]:
+        """Return how far an action has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request as it is sent to an instance.
+
+    A call with ``is_once`` set is sent over a new connection, because a reused
+    one can fail in a way that leaves open whether the request ran.
+    """
+
+    request_id: str
+    content_type: str
+    body: bytes
+    timeout_ms: float
+    is_once: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """An instance's own report of what it runs."""
+
+    running: int
+    is_leaving: bool
+
+
+class Endpoint(abc.ABC):
+    """The instances on endpoint VMs."""
+
+    @abc.abstractmethod
+    def run(
+        self, vm_id: VmId, address: str, call: Call
+    ) -> Result[Answered, InstanceError]:
+        """Run a request and return its whole answer."""
+
+    @abc.abstractmethod
+    def load(self, vm_id: VmId, address: str) -> Result[Load, InstanceError]:
+        """Ask an instance for its load over a new connection."""
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/wire.py
@@ -0,0 +1,154 @@
+"""Encoding of peer messages: one msgpack array per message.
+
+A message is a frozen dataclass registered with :func:`message`. On the wire it
+is ``[kind, field, field, ...]``; enums travel as their values and nested data
+classes as arrays.
+
+>>> @message(99)
+... @dataclass(frozen=True, slots=True)
+... class Ping:
+...     sequence: int
+>>> Decoder().feed(encode(Ping(7)))
+[Ping(sequence=7)]
+"""
+
+import dataclasses
+import enum
+import types
+import typing
+from collections.abc import Callable
+from dataclasses import dataclass  # noqa: F401 - used by the example above
+from typing import Any
+
+import msgpack
+
+from corianderpitch.errors import WireError
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+
+_kind_of: dict[type, int] = {}
+_type_of: dict[int, type] = {}
+_readers: dict[type, Callable[[Any], Any]] = {}
+
+
+def message(kind: int) -> Callable[[type], type]:
+    """Register a data class as the message with number ``kind``."""
+
+    def register(cls: type) -> type:
+        if kind in _type_of:
+            raise WireError(f"message kind {kind} is taken")
+        _kind_of[cls] = kind
+        _type_of[kind] = cls
+        return cls
+
+    return register
+
+
+def encode(value: Any) -> bytes:
+    """Return the bytes of one message."""
+    fields = [_plain(getattr(value, f.name)) for f in dataclasses.fields(value)]
+    return msgpack.packb([_kind_of[type(value)], *fields])
+
+
+class Decoder:
+    """Cuts a byte stream into messages."""
+
+    def __init__(self):
+        self._unpacker = msgpack.Unpacker(
+            use_list=True, max_buffer_size=MAX_MESSAGE_BYTES
+        )
+
+    def feed(self, data: bytes) -> list[Any]:
+        """Return the messages completed by ``data``.
+
+        Raises
+        ------
+        WireError
+            If the stream is not made of known messages.
+        """
+        try:
+            self._unpacker.feed(data)
+            return [_read_message(item) for item in self._unpacker]
+        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            raise WireError(f"undecodable stream: {error}") from error
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, tuple | frozenset):
+        return [_plain(item) for item in value]
+    if dataclasses.is_dataclass(value):
+        return [_plain(getattr(value, f.name)) for f in dataclasses.fields(value)]
+    return value
+
+
+def _read_message(item: Any) -> Any:
+    if not isinstance(item, list) or not item or item[0] not in _type_of:
+        raise WireError("not a known message")
+    return _reader(_type_of[item[0]])(item[1:])
+
+
+def _reader(annotation: Any) -> Callable[[Any], Any]:
+    """Return the function that reads a value of the annotated type."""
+    while isinstance(annotation, typing.NewType):
+        annotation = annotation.__supertype__
+    if annotation not in _readers:
+        _readers[annotation] = _make_reader(annotation)
+    return _readers[annotation]
+
+
+def _make_reader(annotation: Any) -> Callable[[Any], Any]:
+    origin = typing.get_origin(annotation)
+    if origin in (tuple, frozenset):
+        return _sequence_reader(origin, typing.get_args(annotation)[0])
+    if origin in (typing.Union, types.UnionType):
+        return _optional_reader(typing.get_args(annotation))
+    if isinstance(annotation, type) and issubclass(annotation, enum.Enum):
+        return annotation
+    if dataclasses.is_dataclass(annotation):
+        return _dataclass_reader(annotation)
+    return _scalar_reader(annotation)
+
+
+def _sequence_reader(origin: type, item_type: Any) -> Callable[[Any], Any]:
+    read_item = _reader(item_type)
+
+    def read(value: Any) -> Any:
+        return origin(read_item(item) for item in value)
+
+    return read
+
+
+def _optional_reader(options: tuple[Any, ...]) -> Callable[[Any], Any]:
+    inner = next(option for option in options if option is not type(None))
+    read_inner = _reader(inner)
+
+    def read(value: Any) -> Any:
+        return None if value is None else read_inner(value)
+
+    return read
+
+
+def _dataclass_reader(cls: type) -> Callable[[Any], Any]:
+    hints = typing.get_type_hints(cls)
+    readers = [_reader(hints[field.name]) for field in dataclasses.fields(cls)]
+
+    def read(values: Any) -> Any:
+        if not isinstance(values, list) or len(values) != len(readers):
+            raise WireError(f"{cls.__name__} has the wrong number of fields")
+        pairs = zip(readers, values, strict=True)
+        return cls(*[read_field(value) for read_field, value in pairs])
+
+    return read
+
+
+def _scalar_reader(cls: type) -> Callable[[Any], Any]:
+    accepted = (int, float) if cls is float else (cls,)
+
+    def read(value: Any) -> Any:
+        if not isinstance(value, accepted):
+            raise WireError(f"expected {cls.__name__}, got {type(value).__name__}")
+        return value
+
+    return read
