Add the operators' command line, the demo and property tests of the decisions

Cause: the decisions had no proof, and operators no way in but raw HTTP.

Ruled out: a simulator of the cluster. The property tests drive the decision code itself, with the table as its in-memory twin.

--- /dev/null
+++ b/packages/corianderpitch-standins/corianderpitch_standins/demo.py
@@ -0,0 +1,187 @@
+"""The main job in under a minute, by itself: ``make demo``.
+
+Three data centres with entries and instances serve callers of all five
+Polsterwerk services through one configuration change, one drain and one
+killed entry. The report shows every outcome; the exit code is 0 only if every
+promise held.
+"""
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from corianderpitch_standins.load import CallerLoad, judge, outcomes_by_service
+from corianderpitch_standins.localfleet import LocalFleet, wait_until
+
+EXAMPLE = Path(__file__).parents[3] / "examples" / "polsterwerk"
+SITES = ["graz-a", "graz-b", "leoben"]
+SERVICES = ["theke", "rahmen", "hausbesuch", "zuschnitt", "werkbank"]
+ENTRIES = {"graz-a": 3, "graz-b": 3, "leoben": 2}
+INSTANCES_PER_SITE = 2
+SETTLE_S = 2.0
+IN_FORCE_LIMIT_S = 7.0
+NO_NEW_WORK_LIMIT_S = 2.0
+
+
+@dataclass(frozen=True)
+class Check:
+    """One promise and whether it held."""
+
+    promise: str
+    held: bool
+    detail: str
+
+
+def run_command(fleet: LocalFleet, *arguments: str) -> str:
+    """Run the operators' command line against the first running entry."""
+    urls = [e.operator_url for e in fleet.entries.values() if e.process.is_running]
+    command = [sys.executable, "-m", "corianderpitch_client.main", *arguments]
+    done = subprocess.run(
+        [*command, "--entries", urls[0]], capture_output=True, text=True, check=False
+    )
+    print(f"$ corianderpitch {' '.join(arguments)}")
+    print(done.stdout + done.stderr)
+    return done.stdout
+
+
+def start_fleet(fleet: LocalFleet) -> None:
+    """Start the instances and entries and apply the example configuration."""
+    wanted = [
+        (f"{service}-{site}-{number}", site, f"{site}-rack-{number}", service)
+        for site in SITES
+        for service in SERVICES
+        for number in range(1, INSTANCES_PER_SITE + 1)
+    ]
+    fleet.add_vms(wanted)
+    for site, count in ENTRIES.items():
+        for number in range(1, count + 1):
+            fleet.start_entry(f"entry-{site}-{number}", site, wait=False)
+    for entry in fleet.entries.values():
+        fleet.finish_start(entry)
+    run_command(fleet, "config", "apply", os.path.relpath(EXAMPLE), "--wait")
+    fleet.wait_ready()
+    vm_count = len(wanted)
+    wait_until(lambda: _open_vms(fleet) == vm_count, 15.0, "every VM is adopted")
+
+
+def _open_vms(fleet: LocalFleet) -> int:
+    return sum(1 for vm in fleet_vms(fleet) if vm["record"]["state"] == "active")
+
+
+def fleet_vms(fleet: LocalFleet) -> list[dict]:
+    """Return the VMs as the operators' interface lists them."""
+    for entry in fleet.entries.values():
+        if entry.process.is_running:
+            url = f"{entry.operator_url}/v1/fleet"
+            response = fleet.http.request("GET", url)
+            if response.status == 200:
+                return response.json()
+    return []
+
+
+def change_configuration(fleet: LocalFleet) -> Check:
+    """Apply a change and measure how long until it is in force everywhere."""
+    with tempfile.TemporaryDirectory() as folder:
+        text = (EXAMPLE / "fleet.toml").read_text()
+        changed = text.replace("default_timeout_ms = 1000", "default_timeout_ms = 1200")
+        (Path(folder) / "fleet.toml").write_text(changed)
+        started_s = time.monotonic()
+        output = run_command(fleet, "config", "apply", folder, "--wait")
+        took_s = time.monotonic() - started_s
+    held = "accepted" in output and took_s < IN_FORCE_LIMIT_S
+    return Check(
+        "a configuration is in force everywhere within 7 s",
+        held,
+        f"{took_s:.2f} s, the command's start included",
+    )
+
+
+def drain_vm(fleet: LocalFleet, vm_id: str) -> Check:
+    """Drain a VM under load and see that it gets no new work."""
+    started_s = time.monotonic()
+    run_command(fleet, "vm", "drain", vm_id, "--wait")
+    took_s = time.monotonic() - started_s
+    before = fleet.vm_log(vm_id)["started"]
+    time.sleep(1.0)
+    after = fleet.vm_log(vm_id)["started"]
+    held = before == after
+    detail = f"drained in {took_s:.2f} s, {after - before} requests in the next second"
+    return Check("a drained VM gets no new work", held, detail)
+
+
+def kill_entry(fleet: LocalFleet) -> None:
+    """Kill one entry while it serves."""
+    entry = fleet.entries["entry-graz-a-1"]
+    print(f"Killing {entry.name}.\n")
+    entry.process.kill()
+
+
+def running_urls(fleet: LocalFleet) -> list[str]:
+    """Return the entries that the balancer would choose from."""
+    return [e.url for e in fleet.entries.values() if e.process.is_running]
+
+
+def slot_check(fleet: LocalFleet) -> Check:
+    """Compare the most that ever ran at once with the slots of an instance."""
+    reports = [fleet.vm_log(vm_id) for vm_id in fleet.vms]
+    most = max(report["max_running"] for report in reports)
+    refused = sum(report["refused_busy"] for report in reports)
+    detail = f"at most {most} of 8 at once, {refused} sent above it"
+    return Check("an instance's slots are never exceeded", refused == 0, detail)
+
+
+def promise_checks(fleet: LocalFleet, sent: list) -> list[Check]:
+    """Judge every request against the run logs."""
+    logs = [fleet.vm_log(vm_id)["log"] for vm_id in fleet.vms]
+    verdict = judge(sent, logs)
+    answered = verdict.outcomes["answered"]
+    return [
+        Check("requests are served", answered > 0.9 * len(sent), f"{answered} answers"),
+        Check("an answer is the caller's own", *_none(verdict.wrong_answers)),
+        Check("'not run' was not run", *_none(verdict.run_though_not_run)),
+        Check("non-idempotent runs at most once", *_none(verdict.run_twice)),
+        Check("every answer is in time", *_none(verdict.late)),
+    ]
+
+
+def _none(keys: list[str]) -> tuple[bool, str]:
+    return not keys, f"{len(keys)} violations {' '.join(keys[:3])}"
+
+
+def print_report(sent: list, checks: list[Check]) -> None:
+    """Print the outcomes by service and the promises."""
+    print(f"{'SERVICE':<12}{'ANSWERED':>10}{'NOT RUN':>10}{'UNKNOWN':>10}")
+    for service, counts in sorted(outcomes_by_service(sent).items()):
+        numbers = [counts[kind] for kind in ("answered", "not_run", "unknown")]
+        print(f"{service:<12}" + "".join(f"{number:>10}" for number in numbers))
+    print()
+    for check in checks:
+        mark = "held  " if check.held else "BROKEN"
+        print(f"{mark}  {check.promise}: {check.detail}")
+
+
+def main() -> None:
+    """Run the demo."""
+    started_s = time.monotonic()
+    with LocalFleet(SITES) as fleet:
+        start_fleet(fleet)
+        load = CallerLoad(lambda: running_urls(fleet), SERVICES).start()
+        time.sleep(SETTLE_S)
+        checks = [change_configuration(fleet), drain_vm(fleet, "theke-graz-b-1")]
+        kill_entry(fleet)
+        time.sleep(SETTLE_S)
+        run_command(fleet, "status")
+        run_command(fleet, "fleet", "show", "--pool", "theke")
+        sent = load.stop()
+        checks += [*promise_checks(fleet, sent), slot_check(fleet)]
+    print_report(sent, checks)
+    print(f"\n{len(sent)} requests, {time.monotonic() - started_s:.0f} s in all")
+    sys.exit(0 if all(check.held for check in checks) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/corianderpitch/corianderpitch/daemon/entry.py
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -33,7 +33,7 @@
 from corianderpitch.daemon.views import service_views
 from corianderpitch.domain.membership import MemberInfo, Membership
 from corianderpitch.ids import DataCenterId, EntryId, VmId
-from corianderpitch.messages import EntryStatus, Members
+from corianderpitch.messages import EntryStatus, Members, ServiceStatus, VmWait
 
 MAX_CALLER_CONNECTIONS = 2048
 HEADER_TIMEOUT_S = 10
@@ -136,9 +136,7 @@
             self._membership, self._network, clock, self._own_status
         )
         operations = Operations(self._platform, self._documents, clock)
-        self._operators = OperatorApp(
-            operations, self._statuses, self._manager, self._owners
-        )
+        self._operators = OperatorApp(operations, self._statuses)
 
     def _connect_parts(self) -> None:
         self._documents.on_change = self._apply_documents
@@ -250,17 +248,25 @@
             self._platform.age_ms,
             self._manager.is_holder,
             self._callers.is_draining,
-            tuple(self._owners.owned()),
+            self._owned_services(),
+            tuple(VmWait(vm, wait) for vm, wait in self._manager.waits.items()),
         )
 
-    def _refresh_gauges(self) -> None:
+    def _owned_services(self) -> tuple[ServiceStatus, ...]:
         now_ms = self._clock.now_ms()
-        for service, dispatcher in self._owners.owned().items():
-            ledger = dispatcher.ledger
-            free = ledger.free_slots(now_ms)
-            self._metrics.set_service(
-                service, dispatcher.queue_length, ledger.held_slots(), free
+        return tuple(
+            ServiceStatus(
+                service,
+                dispatcher.queue_length,
+                dispatcher.ledger.held_slots(),
+                dispatcher.ledger.free_slots(now_ms),
             )
+            for service, dispatcher in self._owners.owned().items()
+        )
+
+    def _refresh_gauges(self) -> None:
+        for status in self._owned_services():
+            self._metrics.set_service(status)
         self._metrics.set_traffic(self._network.sent_bytes, self._platform.requests)
 
 
--- a/packages/corianderpitch/corianderpitch/daemon/main.py
+++ b/packages/corianderpitch/corianderpitch/daemon/main.py
@@ -12,7 +12,7 @@
 import signal
 import sys
 
-from cyclopts import App, CycloptsError
+from cyclopts import App, CycloptsError, MissingArgumentError
 from cyclopts.config import Env
 
 from corianderpitch.daemon.entry import Entry
@@ -52,6 +52,12 @@
     except SettingsError as error:
         print(f"corianderpitchd: {_with_source(error)}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
+    except MissingArgumentError as error:
+        name = error.argument.name.lstrip("-")
+        variable = ENVIRONMENT_PREFIX + name.upper().replace("-", "_")
+        text = f"flag --{name} or environment variable {variable}: is required"
+        print(f"corianderpitchd: {text}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
     except CycloptsError as error:
         print(f"corianderpitchd: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
--- a/packages/corianderpitch/corianderpitch/daemon/metrics.py
+++ b/packages/corianderpitch/corianderpitch/daemon/metrics.py
@@ -6,6 +6,7 @@
 
 from corianderpitch.domain.outcomes import Outcome, kind_of
 from corianderpitch.ids import ClassName, ServiceName, TenantName
+from corianderpitch.messages import ServiceStatus
 
 BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000)
 
@@ -74,13 +75,12 @@
         self._total_ms.add({"service": service, "class": class_name}, total_ms)
         self._tenant_ms.add({"service": service, "tenant": tenant}, total_ms)
 
-    def set_service(
-        self, service: ServiceName, waiting: int, held: int, free: int
-    ) -> None:
+    def set_service(self, status: ServiceStatus) -> None:
         """Set the gauges of a service that this entry owns."""
-        self._queue.set({"service": service}, waiting)
-        self._slots.set({"service": service, "state": "held"}, held)
-        self._slots.set({"service": service, "state": "free"}, free)
+        service = status.service
+        self._queue.set({"service": service}, status.waiting)
+        self._slots.set({"service": service, "state": "held"}, status.held_slots)
+        self._slots.set({"service": service, "state": "free"}, status.free_slots)
 
     def set_traffic(self, peer_bytes: int, platform_requests: int) -> None:
         """Set the gauges of control traffic."""
--- a/packages/corianderpitch/corianderpitch/daemon/operators.py
+++ b/packages/corianderpitch/corianderpitch/daemon/operators.py
@@ -10,14 +10,12 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
-from corianderpitch.daemon.managers import ManagerTask
 from corianderpitch.daemon.operations import (
     ConfigChange,
     Operations,
     WaveRequest,
     config_difference,
 )
-from corianderpitch.daemon.owners import OwnerTask
 from corianderpitch.daemon.statuses import StatusDesk
 from corianderpitch.domain.fleetfile import FleetConfig, check_fleet
 from corianderpitch.domain.vms import OperationKind, Refusal, VmOperation
@@ -78,17 +76,9 @@
 class OperatorApp:
     """Serves the operators' command line."""
 
-    def __init__(
-        self,
-        operations: Operations,
-        statuses: StatusDesk,
-        manager: ManagerTask,
-        owners: OwnerTask,
-    ):
+    def __init__(self, operations: Operations, statuses: StatusDesk):
         self._operations = operations
         self._statuses = statuses
-        self._manager = manager
-        self._owners = owners
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Handle one HTTP request."""
@@ -114,8 +104,6 @@
                 return self._config(method, rest, environ)
             case ("GET", "v1", "fleet"):
                 return _answer(self._operations.fleet().map(self._with_waits))
-            case ("GET", "v1", "services"):
-                return HTTPStatus.OK, self._services()
             case ("POST", "v1", "vms", vm_id, verb):
                 return self._vm(VmId(vm_id), verb, environ)
             case (_, "v1", "waves", *rest):
@@ -126,22 +114,10 @@
         entries, silent = self._statuses.collect()
         return {"entries": entries, "silent": silent}
 
-    def _services(self) -> list[dict[str, Any]]:
-        return [
-            {
-                "service": service,
-                "waiting": dispatcher.queue_length,
-                "held": dispatcher.ledger.held_slots(),
-            }
-            for service, dispatcher in self._owners.owned().items()
-        ]
-
     def _with_waits(self, found: list) -> list[dict[str, Any]]:
-        waits = self._manager.waits
-        return [
-            {**_plain(vm), "wait": waits[vm.vm_id].value if vm.vm_id in waits else None}
-            for vm in found
-        ]
+        entries, _ = self._statuses.collect()
+        waits = {w.vm_id: w.wait.value for entry in entries for w in entry.waits}
+        return [{**_plain(vm), "wait": waits.get(vm.vm_id)} for vm in found]
 
     def _config(
         self, method: str, rest: list[str], environ: Environ
--- a/packages/corianderpitch/corianderpitch/domain/slots.py
+++ b/packages/corianderpitch/corianderpitch/domain/slots.py
@@ -14,6 +14,7 @@
 
 EXPIRY_GRACE_MS = 500.0
 SUSPECT_RETRY_MS = 200.0
+START_MARGIN_MS = 20.0  # a member starts a granted request well within this time
 
 
 class RunResult(enum.Enum):
@@ -192,15 +193,19 @@
             )
             if is_uncertain and instance.probe_due_ms <= now_ms:
                 instance.probe_due_ms = now_ms + interval_ms
-                instance.probed_permits = frozenset(instance.permits)
+                instance.probed_permits = frozenset(
+                    permit.permit_id
+                    for permit in instance.permits.values()
+                    if now_ms - permit.granted_ms >= START_MARGIN_MS
+                )
                 due.append(instance.spec)
         return due
 
     def record_load(self, vm_id: VmId, running: int, is_leaving: bool) -> None:
         """Take over an instance's own report of its load.
 
-        Permits held all through the probe are assumed to be among the running
-        requests; the rest of what runs is unknown.
+        Permits granted ``START_MARGIN_MS`` before the probe and held all through
+        it are assumed to be among the running requests; the rest is unknown.
         """
         instance = self._instances.get(vm_id)
         if instance is None:
--- a/packages/corianderpitch/corianderpitch/messages.py
+++ b/packages/corianderpitch/corianderpitch/messages.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from corianderpitch.domain.dispatch import Offer
-from corianderpitch.domain.manager import EntryReport
+from corianderpitch.domain.manager import EntryReport, Wait
 from corianderpitch.domain.membership import MemberInfo
 from corianderpitch.domain.outcomes import (
     Answered,
@@ -296,6 +296,24 @@
     report: EntryReport
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceStatus:
+    """A service as its owner in one data centre sees it."""
+
+    service: ServiceName
+    waiting: int
+    held_slots: int
+    free_slots: int
+
+
+@dataclass(frozen=True, slots=True)
+class VmWait:
+    """Why the manager does not go on with a VM's operation."""
+
+    vm_id: VmId
+    wait: Wait
+
+
 @dataclass(frozen=True, slots=True)
 class EntryStatus:
     """What an entry has in force, as operators see it.
@@ -311,7 +329,8 @@
     platform_age_ms: float | None
     is_manager: bool
     is_draining: bool
-    owned: tuple[ServiceName, ...]
+    owned: tuple[ServiceStatus, ...]
+    waits: tuple[VmWait, ...]
 
 
 @message(50)
--- /dev/null
+++ b/packages/corianderpitch/tests/test_operations.py
@@ -0,0 +1,180 @@
+"""Operators race each other and lose answers."""
+
+from types import SimpleNamespace
+
+import pytest
+from returns.result import Failure, Success
+
+from corianderpitch.adapters.memory import MemoryTable
+from corianderpitch.clock import ManualClock
+from corianderpitch.daemon.operations import (
+    ConfigChange,
+    Operations,
+    WaveRequest,
+)
+from corianderpitch.domain.fleetfile import check_fleet
+from corianderpitch.domain.vms import (
+    OperationKind,
+    Refusal,
+    SiteFleet,
+    VmOperation,
+    VmRecord,
+    VmState,
+)
+from corianderpitch.domain.waves import WaveState
+from corianderpitch.errors import (
+    ConfigConflict,
+    ConfigInvalid,
+    OutcomeLost,
+    VmRefused,
+    WaveRefusal,
+    WaveRefused,
+)
+from corianderpitch.ports import Write
+from corianderpitch.records import encode_row
+
+BASE = """
+name = "x"
+[sites.a]
+region = "r"
+[pools.p]
+vm_processors = 1
+vm_memory_mb = 1
+[pools.q]
+vm_processors = 1
+vm_memory_mb = 1
+[services.s]
+pool = "p"
+instance_slots = 8
+instance_connections = 64
+budget = { min_available = 1 }
+"""
+
+
+class LossyTable(MemoryTable):
+    """Loses the answers of commits after their effect."""
+
+    def __init__(self):
+        super().__init__()
+        self.lose = 0
+
+    def commit(self, checks, writes):
+        result = super().commit(checks, writes)
+        if self.lose:
+            self.lose -= 1
+            return Failure(OutcomeLost("test"))
+        return result
+
+
+@pytest.fixture
+def table():
+    table = LossyTable()
+    fleet = SiteFleet({f"vm{n}": VmRecord("p", "r", "addr") for n in range(3)})
+    table.commit((), (Write("fleet/a", encode_row(fleet)),))
+    return table
+
+
+@pytest.fixture
+def operations(table):
+    documents = SimpleNamespace(offer=lambda rows: None, config=check_fleet(BASE, {}))
+    return Operations(table, documents, ManualClock())
+
+
+def change(based_on, operation_id, text=BASE):
+    return ConfigChange(based_on, operation_id, "me", text, {})
+
+
+def test_racing_operator_gets_a_conflict_with_the_difference(operations):
+    operations.apply_config(change(0, "first"))
+    operations.apply_config(change(1, "second", BASE.replace('"r"', '"r2"')))
+    conflict = operations.apply_config(change(1, "third")).failure()
+    assert isinstance(conflict, ConfigConflict)
+    assert conflict.head_revision == 2
+    assert '+region = "r2"' in conflict.difference
+
+
+def test_retry_after_a_lost_answer_is_accepted_once(operations, table):
+    table.lose = 1
+    lost = operations.apply_config(change(0, "op"))
+    assert isinstance(lost.failure(), OutcomeLost)
+    assert operations.apply_config(change(0, "op")) == Success(1)
+    assert operations.config_head().unwrap().revision == 1
+
+
+def test_invalid_configuration_is_refused_whole(operations):
+    refused = operations.apply_config(change(0, "op", "name = 1")).failure()
+    assert isinstance(refused, ConfigInvalid)
+    assert len(refused.problems) > 1
+    assert operations.config_head() == Success(None)
+
+
+def test_history_lists_the_newest_first(operations):
+    for revision in range(3):
+        operations.apply_config(change(revision, f"op{revision}"))
+    revisions = [r.revision for r in operations.config_history().unwrap()]
+    assert revisions == [3, 2, 1]
+
+
+REBOOT = VmOperation("op", OperationKind.REBOOT)
+
+
+def test_repeated_vm_request_changes_nothing(operations, table):
+    table.lose = 1
+    lost = operations.request_vm("vm0", REBOOT)
+    assert isinstance(lost.failure(), OutcomeLost)
+    again = operations.request_vm("vm0", REBOOT).unwrap()
+    assert again.record.operation == REBOOT
+    other = VmOperation("op2", OperationKind.DRAIN)
+    refused = operations.request_vm("vm0", other).failure()
+    assert refused.refusal is Refusal.OPERATION_PENDING
+
+
+@pytest.mark.parametrize(
+    ("vm", "operation", "refusal"),
+    [
+        ("vm9", REBOOT, Refusal.NO_SUCH_VM),
+        ("vm0", VmOperation("o", OperationKind.MOVE, "qq"), Refusal.NO_SUCH_POOL),
+        ("vm0", VmOperation("o", OperationKind.MOVE, "p"), Refusal.SAME_POOL),
+    ],
+)
+def test_vm_requests_that_make_no_sense_are_refused(operations, vm, operation, refusal):
+    failure = operations.request_vm(vm, operation).failure()
+    assert isinstance(failure, VmRefused)
+    assert failure.refusal is refusal
+
+
+def test_return_is_refused_once_the_stop_has_begun(operations, table):
+    record = VmRecord("p", "r", "addr", VmState.STOPPING, REBOOT)
+    table.commit((), (Write("fleet/a", encode_row(SiteFleet({"vm0": record}))),))
+    failure = operations.return_vm("vm0").failure()
+    assert failure.refusal is Refusal.PAST_RETURN
+
+
+def test_wave_life(operations):
+    request = WaveRequest("w", OperationKind.REBOOT, 1, pools=("p",))
+    assert len(operations.create_wave(request).unwrap().steps) == 3
+    again = operations.create_wave(request).failure()
+    assert again == WaveRefused("w", WaveRefusal.EXISTS)
+    paused = operations.set_wave_state("w", WaveState.PAUSED).unwrap()
+    assert paused.state is WaveState.PAUSED
+    operations.set_wave_state("w", WaveState.ABORTED)
+    over = operations.set_wave_state("w", WaveState.RUNNING).failure()
+    assert over.refusal is WaveRefusal.IS_OVER
+
+
+@pytest.mark.parametrize(
+    ("request_", "refusal"),
+    [
+        (WaveRequest("w", OperationKind.REBOOT, 0), WaveRefusal.BAD_CONCURRENCY),
+        (
+            WaveRequest("w", OperationKind.REBOOT, 1, pools=("zz",)),
+            WaveRefusal.NO_SUCH_POOL,
+        ),
+        (
+            WaveRequest("w", OperationKind.REBOOT, 1, vm_ids=("zz",)),
+            WaveRefusal.NO_VMS,
+        ),
+    ],
+)
+def test_waves_that_make_no_sense_are_refused(operations, request_, refusal):
+    assert operations.create_wave(request_).failure().refusal is refusal
--- /dev/null
+++ b/packages/corianderpitch/tests/test_wire.py
@@ -0,0 +1,80 @@
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from corianderpitch.domain.dispatch import Offer
+from corianderpitch.domain.outcomes import Answered, NotRun, Reason, Unknown
+from corianderpitch.domain.slots import RunResult
+from corianderpitch.errors import WireError
+from corianderpitch.messages import (
+    OutcomeRecord,
+    PermitRelease,
+    PermitRequest,
+    SlotOffers,
+    TicketReply,
+)
+from corianderpitch.wire import Decoder, encode
+
+names = st.text(min_size=1, max_size=12)
+offers = st.builds(Offer, names, names, names, names)
+outcomes = st.one_of(
+    st.builds(Answered, st.integers(200, 599), names, st.binary()),
+    st.builds(NotRun, st.sampled_from(Reason), st.integers(0, 10_000)),
+    st.builds(Unknown, st.sampled_from(Reason)),
+)
+messages = st.one_of(
+    st.builds(
+        PermitRequest,
+        names,
+        names,
+        names,
+        names,
+        st.floats(0, 1e6),
+        st.frozensets(names, max_size=3),
+    ),
+    st.builds(
+        PermitRelease, names, names, st.sampled_from(RunResult), st.floats(0, 1e6)
+    ),
+    st.builds(
+        SlotOffers,
+        names,
+        names,
+        st.integers(0, 2**31),
+        st.lists(offers, max_size=3).map(tuple),
+    ),
+    st.builds(
+        TicketReply,
+        names,
+        st.none() | outcomes.map(OutcomeRecord.from_outcome),
+    ),
+)
+
+
+@given(st.lists(messages, max_size=5), st.integers(1, 40))
+def test_stream_returns_the_messages_however_it_is_cut(sent, chunk):
+    data = b"".join(encode(item) for item in sent)
+    decoder = Decoder()
+    received = []
+    for start in range(0, len(data), chunk):
+        received += decoder.feed(data[start : start + chunk])
+    assert received == sent
+
+
+@given(outcomes)
+def test_outcome_survives_its_record(outcome):
+    assert OutcomeRecord.from_outcome(outcome).to_outcome() == outcome
+
+
+@given(st.binary(min_size=1, max_size=60))
+def test_garbage_is_refused_incomplete_or_a_valid_message(data):
+    try:
+        received = Decoder().feed(data)
+    except WireError:
+        return
+    assert all(Decoder().feed(encode(item)) == [item] for item in received)
+
+
+@pytest.mark.parametrize("data", [b"\x91\x0c", b"\x92\x0c\x01", b"\x01", b"\xc1"])
+def test_wrong_shape_is_refused(data):
+    with pytest.raises(WireError):
+        Decoder().feed(data)
