Give instances their whole time and refuse answers without a length

Cause 1: every run longer than 250 ms ended as "unknown". The connection's timeout was set on the socket, and urllib3 sets it back to the connect timeout of 250 ms on each request. Now the connection's own timeout is set.

Cause 2: an answer cut off inside its headers was relayed as a whole, empty answer. The HTTP parser takes the end of the stream for the end of the headers, and a body without a length then ends at once. Such an answer now counts as broken off.

Both were found by tests through the fault proxy that failed first.

Ruled out for cause 1: lost permits and the admission bound; the refusals and the slots in use were as expected in the same run.

--- a/packages/corianderpitch-standins/corianderpitch_standins/demo.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/demo.py
@@ -38,7 +38,7 @@
 
 def run_command(fleet: LocalFleet, *arguments: str) -> str:
     """Run the operators' command line against the first running entry."""
-    urls = [e.operator_url for e in fleet.entries.values() if e.process.is_running]
+    urls = [entry.operator_url for entry in fleet.running_entries()]
     command = [sys.executable, "-m", "corianderpitch_client.main", *arguments]
     done = subprocess.run(
         [*command, "--entries", urls[0]], capture_output=True, text=True, check=False
@@ -69,18 +69,8 @@
 
 
 def _open_vms(fleet: LocalFleet) -> int:
-    return sum(1 for vm in fleet_vms(fleet) if vm["record"]["state"] == "active")
-
-
-def fleet_vms(fleet: LocalFleet) -> list[dict]:
-    """Return the VMs as the operators' interface lists them."""
-    for entry in fleet.entries.values():
-        if entry.process.is_running:
-            url = f"{entry.operator_url}/v1/fleet"
-            response = fleet.http.request("GET", url)
-            if response.status == 200:
-                return response.json()
-    return []
+    records = fleet.vm_records().values()
+    return sum(1 for record in records if record["state"] == "active")
 
 
 def change_configuration(fleet: LocalFleet) -> Check:
@@ -120,11 +110,6 @@
     entry.process.kill()
 
 
-def running_urls(fleet: LocalFleet) -> list[str]:
-    """Return the entries that the balancer would choose from."""
-    return [e.url for e in fleet.entries.values() if e.process.is_running]
-
-
 def slot_check(fleet: LocalFleet) -> Check:
     """Compare the most that ever ran at once with the slots of an instance."""
     reports = [fleet.vm_log(vm_id) for vm_id in fleet.vms]
@@ -136,8 +121,7 @@
 
 def promise_checks(fleet: LocalFleet, sent: list) -> list[Check]:
     """Judge every request against the run logs."""
-    logs = [fleet.vm_log(vm_id)["log"] for vm_id in fleet.vms]
-    verdict = judge(sent, logs)
+    verdict = judge(sent, fleet.run_logs())
     answered = verdict.outcomes["answered"]
     return [
         Check("requests are served", answered > 0.9 * len(sent), f"{answered} answers"),
@@ -169,7 +153,7 @@
     started_s = time.monotonic()
     with LocalFleet(SITES) as fleet:
         start_fleet(fleet)
-        load = CallerLoad(lambda: running_urls(fleet), SERVICES).start()
+        load = CallerLoad(fleet.running_urls, SERVICES).start()
         time.sleep(SETTLE_S)
         checks = [change_configuration(fleet), drain_vm(fleet, "theke-graz-b-1")]
         kill_entry(fleet)
--- a/packages/corianderpitch-standins/corianderpitch_standins/localfleet.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/localfleet.py
@@ -107,10 +107,12 @@
     rack: str
     pool: str
     process: Process
+    map_number: int
+    address: str
 
     @property
-    def address(self) -> str:
-        """Return the instance's ip:port."""
+    def control_address(self) -> str:
+        """Return the instance's own ip:port, past the proxy."""
         return self.process.addresses["http"]
 
 
@@ -214,11 +216,15 @@
         for vm_id, data_center, rack, pool in wanted:
             arguments = ["--slots", str(slots), "--seed", str(len(self.vms) + 1)]
             process = Process(INSTANCE, arguments, self.verbose)
-            vm = Vm(vm_id, data_center, rack, pool, process)
+            new_map = self.ask_proxy("/maps", {})
+            number, address = new_map["map"], new_map["address"]
+            vm = Vm(vm_id, data_center, rack, pool, process, number, address)
             self.vms[vm_id] = vm
             started.append(vm)
         for vm in started:
             vm.process.wait_ready()
+            target = {"target": vm.control_address}
+            self.ask_proxy(f"/maps/{vm.map_number}", target)
         self.control_platform(vms=[_listed(vm, "live") for vm in started])
 
     def list_vm(self, vm_id: str, status: str) -> None:
@@ -227,12 +233,12 @@
 
     def vm_log(self, vm_id: str) -> dict[str, Any]:
         """Return an instance's run log."""
-        url = f"http://{self.vms[vm_id].address}/log"
+        url = f"http://{self.vms[vm_id].control_address}/log"
         return self.http.request("GET", url).json()
 
     def control_vm(self, vm_id: str, **command: Any) -> None:
         """Switch faults of an instance."""
-        url = f"http://{self.vms[vm_id].address}/control"
+        url = f"http://{self.vms[vm_id].control_address}/control"
         self.http.request("POST", url, json=command)
 
     def start_entry(
@@ -280,6 +286,49 @@
         except urllib3.exceptions.HTTPError:
             return False
 
+    def running_entries(self) -> list[EntryProcess]:
+        """Return the entries that have not ended."""
+        return [e for e in self.entries.values() if e.process.is_running]
+
+    def running_urls(self) -> list[str]:
+        """Return the callers' URLs that the balancer would choose from."""
+        return [entry.url for entry in self.running_entries()]
+
+    def ask_operator(self, path: str, body: dict[str, Any] | None = None) -> Any:
+        """Send an operator's request to the first entry that answers well."""
+        method = "GET" if body is None else "POST"
+        for entry in self.running_entries():
+            url = f"{entry.operator_url}{path}"
+            response = self.http.request(method, url, json=body)
+            if response.status == 200:
+                return response.json()
+        return None
+
+    def apply_config(self, text: str, based_on: int, operation_id: str) -> Any:
+        """Apply a configuration without overlays."""
+        change = {
+            "based_on": based_on,
+            "operation_id": operation_id,
+            "author": "test",
+            "base_text": text,
+            "overlay_texts": {},
+        }
+        return self.ask_operator("/v1/config/apply", change)
+
+    def vm_records(self) -> dict[str, dict[str, Any]]:
+        """Return the VMs' records by id."""
+        found = self.ask_operator("/v1/fleet") or []
+        return {vm["vm_id"]: {**vm["record"], "wait": vm["wait"]} for vm in found}
+
+    def revisions(self) -> dict[str, int]:
+        """Return the revision in force at each entry that answers."""
+        status = self.ask_operator("/v1/status") or {"entries": []}
+        return {e["entry"]: e["revision"] for e in status["entries"]}
+
+    def run_logs(self) -> list[list[str]]:
+        """Return the run logs of all instances."""
+        return [self.vm_log(vm_id)["log"] for vm_id in self.vms]
+
     def close(self) -> None:
         """End every process that this fleet started."""
         processes = [e.process for e in self.entries.values()]
--- a/packages/corianderpitch/corianderpitch/adapters/endpointhttp.py
+++ b/packages/corianderpitch/corianderpitch/adapters/endpointhttp.py
@@ -122,7 +122,7 @@
             "X-Timeout-Ms": str(int(call.timeout_ms)),
         }
         timeout_s = max(0.001, call.timeout_ms / 1000.0)
-        connection.sock.settimeout(timeout_s)
+        connection.timeout = timeout_s
         try:
             with eventlet.Timeout(timeout_s):
                 connection.request("POST", "/run", body=call.body, headers=headers)
@@ -132,6 +132,8 @@
             return Failure(InstanceSilent(vm_id))
         except _BROKEN_ERRORS:
             return Failure(InstanceBrokeOff(vm_id))
+        if not _has_known_length(response):
+            return Failure(InstanceBrokeOff(vm_id))
         refusal = response.headers.get(NOT_RUN_HEADER)
         if response.status == HTTP_UNAVAILABLE and refusal is not None:
             return Failure(InstanceRefused(vm_id, refusal == LEAVING_VALUE))
@@ -158,3 +160,12 @@
     def _condemn_idle(self, address: str) -> None:
         for idle in self._idle.pop(address, []):
             idle.connection.close()
+
+
+def _has_known_length(response: urllib3.BaseHTTPResponse) -> bool:
+    """Tell whether the answer itself says where it ends.
+
+    An answer cut off inside its headers parses as one without a length.
+    """
+    headers = response.headers
+    return "Content-Length" in headers or "Transfer-Encoding" in headers
--- /dev/null
+++ b/tests/integration/fleets.py
@@ -0,0 +1,87 @@
+"""Fleets of real processes for the integration tests."""
+
+from corianderpitch_standins.load import CallerLoad, judge
+from corianderpitch_standins.localfleet import LocalFleet, wait_until
+
+SERVICES = ("s1", "s2")
+BASE = """
+name = "test"
+"""
+
+
+def base_text(sites, min_available=2, **changes):
+    text = 'name = "test"\n'
+    for site in sites:
+        text += f'[sites.{site}]\nregion = "r"\n'
+    for service in SERVICES:
+        text += f"[pools.{service}]\nvm_processors = 1\nvm_memory_mb = 1\n"
+        text += (
+            f'[services.{service}]\npool = "{service}"\ninstance_slots = 8\n'
+            f"instance_connections = 64\nmax_body_bytes = 100000\n"
+            f"budget = {{ min_available = {min_available} }}\n"
+        )
+        for key, value in changes.items():
+            text += f"{key} = {value}\n"
+    return text
+
+
+def start_fleet(sites, entries_per_site=2, vms_per_site=2, min_available=2):
+    """Start a fleet whose sites each have VMs of both services."""
+    fleet = LocalFleet(list(sites))
+    try:
+        fleet.add_vms(
+            [
+                (f"{service}-{site}-{n}", site, f"{site}-rack{n}", service)
+                for site in sites
+                for service in SERVICES
+                for n in range(vms_per_site)
+            ]
+        )
+        for site in sites:
+            for n in range(entries_per_site):
+                fleet.start_entry(f"{site}{n}", site, wait=False)
+        for entry in fleet.entries.values():
+            fleet.finish_start(entry)
+        fleet.apply_config(base_text(sites, min_available), 0, "first")
+        fleet.wait_ready()
+        wait_until(lambda: all_active(fleet), 20.0, "all VMs active")
+        wait_until(lambda: all_serving(fleet), 10.0, "all entries serve")
+    except BaseException:
+        fleet.close()
+        raise
+    return fleet
+
+
+def all_active(fleet):
+    records = fleet.vm_records()
+    return len(records) == len(fleet.vms) and all(
+        r["state"] == "active" for r in records.values()
+    )
+
+
+def all_serving(fleet):
+    return all(post(fleet, e, "s1", "{}").status == 200 for e in fleet.entries.values())
+
+
+def post(fleet, entry, service, body, **headers):
+    url = f"{entry.url}/v1/services/{service}/requests"
+    sent = {"X-Idempotent": "true", "X-Timeout-Ms": "2000"} | headers
+    return fleet.http.request("POST", url, body=body, headers=sent, redirect=False)
+
+
+def load(fleet, **settings):
+    return CallerLoad(fleet.running_urls, list(SERVICES), **settings).start()
+
+
+def verdict(fleet, sent):
+    found = judge(sent, fleet.run_logs())
+    assert found.is_clean, found
+    return found
+
+
+def refused_busy(fleet):
+    return sum(fleet.vm_log(vm_id)["refused_busy"] for vm_id in fleet.vms)
+
+
+def cut_off(fleet):
+    return sum(fleet.vm_log(vm_id)["cut_off"] for vm_id in fleet.vms)
--- /dev/null
+++ b/tests/integration/test_interface.py
@@ -0,0 +1,178 @@
+"""What callers see, on one fleet of two data centres."""
+
+import json
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from fleets import post, refused_busy, start_fleet
+
+from corianderpitch_standins.localfleet import wait_until
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    fleet = start_fleet(("a", "b"))
+    yield fleet
+    fleet.close()
+
+
+@pytest.fixture
+def entry(fleet):
+    return fleet.entries["a0"]
+
+
+def raw_exchange(entry, data, shut=False):
+    host, port = entry.url.removeprefix("http://").split(":")
+    with socket.create_connection((host, int(port)), 15.0) as connection:
+        connection.sendall(data)
+        if shut:
+            connection.shutdown(socket.SHUT_WR)
+        answer = b""
+        while part := connection.recv(65536):
+            answer += part
+    return answer.split(b"\r\n")[0].decode()
+
+
+PATH = b"POST /v1/services/s1/requests HTTP/1.1\r\nHost: x\r\nX-Idempotent: true\r\n"
+
+
+@pytest.mark.parametrize(
+    ("head", "body", "status"),
+    [
+        (b"Content-Length: 10\r\n\r\n", b"abc", "400"),
+        (b"Content-Length: ten\r\n\r\n", b"", "400"),
+        (b"Content-Length: -1\r\n\r\n", b"", "400"),
+        (b"Content-Length: 999999\r\n\r\n", b"", "413"),
+        (b"Transfer-Encoding: chunked\r\n\r\n", b"0\r\n\r\n", "411"),
+        (
+            b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"0\r\n\r\n",
+            "400",
+        ),
+        (b"X-Timeout-Ms: 0\r\nContent-Length: 0\r\n\r\n", b"", "400"),
+        (b"X-Tenant: a/b\r\nContent-Length: 0\r\n\r\n", b"", "400"),
+    ],
+)
+def test_malformed_requests_get_their_4xx(entry, head, body, status):
+    line = raw_exchange(entry, PATH + head + body, shut=True)
+    assert line.split()[1] == status
+
+
+def test_slow_body_gets_408_and_disturbs_nobody(fleet, entry):
+    data = PATH + b"Content-Length: 10\r\n\r\nab"
+    with ThreadPoolExecutor() as pool:
+        slow = pool.submit(raw_exchange, entry, data)
+        while not slow.done():
+            started_s = time.monotonic()
+            assert post(fleet, entry, "s1", '{"run_ms": 5}').status == 200
+            assert time.monotonic() - started_s < 1.0
+            time.sleep(0.2)
+    assert slow.result().split()[1] == "408"
+
+
+@pytest.mark.parametrize(
+    ("path", "status"),
+    [("/v1/services/none/requests", 404), ("/x", 404), ("/v1/tickets/forged", 404)],
+)
+def test_unknown_paths_are_404(fleet, entry, path, status):
+    response = fleet.http.request("POST", entry.url + path, body="{}")
+    assert response.status == status
+
+
+def test_ticket_runs_once_whoever_repeats_it(fleet):
+    """Repeats through every entry, also at the same time, join one run."""
+    first = fleet.entries["a0"]
+    redirect = post(fleet, first, "s1", "", **{"X-Idempotent": "false"})
+    assert redirect.status == 307
+    location = redirect.headers["Location"]
+    body = json.dumps({"key": "order-1", "run_ms": 200})
+
+    def use(entry):
+        headers = {"X-Timeout-Ms": "3000"}
+        return fleet.http.request(
+            "POST", entry.url + location, body=body, headers=headers
+        )
+
+    entries = list(fleet.entries.values()) * 2
+    with ThreadPoolExecutor(len(entries)) as pool:
+        answers = list(pool.map(use, entries))
+    assert {a.status for a in answers} == {200}
+    assert len({a.data for a in answers}) == 1
+    assert sum(log.count("order-1") for log in fleet.run_logs()) == 1
+    later = fleet.http.request("GET", fleet.entries["b1"].url + location)
+    assert later.data == answers[0].data
+
+
+def test_overload_is_refused_at_once_with_retry_after(fleet, entry):
+    """Four times the slots of both data centres ask at the same moment."""
+
+    def use(number):
+        started_s = time.monotonic()
+        response = post(
+            fleet, entry, "s2", '{"run_ms": 400}', **{"X-Timeout-Ms": "500"}
+        )
+        return response, time.monotonic() - started_s
+
+    for _ in range(3):
+        post(fleet, entry, "s2", '{"run_ms": 400}')
+    with ThreadPoolExecutor(128) as pool:
+        results = list(pool.map(use, range(128)))
+    refused = [(r, s) for r, s in results if r.status == 503]
+    answered = [r for r, _ in results if r.status == 200]
+    assert len(answered) >= 28
+    assert len(refused) == 128 - len(answered)
+    for response, _ in refused:
+        assert response.headers["X-Outcome"] == "not_run"
+        assert int(response.headers["X-Retry-After-Ms"]) > 0
+        assert int(response.headers["Retry-After"]) >= 1
+    waits = sorted(seconds for _, seconds in refused)
+    assert waits[len(waits) // 2] < 0.4
+    assert refused_busy(fleet) == 0
+
+
+def test_requests_spill_to_the_other_data_centre(fleet, entry):
+    """One data centre has 16 slots; 24 at once are served by both."""
+    before = fleet.vm_log("s1-b-0")["started"] + fleet.vm_log("s1-b-1")["started"]
+    with ThreadPoolExecutor(24) as pool:
+        body = '{"run_ms": 300}'
+        answers = list(pool.map(lambda _: post(fleet, entry, "s1", body), range(24)))
+    after = fleet.vm_log("s1-b-0")["started"] + fleet.vm_log("s1-b-1")["started"]
+    assert {a.status for a in answers} == {200}
+    assert after - before >= 6
+
+
+def test_half_an_answer_is_never_relayed(fleet, entry):
+    """Truncated answers are repeated elsewhere or said to be unknown."""
+    maps = [vm.map_number for vm in fleet.vms.values() if vm.pool == "s1"]
+    fleet.set_rules({"source": "", "maps": maps, "mode": "truncate", "after_bytes": 60})
+    try:
+        response = post(fleet, entry, "s1", '{"run_ms": 1}')
+    finally:
+        fleet.set_rules()
+    assert response.headers["X-Outcome"] in ("unknown", "not_run")
+    wait_until(lambda: post(fleet, entry, "s1", "{}").status == 200, 5.0, "recovery")
+
+
+def test_silent_old_connections_are_condemned_and_new_ones_used(fleet, entry):
+    """Connections that have lost their other end delay callers only once."""
+    with ThreadPoolExecutor(16) as pool:
+        body = '{"run_ms": 50}'
+        list(pool.map(lambda _: post(fleet, entry, "s1", body), range(16)))
+    maps = [vm.map_number for vm in fleet.vms.values()]
+    fleet.set_rules({"source": "", "maps": maps, "mode": "freeze_old"})
+    fleet.set_rules()
+    outcomes = [post(fleet, entry, "s1", "{}").status for _ in range(30)]
+    assert outcomes.count(200) >= 28, outcomes
+    assert outcomes[-20:] == [200] * 20
+
+
+def test_metrics_show_histograms_by_class_and_tenant(fleet, entry):
+    post(fleet, entry, "s1", "{}", **{"X-Class": "urgent", "X-Tenant": "counters"})
+    text = fleet.http.request("GET", f"{entry.url}/metrics").data.decode()
+    assert 'corianderpitch_total_ms_bucket{class="urgent"' in text
+    assert (
+        'corianderpitch_tenant_total_ms_count{service="s1",tenant="counters"}' in text
+    )
+    assert "corianderpitch_outcomes_total" in text
