Bound the time kept for a run by the request's own time

Cause: admission kept a high quantile of the run time free before every deadline. The rule that let a trickle through "to learn again" hid this and is gone.

Now the time kept is the quantile, but at most three quarters of the request's whole time. The default quantile rises from 0.90 to 0.95.

The queue's own search for due requests is replaced by the dispatcher's, and its test by one as strict on the dispatcher.

--- a/packages/corianderpitch-standins/corianderpitch_standins/localfleet.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/localfleet.py
@@ -14,6 +14,7 @@
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.02
+OPERATOR_TIMEOUT_S = 10.0
 
 PLATFORM = "corianderpitch_standins.platform"
 INSTANCE = "corianderpitch_standins.instance"
@@ -54,6 +55,7 @@
             text=True,
         )
         self._module = module
+        self.is_paused = False
         self.addresses: dict[str, str] = {}
 
     @property
@@ -72,11 +74,13 @@
 
     def pause(self) -> None:
         """Stop the process where it is."""
+        self.is_paused = True
         os.kill(self.pid, signal.SIGSTOP)
 
     def resume(self) -> None:
         """Let a paused process go on."""
         os.kill(self.pid, signal.SIGCONT)
+        self.is_paused = False
 
     def kill(self) -> None:
         """End the process at once."""
@@ -299,8 +303,15 @@
         """Send an operator's request to the first entry that answers well."""
         method = "GET" if body is None else "POST"
         for entry in self.running_entries():
-            url = f"{entry.operator_url}{path}"
-            response = self.http.request(method, url, json=body)
+            if entry.process.is_paused:
+                continue
+            try:
+                url = f"{entry.operator_url}{path}"
+                response = self.http.request(
+                    method, url, json=body, timeout=OPERATOR_TIMEOUT_S
+                )
+            except urllib3.exceptions.HTTPError:
+                continue
             if response.status == 200:
                 return response.json()
         return None
--- a/packages/corianderpitch/corianderpitch/domain/dispatch.py
+++ b/packages/corianderpitch/corianderpitch/domain/dispatch.py
@@ -31,7 +31,7 @@
 LOAD_PROBE_INTERVAL_MS = 50.0
 MAX_SLOTS_PER_ASK = 16
 LOST_OWNER_BACKOFF_MS = 500.0
-LEARNING_SHARE = 0.125
+MAX_RUN_SHARE = 0.75  # of a request's time, however slow its service has become
 MIN_RETRY_AFTER_MS = 50
 NO_INSTANCE_RETRY_AFTER_MS = 1000
 
@@ -45,7 +45,7 @@
     data centres are asked for.
     """
 
-    run_quantile: float = 0.9
+    run_quantile: float = 0.95
     spill_wait_ms: float = 0.0
     tenant_weights: Mapping[TenantName, float] = field(default_factory=dict)
     class_weights: Mapping[ClassName, float] = field(default_factory=dict)
@@ -306,8 +306,9 @@
         self._ledger.expire(now_ms)
         self._expire_asks(now_ms)
         effects: list[Effect] = []
-        for waiting in self._queue.pop_due_before(now_ms + self._run_bound_ms(now_ms)):
-            effects.append(self._refuse_for(waiting, Reason.DEADLINE, now_ms))
+        for waiting in list(self._queue):
+            if now_ms > self._latest_start_ms(waiting):
+                effects.append(self._refuse_for(waiting, Reason.DEADLINE, now_ms))
         effects += self._probes(now_ms)
         effects += self._serve(now_ms)
         if not self._has_pending_ask(now_ms):
@@ -346,7 +347,7 @@
         """Pop the next request that can still finish; refuse those that cannot."""
         while (waiting := self._queue.pop()) is not None:
             self._tentative.discard(waiting.request_id)
-            if waiting.deadline_ms >= now_ms + self._run_bound_ms(now_ms):
+            if now_ms <= self._latest_start_ms(waiting):
                 return waiting
             effects.append(self._refuse_for(waiting, Reason.DEADLINE, now_ms))
         return None
@@ -386,24 +387,22 @@
             return False
         ahead = self._queue.ahead_of(waiting.flow_key, waiting.deadline_ms)
         wait_ms = ahead * self._run_times.mean_ms() / slots
-        return now_ms + wait_ms + self._run_bound_ms(now_ms) <= waiting.deadline_ms
+        return now_ms + wait_ms <= self._latest_start_ms(waiting)
 
     def _predicted_wait_ms(self, now_ms: float) -> float:
         slots = max(1, self._ledger.usable_slots(now_ms))
         return len(self._queue) * self._run_times.mean_ms() / slots
 
-    def _run_bound_ms(self, now_ms: float) -> float:
-        """Return the run time that must fit before a deadline.
+    def _latest_start_ms(self, waiting: Waiting) -> float:
+        """Return until when a request must start to be likely to end in time.
 
-        While few slots are in use the bound is zero, so that a service whose
-        learnt run times have become too long for every deadline can learn
-        again.
+        The time kept for the run is the learnt quantile, but at most
+        ``MAX_RUN_SHARE`` of all the request's time. A service that has become
+        too slow for every deadline is thus still tried, and learnt about.
         """
-        if self._ledger.held_slots() < (
-            LEARNING_SHARE * self._ledger.usable_slots(now_ms)
-        ):
-            return 0.0
-        return self._run_times.quantile_ms(self._policy.run_quantile)
+        run_ms = self._run_times.quantile_ms(self._policy.run_quantile)
+        budget_ms = waiting.deadline_ms - waiting.arrived_ms
+        return waiting.deadline_ms - min(run_ms, MAX_RUN_SHARE * budget_ms)
 
     def _refuse(self, waiting: Waiting, now_ms: float) -> SendRefusal:
         usable = self._ledger.usable_slots(now_ms)
--- a/packages/corianderpitch/corianderpitch/domain/fairqueue.py
+++ b/packages/corianderpitch/corianderpitch/domain/fairqueue.py
@@ -94,20 +94,6 @@
         """Remove a request wherever it stands; unknown ids are ignored."""
         return self._index.pop(request_id, None)
 
-    def pop_due_before(self, deadline_ms: float) -> list[Waiting]:
-        """Remove and return every request whose deadline is earlier."""
-        due = []
-        for key in list(self._flows):
-            flow = self._flows[key]
-            self._drop_removed(flow)
-            while flow.heap and flow.heap[0][0] < deadline_ms:
-                waiting = heapq.heappop(flow.heap)[2]
-                del self._index[waiting.request_id]
-                due.append(waiting)
-                self._drop_removed(flow)
-            self._forget_if_idle(key)
-        return due
-
     def ahead_of(self, flow_key: FlowKey, deadline_ms: float) -> float:
         """Estimate how many requests start before a new one would.
 
--- a/packages/corianderpitch/corianderpitch/domain/fleetfile.py
+++ b/packages/corianderpitch/corianderpitch/domain/fleetfile.py
@@ -62,7 +62,7 @@
     instance_connections: Positive
     budget: BudgetSettings
     default_timeout_ms: Positive = 2000
-    run_quantile: Fraction = 0.9
+    run_quantile: Fraction = 0.95
     spill_wait_ms: NotNegative = 0
     max_body_bytes: Positive = 1_048_576
 
--- a/packages/corianderpitch/tests/test_dispatch.py
+++ b/packages/corianderpitch/tests/test_dispatch.py
@@ -227,5 +227,26 @@
     for number in range(300):
         ask(dispatcher, number, now_ms=float(number), remaining_ms=10_000.0)
         dispatcher.release(f"p.{number}", RunResult.COMPLETED, 5000.0, float(number))
-    effects = ask(dispatcher, "next", now_ms=400.0, remaining_ms=100.0)
-    assert isinstance(effects[0], SendGrant)
+    for number in ("x", "y"):
+        [grant] = ask(dispatcher, number, now_ms=400.0, remaining_ms=100.0)
+        assert isinstance(grant, SendGrant)
+
+
+def test_gives_up_every_request_that_cannot_start_in_time():
+    """Requests of any tenant leave the queue, and only those."""
+    dispatcher = ready_dispatcher()
+    for number in range(2):
+        ask(dispatcher, number, remaining_ms=5000.0)
+    for number, tenant, remaining_ms in (
+        ("r7", "a", 400.0),
+        ("r8", "b", 420.0),
+        ("r9", "b", 3000.0),
+    ):
+        item = Waiting(number, "m", tenant, "c", remaining_ms, 0.0)
+        assert dispatcher.request(item, 0.0) == []
+    refused = [e for e in dispatcher.tick(350.0) if isinstance(e, SendRefusal)]
+    assert {(e.request_id, e.reason) for e in refused} == {
+        ("r7", Reason.DEADLINE),
+        ("r8", Reason.DEADLINE),
+    }
+    assert dispatcher.queue_length == 1
--- a/packages/corianderpitch/tests/test_fairqueue.py
+++ b/packages/corianderpitch/tests/test_fairqueue.py
@@ -66,13 +66,3 @@
     queue.push(again)
     assert queue.pop() is again
     assert queue.pop() is None
-
-
-def test_due_requests_leave_every_flow():
-    queue = FairQueue()
-    queue.push(waiting(1, "a", 10.0))
-    queue.push(waiting(2, "b", 20.0))
-    queue.push(waiting(3, "b", 90.0))
-    due = queue.pop_due_before(50.0)
-    assert {item.request_id for item in due} == {"r1", "r2"}
-    assert queue.pop().request_id == "r3"
