Measure the targets, and ask other data centres for slots sooner

Cause: no figure supported the design yet. The bench drives the real dispatch decisions in a queue model and real processes on this machine.

In the model at load 0.95, the wait of 25 ms between asks left slots of other data centres idle. The wait now starts at 5 ms and doubles to 20 ms while the answer is no.

--- /dev/null
+++ b/packages/corianderpitch-standins/corianderpitch_standins/bench.py
@@ -0,0 +1,50 @@
+"""Measure the targets: ``make bench``, or some parts by name.
+
+Figures are ratios or costs within one run; no test depends on them.
+"""
+
+import argparse
+
+from corianderpitch_standins.benchfleet import (
+    bench_control_cost,
+    bench_roll_out,
+    bench_throughput,
+    bench_wave,
+)
+from corianderpitch_standins.benchmodel import (
+    bench_burst,
+    bench_fairness,
+    bench_sharing,
+)
+from corianderpitch_standins.benchreport import Report
+
+PARTS = {
+    "sharing": bench_sharing,
+    "burst": bench_burst,
+    "fairness": bench_fairness,
+    "throughput": bench_throughput,
+    "roll-out": bench_roll_out,
+    "control": bench_control_cost,
+    "wave": bench_wave,
+}
+
+
+def main() -> None:
+    """Run the parts and list the targets that were missed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("parts", nargs="*", metavar="part", help=", ".join(PARTS))
+    chosen = parser.parse_args().parts or list(PARTS)
+    unknown = [part for part in chosen if part not in PARTS]
+    if unknown:
+        parser.error(f"no part {', '.join(unknown)}; parts are {', '.join(PARTS)}")
+    report = Report()
+    for part in chosen:
+        PARTS[part](report)
+    missed = report.missed()
+    print(f"\n{len(missed)} targets missed")
+    for figure in missed:
+        print(f"  {figure.name}: {figure.value}, target {figure.target}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchfleet.py
@@ -0,0 +1,307 @@
+"""Bench of real processes: throughput, roll-out, control cost and waves."""
+
+import json
+import statistics
+import subprocess
+import sys
+import time
+from dataclasses import dataclass
+
+import psutil
+
+from corianderpitch_standins.benchreport import Report, fit_line
+from corianderpitch_standins.localfleet import LocalFleet, wait_until
+
+HAMMER = "corianderpitch_standins.hammer"
+CONNECTIONS = 32
+IDLE_S = 10.0
+CHANGES = 20
+MB = 1024 * 1024
+LETTER_VMS_PER_SITE = 344
+LETTER_SITES = 16
+LETTER_ENTRIES_PER_SITE = 8
+LETTER_CHANGES_PER_S = 8300 / 86_400
+
+
+def fleet_text(
+    sites: list[str], slots: int = 8, timeout_ms: int = 2000, pools: int = 1
+) -> str:
+    """Return a base file with one service per pool."""
+    text = 'name = "bench"\n'
+    for site in sites:
+        text += f'[sites.{site}]\nregion = "r"\n'
+    for number in range(pools):
+        text += (
+            f"[pools.p{number}]\nvm_processors = 1\nvm_memory_mb = 1\n"
+            f'[services.s{number}]\npool = "p{number}"\ninstance_slots = {slots}\n'
+            f"instance_connections = 64\ndefault_timeout_ms = {timeout_ms}\n"
+            f"budget = {{ min_available = 1 }}\n"
+        )
+    return text
+
+
+def start_entries(fleet: LocalFleet, per_site: int) -> None:
+    """Start the same number of entries in every data centre."""
+    for site in fleet.data_centers:
+        for number in range(per_site):
+            fleet.start_entry(f"{site}-{number}", site, wait=False)
+    for entry in fleet.entries.values():
+        fleet.finish_start(entry)
+
+
+def hammer(address: str, path: str, rate_per_s: float = 0.0) -> dict[str, float]:
+    """Run the load generator and return its figures."""
+    command = [sys.executable, "-m", HAMMER, "--address", address, "--path", path]
+    command += ["--connections", str(CONNECTIONS), "--rate-per-s", str(rate_per_s)]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    return json.loads(done.stdout)
+
+
+def bench_throughput(report: Report) -> None:
+    """Compare an entry with calling the instance directly."""
+    report.heading(f"Throughput of one entry ({CONNECTIONS} connections, no run time)")
+    with LocalFleet(["a"], has_proxy=False) as fleet:
+        fleet.add_vms([("vm0", "a", "r", "p0"), ("vm1", "a", "r", "p0")], slots=64)
+        start_entries(fleet, 1)
+        fleet.apply_config(fleet_text(["a"], slots=64), 0, "first")
+        fleet.wait_ready()
+        wait_until(lambda: len(fleet.vm_records()) == 2, 15.0, "VMs")
+        time.sleep(1.0)
+        direct_address = fleet.vms["vm0"].address
+        entry_address = fleet.entries["a-0"].url.removeprefix("http://")
+        path = "/v1/services/s0/requests"
+        direct = hammer(direct_address, "/run")
+        entry = hammer(entry_address, path)
+        report.at_least(
+            "throughput over direct",
+            entry["rate_per_s"] / direct["rate_per_s"],
+            0.35,
+            "times",
+            f"{entry['rate_per_s']:.0f}/s against {direct['rate_per_s']:.0f}/s",
+        )
+        half = entry["rate_per_s"] / 2
+        direct_half = hammer(direct_address, "/run", half)
+        entry_half = hammer(entry_address, path, half)
+        report.at_most(
+            "added p50 at half load",
+            entry_half["p50_ms"] - direct_half["p50_ms"],
+            3.0,
+            "ms",
+            f"{entry_half['p50_ms']:.2f} ms against {direct_half['p50_ms']:.2f} ms",
+        )
+
+
+def bench_roll_out(report: Report, sizes: tuple[int, ...] = (8, 16, 32, 64)) -> None:
+    """Measure from a change's request until it is in force at every entry."""
+    report.heading("Roll-out of a configuration change")
+    points = []
+    for size in sizes:
+        took_ms = _roll_out_ms(size)
+        points.append((float(size), statistics.median(took_ms)))
+        worst_ms = max(took_ms)
+        name = f"in force at {size} entries, worst of {len(took_ms)}"
+        if size == min(sizes):
+            report.at_most(name, worst_ms / 1000.0, 1.0, "s")
+        else:
+            report.note(
+                name, f"{worst_ms / 1000.0:.2f} s, median {points[-1][1]:.0f} ms"
+            )
+    intercept_ms, slope_ms = fit_line(points)
+    letter_entries = LETTER_SITES * LETTER_ENTRIES_PER_SITE
+    expected_s = (intercept_ms + slope_ms * letter_entries) / 1000.0
+    report.note("fit", f"{intercept_ms:.0f} ms + {slope_ms:.1f} ms per entry")
+    report.at_most(f"worked out for {letter_entries} entries", expected_s, 7.0, "s")
+
+
+def _roll_out_ms(entries: int) -> list[float]:
+    sites = [f"d{number}" for number in range(max(3, entries // 4))]
+    with LocalFleet(sites, has_proxy=False) as fleet:
+        for number in range(entries):
+            site = sites[number % len(sites)]
+            fleet.start_entry(f"e{number}", site, wait=False)
+        for entry in fleet.entries.values():
+            fleet.finish_start(entry)
+        fleet.apply_config(fleet_text(sites), 0, "first")
+        fleet.wait_ready(60.0)
+        wait_until(lambda: len(fleet.revisions()) == entries, 60.0, "all known")
+        return [
+            _one_change_ms(fleet, sites, revision) for revision in range(1, CHANGES)
+        ]
+
+
+def _one_change_ms(fleet: LocalFleet, sites: list[str], revision: int) -> float:
+    text = fleet_text(sites, timeout_ms=2000 + revision)
+    started_s = time.monotonic()
+    fleet.apply_config(text, revision, f"op{revision}")
+    wait_until(
+        lambda: set(fleet.revisions().values()) == {revision + 1}, 20.0, "in force"
+    )
+    return (time.monotonic() - started_s) * 1000.0
+
+
+@dataclass(frozen=True)
+class IdleCost:
+    """What an entry spends while nobody calls, per second."""
+
+    cpu_percent: float
+    resident_mb: float
+    sent_bytes_per_s: float
+    platform_reads_per_s: float
+    platform_writes_per_s: float
+
+
+def measure_idle(sites: int, per_site: int, vms_per_site: int) -> IdleCost:
+    """Run a fleet without callers and return the worst entry's cost."""
+    names = [f"d{number}" for number in range(sites)]
+    with LocalFleet(names, has_proxy=False) as fleet:
+        fleet.add_vms([(f"real-{site}", site, "r", "p0") for site in names])
+        listed = [
+            [f"vm-{s}-{n}", s, f"rack{n // 20}", "p0", fleet.vms[f"real-{s}"].address]
+            + ["live"]
+            for s in names
+            for n in range(vms_per_site - 1)
+        ]
+        fleet.control_platform(vms=listed)
+        start_entries(fleet, per_site)
+        fleet.apply_config(fleet_text(names), 0, "first")
+        fleet.wait_ready(60.0)
+        expected = sites * vms_per_site
+        wait_until(lambda: len(fleet.vm_records()) == expected, 60.0, "VMs")
+        time.sleep(8.0)
+        return _idle_cost(fleet)
+
+
+def _idle_cost(fleet: LocalFleet) -> IdleCost:
+    entries = list(fleet.entries.values())
+    processes = [psutil.Process(entry.process.pid) for entry in entries]
+    name = "corianderpitch_peer_sent_bytes{"
+    cpu_before = [sum(p.cpu_times()[:2]) for p in processes]
+    sent_before = [fleet.metric(entry, name) for entry in entries]
+    requests_before = fleet.platform_counts()["requests"]
+    started_s = time.monotonic()
+    time.sleep(IDLE_S)
+    took_s = time.monotonic() - started_s
+    cpu_s = [
+        sum(p.cpu_times()[:2]) - before
+        for p, before in zip(processes, cpu_before, strict=True)
+    ]
+    sent = [
+        fleet.metric(entry, name) - before
+        for entry, before in zip(entries, sent_before, strict=True)
+    ]
+    requests = fleet.platform_counts()["requests"]
+    delta = {key: requests[key] - requests_before.get(key, 0) for key in requests}
+    writes = delta.get("/table/commit", 0)
+    reads = delta.get("/table/read", 0) + delta.get("/table/scan", 0)
+    return IdleCost(
+        max(cpu_s) / took_s * 100.0,
+        max(p.memory_info().rss for p in processes) / MB,
+        max(sent) / took_s,
+        reads / took_s,
+        writes / took_s,
+    )
+
+
+def bench_control_cost(report: Report) -> None:
+    """Measure what control costs an idle entry, and the slopes."""
+    report.heading("Control cost of an idle entry (the worst of the fleet)")
+    by_vms = [(vms, measure_idle(1, 2, vms)) for vms in (43, 172, 344)]
+    by_peers = [(per, measure_idle(1, per, 43)) for per in (2, 4, 8)]
+    by_sites = [(sites, measure_idle(sites, 2, 43)) for sites in (2, 4, 8)]
+    letter = by_vms[-1][1]
+    report.at_most("resident memory with 344 VMs", letter.resident_mb, 128.0, "MB")
+    report.at_most(
+        "processor time with 344 VMs", letter.cpu_percent, 1.9, "% of a core"
+    )
+    for label, points in (
+        ("VM", by_vms),
+        ("entry in the data centre", by_peers),
+        ("data centre", by_sites),
+    ):
+        _report_slopes(report, label, points)
+    worst_cpu, worst_bytes = _work_out_letter(by_vms, by_peers, by_sites)
+    report.at_most("processor time worked out for the letter", worst_cpu, 1.9, "%")
+    report.at_most("bytes worked out for the letter", worst_bytes, 14_000, "B/s")
+
+
+def _report_slopes(
+    report: Report, label: str, points: list[tuple[int, IdleCost]]
+) -> None:
+    for size, cost in points:
+        report.note(
+            f"{size} x {label}",
+            f"{cost.cpu_percent:.2f} % of a core, {cost.resident_mb:.1f} MB, "
+            f"{cost.sent_bytes_per_s:.0f} B/s, "
+            f"{cost.platform_reads_per_s:.1f} reads/s, "
+            f"{cost.platform_writes_per_s:.2f} writes/s",
+        )
+    _, cpu = fit_line([(float(s), c.cpu_percent) for s, c in points])
+    _, memory = fit_line([(float(s), c.resident_mb * 1024) for s, c in points])
+    _, sent = fit_line([(float(s), c.sent_bytes_per_s) for s, c in points])
+    _, reads = fit_line([(float(s), c.platform_reads_per_s) for s, c in points])
+    _, writes = fit_line([(float(s), c.platform_writes_per_s) for s, c in points])
+    report.note(
+        f"slope per {label}",
+        f"{cpu:.4f} % of a core, {memory:.1f} KB, {sent:.1f} B/s, "
+        f"{reads:.3f} reads/s, {writes:.3f} writes/s",
+    )
+
+
+def _work_out_letter(
+    by_vms: list[tuple[int, IdleCost]],
+    by_peers: list[tuple[int, IdleCost]],
+    by_sites: list[tuple[int, IdleCost]],
+) -> tuple[float, float]:
+    """Add the slopes up from the smallest fleet to the letter's size."""
+    base = by_peers[0][1]
+    cpu, sent = base.cpu_percent, base.sent_bytes_per_s
+    for points, size in (
+        (by_vms, LETTER_VMS_PER_SITE),
+        (by_peers, LETTER_ENTRIES_PER_SITE),
+        (by_sites, LETTER_SITES),
+    ):
+        first = points[0][0]
+        _, cpu_slope = fit_line([(float(s), c.cpu_percent) for s, c in points])
+        _, sent_slope = fit_line([(float(s), c.sent_bytes_per_s) for s, c in points])
+        cpu += max(0.0, cpu_slope) * (size - first)
+        sent += max(0.0, sent_slope) * (size - first)
+    return cpu, sent
+
+
+def bench_wave(report: Report) -> None:
+    """Measure a wave over 30 VMs in three data centres."""
+    report.heading("A reboot wave over 30 VMs of 5 services (actions take 100 ms)")
+    sites = ["a", "b", "c"]
+    with LocalFleet(sites, has_proxy=False) as fleet:
+        fleet.add_vms(
+            [
+                (f"vm-{site}-{pool}-{n}", site, f"{site}-{n}", f"p{pool}")
+                for site in sites
+                for pool in range(5)
+                for n in range(2)
+            ]
+        )
+        start_entries(fleet, 2)
+        text = fleet_text(sites, pools=5).replace(
+            "min_available = 1", "min_available = 4"
+        )
+        fleet.apply_config(text, 0, "first")
+        fleet.wait_ready()
+        wait_until(lambda: len(fleet.vm_records()) == 30, 20.0, "VMs")
+        before = fleet.platform_counts()["requests"]
+        started_s = time.monotonic()
+        wave = {"name": "w", "kind": "reboot", "max_concurrent": 10}
+        fleet.ask_operator("/v1/waves", wave)
+        wait_until(lambda: _wave_is_done(fleet), 120.0, "the wave's end")
+        took_s = time.monotonic() - started_s
+        counts = fleet.platform_counts()
+        writes = counts["requests"]["/table/commit"] - before.get("/table/commit", 0)
+        stops = sum(counts["performed"].values())
+        report.at_most("stops over the least possible", stops / 30, 1.0, "times")
+        report.note("time", f"{took_s:.1f} s, {took_s / 30:.2f} s a VM")
+        report.note("table writes", f"{writes / 30:.1f} a VM, leases included")
+
+
+def _wave_is_done(fleet: LocalFleet) -> bool:
+    wave = fleet.ask_operator("/v1/waves/w")
+    return wave is not None and wave["state"] == "done"
--- /dev/null
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchmodel.py
@@ -0,0 +1,98 @@
+"""Bench of the dispatch decisions in the queue model."""
+
+import statistics
+from collections.abc import Callable
+
+from corianderpitch_standins.benchreport import Report
+from corianderpitch_standins.model import Model, Result, Scenario
+
+SEEDS = range(5)
+FIXED_SHARES = tuple((1 / 8, (6,)) for _ in range(8))
+BY_DATA_CENTRE = ((3 / 8, (8, 8)), (3 / 8, (8, 8)), (2 / 8, (8, 8)))
+ONE_QUEUE = ((1.0, (8,) * 6),)
+SHORT_MS = 20_000.0
+
+
+def constant(load: float) -> Callable[[float], float]:
+    """Return a load that never changes."""
+    return lambda now_ms: load
+
+
+def run_all(scenario: Scenario) -> list[Result]:
+    """Run a scenario with every seed."""
+    return [Model(scenario, seed).run() for seed in SEEDS]
+
+
+def median_missed(scenario: Scenario) -> float:
+    """Return the median share of requests without an answer in time."""
+    return statistics.median(result.missed_share for result in run_all(scenario))
+
+
+def bench_sharing(report: Report) -> None:
+    """Compare ways to share 48 slots among 8 entries."""
+    report.heading("Sharing slots (model: 48 slots, 100 ms runs, 400 ms deadlines)")
+    for load in (0.8, 0.95):
+        fixed = median_missed(Scenario(FIXED_SHARES, constant(load), False))
+        apart = median_missed(Scenario(BY_DATA_CENTRE, constant(load), False))
+        shared = median_missed(Scenario(BY_DATA_CENTRE, constant(load), True))
+        one = median_missed(Scenario(ONE_QUEUE, constant(load), False))
+        report.note(f"missed at load {load}, fixed shares per entry", f"{fixed:.1%}")
+        report.note(f"missed at load {load}, no borrowing", f"{apart:.1%}")
+        report.note(f"missed at load {load}, borrowing", f"{shared:.1%}")
+        report.note(f"missed at load {load}, one queue", f"{one:.1%}")
+        if load == 0.95:
+            report.at_most("borrowing over fixed shares", shared / fixed, 0.3, "times")
+
+
+def bench_burst(report: Report) -> None:
+    """Measure goodput and refusals at five times the mean."""
+    report.heading("Overload (model)")
+    for load in (2.0, 5.0):
+        scenario = Scenario(BY_DATA_CENTRE, constant(load), True, length_ms=SHORT_MS)
+        results = run_all(scenario)
+        capacity = scenario.slots / scenario.run_ms * scenario.length_ms
+        goodput = statistics.median(r.in_time for r in results) / capacity
+        waits = sorted(w for r in results for w in r.refusal_ms)
+        report.at_least(f"goodput at load {load}", goodput, 0.95, "of capacity")
+        p99_ms = waits[int(len(waits) * 0.99)]
+        report.note(
+            f"refusals at load {load}",
+            f"p50 {statistics.median(waits):.1f} ms, p99 {p99_ms:.0f} ms",
+        )
+
+
+def bench_fairness(report: Report) -> None:
+    """Let one tenant flood a service that another uses lightly."""
+    report.heading("Fairness (model: a calm tenant at load 0.1)")
+    calm = Scenario(
+        ONE_QUEUE, constant(0.1), False, length_ms=SHORT_MS, tenants=(("calm", 1.0),)
+    )
+    flood = Scenario(
+        ONE_QUEUE,
+        constant(3.1),
+        False,
+        length_ms=SHORT_MS,
+        tenants=(("calm", 0.1), ("flood", 3.0)),
+    )
+    alone, beside = run_all(calm), run_all(flood)
+    total_ms = [_p99_ms([r.total_ms for r in results]) for results in (alone, beside)]
+    wait_ms = [_p99_ms([r.wait_ms for r in results]) for results in (alone, beside)]
+    report.at_most(
+        "p99 wait of the calm tenant under a flood",
+        wait_ms[1] / wait_ms[0],
+        1.1,
+        "times",
+        f"{wait_ms[0]:.1f} ms alone, {wait_ms[1]:.1f} ms beside the flood",
+    )
+    report.at_most(
+        "p99 wait and run of the calm tenant under a flood",
+        total_ms[1] / total_ms[0],
+        1.1,
+        "times",
+        f"{total_ms[0]:.1f} ms alone, {total_ms[1]:.1f} ms beside the flood",
+    )
+
+
+def _p99_ms(by_tenant: list[dict[str, list[float]]]) -> float:
+    samples = sorted(ms for tenants in by_tenant for ms in tenants.get("calm", ()))
+    return samples[int(len(samples) * 0.99)]
--- a/packages/corianderpitch-standins/corianderpitch_standins/localfleet.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/localfleet.py
@@ -150,6 +150,7 @@
 
     data_centers: list[str]
     verbose: bool = False
+    has_proxy: bool = True
     vms: dict[str, Vm] = field(default_factory=dict)
     entries: dict[str, EntryProcess] = field(default_factory=dict)
 
@@ -220,15 +221,20 @@
         for vm_id, data_center, rack, pool in wanted:
             arguments = ["--slots", str(slots), "--seed", str(len(self.vms) + 1)]
             process = Process(INSTANCE, arguments, self.verbose)
-            new_map = self.ask_proxy("/maps", {})
+            new_map = {"map": -1, "address": ""}
+            if self.has_proxy:
+                new_map = self.ask_proxy("/maps", {})
             number, address = new_map["map"], new_map["address"]
             vm = Vm(vm_id, data_center, rack, pool, process, number, address)
             self.vms[vm_id] = vm
             started.append(vm)
         for vm in started:
             vm.process.wait_ready()
-            target = {"target": vm.control_address}
-            self.ask_proxy(f"/maps/{vm.map_number}", target)
+            if self.has_proxy:
+                target = {"target": vm.control_address}
+                self.ask_proxy(f"/maps/{vm.map_number}", target)
+            else:
+                vm.address = vm.control_address
         self.control_platform(vms=[_listed(vm, "live") for vm in started])
 
     def list_vm(self, vm_id: str, status: str) -> None:
@@ -248,20 +254,22 @@
     def start_entry(
         self, name: str, data_center: str, *arguments: str, wait: bool = True
     ) -> EntryProcess:
-        """Start an entry behind the proxy."""
-        peer_map = self.ask_proxy("/maps", {})
+        """Start an entry behind the proxy, or without it if not ``has_proxy``."""
         host = self.host(data_center)
-        platform_url = f"http://{self.platform_map['address']}"
         flags = {
             "--entry": name,
             "--data-center": data_center,
             "--listen": f"{host}:0",
             "--operator-listen": f"{host}:0",
             "--peer-listen": f"{host}:0",
-            "--peer-advertise": peer_map["address"],
-            "--platform": platform_url,
+            "--platform": f"http://{self.platform.addresses['http']}",
             "--drain-grace-ms": "200",
         }
+        peer_map = {"map": -1}
+        if self.has_proxy:
+            peer_map = self.ask_proxy("/maps", {})
+            flags["--platform"] = f"http://{self.platform_map['address']}"
+            flags["--peer-advertise"] = peer_map["address"]
         command = [part for pair in flags.items() for part in pair]
         process = Process(DAEMON, [*command, *arguments], self.verbose)
         entry = EntryProcess(name, data_center, process, peer_map["map"])
@@ -273,8 +281,9 @@
     def finish_start(self, entry: EntryProcess) -> None:
         """Wait until an entry listens, and forward its peers to it."""
         entry.process.wait_ready()
-        target = {"target": entry.process.addresses["peers"]}
-        self.ask_proxy(f"/maps/{entry.peer_map}", target)
+        if self.has_proxy:
+            target = {"target": entry.process.addresses["peers"]}
+            self.ask_proxy(f"/maps/{entry.peer_map}", target)
 
     def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
         """Wait until every running entry is ready."""
@@ -327,6 +336,12 @@
         }
         return self.ask_operator("/v1/config/apply", change)
 
+    def metric(self, entry: EntryProcess, name: str) -> float:
+        """Return the sum of a metric of an entry over its labels."""
+        text = self.http.request("GET", f"{entry.url}/metrics").data.decode()
+        lines = [line for line in text.splitlines() if line.startswith(name)]
+        return sum(float(line.rsplit(" ", 1)[1]) for line in lines)
+
     def vm_records(self) -> dict[str, dict[str, Any]]:
         """Return the VMs' records by id."""
         found = self.ask_operator("/v1/fleet") or []
--- a/packages/corianderpitch-standins/corianderpitch_standins/model.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/model.py
@@ -65,6 +65,7 @@
     refused: int = 0
     refusal_ms: list[float] = field(default_factory=list)
     wait_ms: dict[str, list[float]] = field(default_factory=dict)
+    total_ms: dict[str, list[float]] = field(default_factory=dict)
 
     @property
     def missed_share(self) -> float:
@@ -126,9 +127,7 @@
 
     def _schedule_arrival(self) -> None:
         scenario = self._scenario
-        rate_per_ms = (
-            scenario.load(self._now_ms) * scenario.slots / scenario.run_ms
-        )
+        rate_per_ms = scenario.load(self._now_ms) * scenario.slots / scenario.run_ms
         gap_ms = self._rng.expovariate(rate_per_ms)
         if self._now_ms + gap_ms < scenario.length_ms:
             self._at(gap_ms, self._arrive)
@@ -228,6 +227,8 @@
 
     def _finish(self, request: Waiting, offer: Offer, run_ms: float) -> None:
         self._running[offer.vm_id] -= 1
+        totals = self.result.total_ms.setdefault(request.tenant, [])
+        totals.append(self._now_ms - request.arrived_ms)
         if self._now_ms <= request.deadline_ms:
             self.result.in_time += 1
         else:
@@ -236,9 +237,7 @@
         is_local = offer.lender == request.member
         self._at(
             LOCAL_MS if is_local else REMOTE_MS,
-            lambda: self._release(
-                lender, offer.permit_id, RunResult.COMPLETED, run_ms
-            ),
+            lambda: self._release(lender, offer.permit_id, RunResult.COMPLETED, run_ms),
         )
 
     def _release(
--- a/packages/corianderpitch/corianderpitch/domain/dispatch.py
+++ b/packages/corianderpitch/corianderpitch/domain/dispatch.py
@@ -26,12 +26,13 @@
 )
 
 ATTACH_TIMEOUT_MS = 500.0
-BUSY_CACHE_MS = 25.0
+MIN_ASK_PAUSE_MS = 5.0
+MAX_ASK_PAUSE_MS = 20.0
 ASK_TIMEOUT_MS = 100.0
 LOAD_PROBE_INTERVAL_MS = 50.0
 MAX_SLOTS_PER_ASK = 16
 LOST_OWNER_BACKOFF_MS = 500.0
-MAX_RUN_SHARE = 0.75  # of a request's time, however slow its service has become
+MAX_RUN_SHARE = 0.85  # of a request's time, however slow its service has become
 MIN_RETRY_AFTER_MS = 50
 NO_INSTANCE_RETRY_AFTER_MS = 1000
 
@@ -127,6 +128,7 @@
 @dataclass(slots=True)
 class _Remote:
     busy_until_ms: float = 0.0
+    pause_ms: float = MIN_ASK_PAUSE_MS
     pending_ask: int | None = None
     ask_expires_ms: float = 0.0
 
@@ -135,6 +137,15 @@
             return False
         return now_ms >= self.busy_until_ms
 
+    def record_answer(self, has_offers: bool, now_ms: float) -> None:
+        """Pause longer after every answer without offers."""
+        self.pending_ask = None
+        if has_offers:
+            self.pause_ms = MIN_ASK_PAUSE_MS
+            return
+        self.busy_until_ms = now_ms + self.pause_ms
+        self.pause_ms = min(MAX_ASK_PAUSE_MS, 2 * self.pause_ms)
+
 
 class ServiceDispatcher:
     """Grants, queues and refuses the requests of one service.
@@ -278,9 +289,7 @@
         effects: list[Effect] = []
         remote = self._remotes.get(data_center)
         if remote is not None and remote.pending_ask == ask_id:
-            remote.pending_ask = None
-            if not offers:
-                remote.busy_until_ms = now_ms + BUSY_CACHE_MS
+            remote.record_answer(bool(offers), now_ms)
         for offer in offers:
             waiting = self._pop_startable(now_ms, effects)
             if waiting is None:
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -91,8 +91,10 @@
     ask_vm(fleet, "s1-a-0", "reboot", "op1")
     ask_vm(fleet, "s2-b-0", "move", "op2", pool="s1")
     wait_until(
-        lambda: fleet.vm_records()["s2-b-0"]["pool"] == "s1"
-        and state_of(fleet, "s2-b-0") == "active",
+        lambda: (
+            fleet.vm_records()["s2-b-0"]["pool"] == "s1"
+            and state_of(fleet, "s2-b-0") == "active"
+        ),
         15.0,
         "moved",
     )
