--- a/packages/corianderpitch-client/corianderpitch_client/main.py
+++ b/packages/corianderpitch-client/corianderpitch_client/main.py
@@ -2,6 +2,7 @@
 
 import getpass
 import sys
+import time
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
@@ -23,6 +24,7 @@
 
 ENVIRONMENT_PREFIX = "CORIANDERPITCH_"
 DEFAULT_WAIT_MS = 60_000
+DAY_MS = 86_400_000
 
 app = App(
     name="corianderpitch",
@@ -325,6 +327,7 @@
     vm: Annotated[tuple[str, ...], Parameter(consume_multiple=True)] = (),
     target_pool: str | None = None,
     max_concurrent: int = 1,
+    not_maintained_for_days: float = 0.0,
 ) -> None:
     """Plan a wave of reboot, move or retire over the VMs that match.
 
@@ -332,6 +335,8 @@
     ----------
     max_concurrent
         How many VMs may be out at the same time, within the budgets.
+    not_maintained_for_days
+        Only VMs whose last maintenance is at least so many days ago.
     """
     client = common.client()
     body = {
@@ -342,6 +347,7 @@
         "racks": rack,
         "vm_ids": vm,
         "target_pool": target_pool,
+        "not_maintained_for_ms": int(not_maintained_for_days * DAY_MS),
     }
     wave = client.post("/v1/waves", body)
     if waiting.wait:
@@ -374,8 +380,22 @@
     if common.output == "json":
         show_json(waves)
         return
-    rows = [(w["name"], w["kind"], w["state"], _steps_text(w)) for w in waves]
-    show_table(("WAVE", "KIND", "STATE", "VMS"), rows)
+    rows = [
+        (w["name"], w["kind"], w["state"], _steps_text(w), _expected_end(w))
+        for w in waves
+    ]
+    show_table(("WAVE", "KIND", "STATE", "VMS", "EXPECTED END (UTC)"), rows)
+
+
+def _expected_end(wave: dict[str, Any]) -> str:
+    """Work out a running wave's end from its pace so far."""
+    counts = Counter(wave["steps"].values())
+    left = counts["pending"] + counts["started"]
+    if wave["state"] != "running" or not counts["done"]:
+        return ""
+    now_ms = int(time.time() * 1000)
+    pace_ms = (now_ms - wave["created_ms"]) / counts["done"]
+    return time_text(int(now_ms + left * pace_ms))
 
 
 @wave_app.command
--- a/packages/corianderpitch/corianderpitch/daemon/logs.py
+++ b/packages/corianderpitch/corianderpitch/daemon/logs.py
@@ -14,13 +14,26 @@
 )
 
 
+class _Verbosity:
+    is_debugging = False
+
+
 def logger(part: str) -> logbook.Logger:
     """Return the logger of one part of the daemon."""
     return logbook.Logger(part)
 
 
+_verbosity = _Verbosity()
+
+
+def is_debugging() -> bool:
+    """Tell whether debug records are wanted, before any are built."""
+    return _verbosity.is_debugging
+
+
 def install(log_format: LogFormat, level: str) -> None:
     """Send all log records to standard error."""
+    _verbosity.is_debugging = level == "debug"
     handler = logbook.StreamHandler(sys.stderr, level=level.upper())
     if log_format == "json":
         handler.formatter = _json_line
--- a/packages/corianderpitch/corianderpitch/daemon/operations.py
+++ b/packages/corianderpitch/corianderpitch/daemon/operations.py
@@ -20,6 +20,7 @@
     SiteFleet,
     VmOperation,
     VmRecord,
+    VmState,
     request_operation,
     request_return,
 )
@@ -78,7 +79,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WaveRequest:
-    """A proposed wave over the VMs that match every selector given."""
+    """A proposed wave over the VMs that match every selector given.
+
+    ``not_maintained_for_ms`` selects VMs whose last maintenance is at least
+    that long ago, or that never had one.
+    """
 
     name: WaveName
     kind: OperationKind
@@ -87,11 +92,15 @@
     racks: tuple[RackId, ...] = ()
     vm_ids: tuple[VmId, ...] = ()
     target_pool: PoolName | None = None
+    not_maintained_for_ms: int = 0
 
-    def selects(self, vm_id: VmId, record: VmRecord) -> bool:
+    def selects(self, vm_id: VmId, record: VmRecord, wall_ms: int) -> bool:
         """Tell whether a VM belongs to the wave."""
+        age_ms = wall_ms - record.last_maintained_ms
         return (
-            (not self.pools or record.pool in self.pools)
+            age_ms >= self.not_maintained_for_ms
+            and record.state is not VmState.RETIRED
+            and (not self.pools or record.pool in self.pools)
             and (not self.racks or record.rack in self.racks)
             and (not self.vm_ids or vm_id in self.vm_ids)
         )
@@ -297,7 +306,12 @@
             return Failure(WaveRefused(request.name, refusal))
         match self.fleet():
             case Success(found):
-                chosen = [f.vm_id for f in found if request.selects(f.vm_id, f.record)]
+                wall_ms = self._clock.wall_ms()
+                chosen = [
+                    vm.vm_id
+                    for vm in found
+                    if request.selects(vm.vm_id, vm.record, wall_ms)
+                ]
             case Failure(error):
                 return Failure(error)
         if not chosen:
--- a/packages/corianderpitch/corianderpitch/daemon/owners.py
+++ b/packages/corianderpitch/corianderpitch/daemon/owners.py
@@ -9,7 +9,7 @@
 from returns.result import Success
 
 from corianderpitch.clock import Clock
-from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.logs import is_debugging, logger
 from corianderpitch.daemon.network import PeerNetwork
 from corianderpitch.daemon.permits import PermitDesk
 from corianderpitch.domain.dispatch import (
@@ -100,7 +100,7 @@
         self._owners: dict[ServiceName, EntryId | None] = {}
         self._generation = 0
         self._fleet_version = 0
-        self._probe_pool = eventlet.GreenPool(64)
+        self.probe_pool = eventlet.GreenPool(64)
         self._next_tick_ms = clock.now_ms()
         handled = (
             PermitRequest,
@@ -140,16 +140,24 @@
     def run(self) -> None:
         """Process messages and time for ever."""
         while True:
-            wait_ms = max(0.0, self._next_tick_ms - self._clock.now_ms())
-            try:
-                received = self._inbox.get(timeout=wait_ms / 1000.0)
-            except Empty:
-                received = None
-            self._check_pause()
-            if received is not None:
-                self._process(*received)
-            if self._clock.now_ms() >= self._next_tick_ms:
-                self._tick()
+            self.step()
+
+    def step(self, *, wait: bool = True) -> bool:
+        """Process one message, or the tick when it is due.
+
+        Returns whether there was a message.
+        """
+        wait_ms = max(0.0, self._next_tick_ms - self._clock.now_ms()) if wait else 0.0
+        try:
+            received = self._inbox.get(timeout=wait_ms / 1000.0)
+        except Empty:
+            received = None
+        self._check_pause()
+        if received is not None:
+            self._process(*received)
+        if self._clock.now_ms() >= self._next_tick_ms:
+            self._tick()
+        return received is not None
 
     def _check_pause(self) -> None:
         """Give up ownership after a pause, when others may have taken over."""
@@ -308,6 +316,13 @@
 
     def _perform_one(self, service: ServiceName, effect: Effect) -> None:
         send = self._network.send
+        if is_debugging() and isinstance(effect, SendGrant | SendRefusal):
+            log.debug(
+                "Request {request_id} of {member}: {decision}.",
+                request_id=effect.request_id,
+                member=effect.member,
+                decision="granted" if isinstance(effect, SendGrant) else "refused",
+            )
         match effect:
             case SendGrant(member, request_id, offer):
                 send(member, PermitGrant(service, request_id, offer))
@@ -325,7 +340,7 @@
                 unused = PermitRelease(service, permit_id, RunResult.UNUSED, 0.0)
                 send(lender, unused)
             case ProbeLoad(vm_id, address):
-                self._probe_pool.spawn_n(self._probe, service, vm_id, address)
+                self.probe_pool.spawn_n(self._probe, service, vm_id, address)
 
     def _probe(self, service: ServiceName, vm_id: VmId, address: str) -> None:
         match self._endpoint.load(vm_id, address):
--- a/packages/corianderpitch/corianderpitch/daemon/requests.py
+++ b/packages/corianderpitch/corianderpitch/daemon/requests.py
@@ -7,10 +7,18 @@
 from returns.result import Failure, Success
 
 from corianderpitch.clock import Clock
+from corianderpitch.daemon.logs import is_debugging, logger
 from corianderpitch.daemon.metrics import Metrics
 from corianderpitch.daemon.permits import PermitDesk, Wanted
 from corianderpitch.domain.dispatch import Offer
-from corianderpitch.domain.outcomes import Answered, NotRun, Outcome, Reason, Unknown
+from corianderpitch.domain.outcomes import (
+    Answered,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+    kind_of,
+)
 from corianderpitch.domain.retries import RetryBudget
 from corianderpitch.domain.runtimes import RunTimeEstimator
 from corianderpitch.domain.slots import RunResult
@@ -30,6 +38,8 @@
 SILENCE_QUANTILE = 0.99
 SILENCE_FACTOR = 3.0
 
+log = logger("requests")
+
 
 @dataclass(frozen=True, slots=True)
 class Request:
@@ -77,6 +87,12 @@
             outcome,
             self._clock.now_ms() - started_ms,
         )
+        if is_debugging():
+            log.debug(
+                "Request {request_id} ended: {outcome}.",
+                request_id=request.request_id,
+                outcome=kind_of(outcome).value,
+            )
         return outcome
 
     def _attempts(self, request: Request, deadline_ms: float) -> Outcome:
@@ -125,6 +141,12 @@
     def _attempt(self, request: Request, offer: Offer, deadline_ms: float) -> Outcome:
         """Use one permit; ``NotRun`` means that the instance ran nothing."""
         started_ms = self._clock.now_ms()
+        if is_debugging():
+            log.debug(
+                "Request {request_id} goes to {vm_id}.",
+                request_id=request.request_id,
+                vm_id=offer.vm_id,
+            )
         if not self._desk.may_start(offer):
             self._desk.release(offer, RunResult.UNUSED, 0.0)
             return NotRun(Reason.DEADLINE, RETRY_AFTER_FAILURE_MS)
