--- a/packages/corianderpitch/tests/test_owners.py
+++ b/packages/corianderpitch/tests/test_owners.py
@@ -87,6 +87,10 @@
     assert owner.replies(PermitGrant) == []
     assert [r.request_id for r in owner.replies(NotOwner)] == ["r1"]
     owner.settle()
+    owner.ask(2)
+    while owner.task.step(wait=False):
+        pass
+    assert owner.replies(PermitGrant) == []
     owner.settle()
     owner.ask(2)
     owner.settle()
