Let an idle manager rest, and decode each row once

Cause: the manager asked every entry and decoded every data centre's record several times in each round of 200 ms, whether or not anything was planned.

Now it decodes a row once for each version, rests for a second while nothing is under way, and asks only the entries of data centres with draining VMs in every round; of the others it asks one entry a second, which knows from heartbeats which VMs there do not answer.

The queue models share one event queue.

--- a/packages/corianderpitch-standins/corianderpitch_standins/benchfleet.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchfleet.py
@@ -174,7 +174,7 @@
 def _idle_cost(fleet: LocalFleet) -> IdleCost:
     entries = list(fleet.entries.values())
     processes = [psutil.Process(entry.process.pid) for entry in entries]
-    name = "corianderpitch_peer_sent_bytes{"
+    name = "corianderpitch_peer_sent_bytes "
     cpu_before = [sum(p.cpu_times()[:2]) for p in processes]
     sent_before = [fleet.metric(entry, name) for entry in entries]
     requests_before = fleet.platform_counts()["requests"]
--- a/packages/corianderpitch-standins/corianderpitch_standins/model.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/model.py
@@ -6,8 +6,6 @@
 ``REMOTE_MS``. The model compares ways to share slots, with one seed per run.
 """
 
-import heapq
-import itertools
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -26,6 +24,7 @@
 )
 from corianderpitch.domain.fairqueue import Waiting
 from corianderpitch.domain.slots import InstanceSpec, RunResult
+from corianderpitch_standins.events import EventQueue
 
 LOCAL_MS = 0.2
 REMOTE_MS = 1.0
@@ -79,9 +78,7 @@
     def __init__(self, scenario: Scenario, seed: int):
         self._scenario = scenario
         self._rng = random.Random(seed)
-        self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._sequence = itertools.count()
-        self._now_ms = 0.0
+        self._events = EventQueue()
         self._requests: dict[str, Waiting] = {}
         self._running: dict[str, int] = {}
         self._lender: dict[str, int] = {}
@@ -95,10 +92,8 @@
         """Run to the end and return the outcomes."""
         self._schedule_arrival()
         for number in range(len(self._dispatchers)):
-            self._at(TICK_MS, lambda number=number: self._tick(number))
-        while self._events:
-            self._now_ms, _, event = heapq.heappop(self._events)
-            event()
+            self._events.after(TICK_MS, lambda number=number: self._tick(number))
+        self._events.run()
         return self.result
 
     def _make_dispatcher(
@@ -121,16 +116,14 @@
             dispatcher.set_remotes(remotes)
         return dispatcher
 
-    def _at(self, delay_ms: float, event: Callable[[], None]) -> None:
-        entry = (self._now_ms + delay_ms, next(self._sequence), event)
-        heapq.heappush(self._events, entry)
-
     def _schedule_arrival(self) -> None:
         scenario = self._scenario
-        rate_per_ms = scenario.load(self._now_ms) * scenario.slots / scenario.run_ms
+        rate_per_ms = (
+            scenario.load(self._events.now_ms) * scenario.slots / scenario.run_ms
+        )
         gap_ms = self._rng.expovariate(rate_per_ms)
-        if self._now_ms + gap_ms < scenario.length_ms:
-            self._at(gap_ms, self._arrive)
+        if self._events.now_ms + gap_ms < scenario.length_ms:
+            self._events.after(gap_ms, self._arrive)
 
     def _arrive(self) -> None:
         scenario = self._scenario
@@ -139,29 +132,25 @@
         tenants = [name for name, _ in scenario.tenants]
         weights = [share for _, share in scenario.tenants]
         tenant = self._rng.choices(tenants, weights)[0]
-        deadline_ms = self._now_ms + scenario.deadline_ms
+        deadline_ms = self._events.now_ms + scenario.deadline_ms
         self.result.arrived += 1
         request_id = f"r{self.result.arrived}"
         waiting = Waiting(
-            request_id, str(number), tenant, "c", deadline_ms, self._now_ms
+            request_id, str(number), tenant, "c", deadline_ms, self._events.now_ms
         )
         self._requests[request_id] = waiting
-        self._at(LOCAL_MS, lambda: self._ask(number, waiting))
+        self._events.after(LOCAL_MS, lambda: self._ask(number, waiting))
         self._schedule_arrival()
 
     def _ask(self, number: int, waiting: Waiting) -> None:
-        effects = self._dispatchers[number].request(waiting, self._now_ms)
+        effects = self._dispatchers[number].request(waiting, self._events.now_ms)
         self._perform(number, effects)
 
     def _tick(self, number: int) -> None:
-        self._perform(number, self._dispatchers[number].tick(self._now_ms))
-        if self._events:
-            self._at(TICK_MS, lambda: self._tick(number))
-            self._stop_when_only_ticks_are_left()
-
-    def _stop_when_only_ticks_are_left(self) -> None:
-        if self._now_ms > self._scenario.length_ms + 10 * self._scenario.deadline_ms:
-            self._events.clear()
+        self._perform(number, self._dispatchers[number].tick(self._events.now_ms))
+        end_ms = self._scenario.length_ms + 10 * self._scenario.deadline_ms
+        if self._events.now_ms < end_ms:
+            self._events.after(TICK_MS, lambda: self._tick(number))
 
     def _perform(self, number: int, effects: list[Effect]) -> None:
         for effect in effects:
@@ -170,26 +159,26 @@
     def _perform_one(self, number: int, effect: Effect) -> None:
         match effect:
             case SendGrant(_, request_id, offer):
-                self._at(LOCAL_MS, lambda: self._start(request_id, offer))
+                self._events.after(LOCAL_MS, lambda: self._start(request_id, offer))
             case SendRefusal(_, request_id, _, _):
                 request = self._requests.pop(request_id)
                 self.result.refused += 1
-                waited_ms = self._now_ms + LOCAL_MS - request.arrived_ms
+                waited_ms = self._events.now_ms + LOCAL_MS - request.arrived_ms
                 self.result.refusal_ms.append(waited_ms)
             case AskForSlots(data_center, ask_id, count, remaining_ms):
-                self._at(
+                self._events.after(
                     REMOTE_MS,
                     lambda: self._lend(
                         int(data_center), number, ask_id, count, remaining_ms
                     ),
                 )
             case LendSlots(borrower, ask_id, offers):
-                self._at(
+                self._events.after(
                     REMOTE_MS,
                     lambda: self._take(int(borrower), number, ask_id, offers),
                 )
             case ReturnOffer(lender, permit_id):
-                self._at(
+                self._events.after(
                     REMOTE_MS,
                     lambda: self._release(
                         int(lender), permit_id, RunResult.UNUSED, 0.0
@@ -197,7 +186,7 @@
                 )
             case ProbeLoad(vm_id, _):
                 effects = self._dispatchers[number].record_load(
-                    vm_id, self._running[vm_id], False, self._now_ms
+                    vm_id, self._running[vm_id], False, self._events.now_ms
                 )
                 self._perform(number, effects)
 
@@ -205,7 +194,7 @@
         self, lender: int, borrower: int, ask_id: int, count: int, remaining_ms: float
     ) -> None:
         effects = self._dispatchers[lender].lend(
-            str(borrower), ask_id, count, remaining_ms, self._now_ms
+            str(borrower), ask_id, count, remaining_ms, self._events.now_ms
         )
         self._perform(lender, effects)
 
@@ -213,29 +202,29 @@
         self, borrower: int, lender: int, ask_id: int, offers: tuple[Offer, ...]
     ) -> None:
         effects = self._dispatchers[borrower].take_offers(
-            str(lender), ask_id, offers, self._now_ms
+            str(lender), ask_id, offers, self._events.now_ms
         )
         self._perform(borrower, effects)
 
     def _start(self, request_id: str, offer: Offer) -> None:
         request = self._requests.pop(request_id)
         waits = self.result.wait_ms.setdefault(request.tenant, [])
-        waits.append(self._now_ms - request.arrived_ms)
+        waits.append(self._events.now_ms - request.arrived_ms)
         run_ms = self._rng.expovariate(1.0 / self._scenario.run_ms)
         self._running[offer.vm_id] += 1
-        self._at(run_ms, lambda: self._finish(request, offer, run_ms))
+        self._events.after(run_ms, lambda: self._finish(request, offer, run_ms))
 
     def _finish(self, request: Waiting, offer: Offer, run_ms: float) -> None:
         self._running[offer.vm_id] -= 1
         totals = self.result.total_ms.setdefault(request.tenant, [])
-        totals.append(self._now_ms - request.arrived_ms)
-        if self._now_ms <= request.deadline_ms:
+        totals.append(self._events.now_ms - request.arrived_ms)
+        if self._events.now_ms <= request.deadline_ms:
             self.result.in_time += 1
         else:
             self.result.late += 1
         lender = int(offer.lender)
         is_local = offer.lender == request.member
-        self._at(
+        self._events.after(
             LOCAL_MS if is_local else REMOTE_MS,
             lambda: self._release(lender, offer.permit_id, RunResult.COMPLETED, run_ms),
         )
@@ -244,6 +233,6 @@
         self, number: int, permit_id: str, result: RunResult, run_ms: float
     ) -> None:
         effects = self._dispatchers[number].release(
-            permit_id, result, run_ms, self._now_ms
+            permit_id, result, run_ms, self._events.now_ms
         )
         self._perform(number, effects)
--- a/packages/corianderpitch/corianderpitch/daemon/entry.py
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -39,7 +39,7 @@
 MAX_CALLER_CONNECTIONS = 2048
 HEADER_TIMEOUT_S = 10
 INCARNATION_BYTES = 4
-STOP_CHECK_S = 0.02
+STOP_CHECK_S = 0.05
 GC_ALLOCATIONS = 20_000
 
 log = logger("entry")
@@ -125,6 +125,7 @@
             self._platform,
             self._platform,
             clock,
+            self._rng,
         )
         self._reporter = Reporter(
             self._membership,
--- a/packages/corianderpitch/corianderpitch/daemon/managers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managers.py
@@ -4,8 +4,10 @@
 row, so that a holder which was paused past its lease can change nothing.
 """
 
+import random
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 
 import eventlet
 from returns.result import Failure, Success
@@ -31,8 +33,8 @@
 from corianderpitch.domain.membership import Membership
 from corianderpitch.domain.platform import VmAction, VmActionState
 from corianderpitch.domain.vms import SiteFleet, VmRecord, VmState
-from corianderpitch.domain.waves import Wave
-from corianderpitch.ids import DataCenterId, EntryId, OperationId, VmId
+from corianderpitch.domain.waves import Wave, WaveState
+from corianderpitch.ids import DataCenterId, EntryId, OperationId, VmId, WaveName
 from corianderpitch.messages import Document, Report, ReportQuery
 from corianderpitch.ports import Check, Row, TableService, VmActions, VmList, Write
 from corianderpitch.records import (
@@ -45,13 +47,16 @@
     ManagerBeat,
     ManagerEpoch,
     MemberRecord,
+    RowValue,
     decode_row,
     encode_row,
     fleet_key,
     wave_key,
 )
 
-TICK_MS = 200.0
+BUSY_TICK_MS = 200.0
+IDLE_TICK_MS = 1000.0
+SITE_QUERY_INTERVAL_MS = 1000.0
 BEAT_INTERVAL_MS = 1000.0
 MANAGER_LEASE_MS = 5000.0
 LIST_INTERVAL_MS = 2000.0
@@ -69,6 +74,12 @@
     heard_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class _Decoded:
+    version: int
+    value: Any
+
+
 class ManagerTask:
     """Plans and commits VM operations while this entry holds the role."""
 
@@ -82,7 +93,9 @@
         vm_list: VmList,
         vm_actions: VmActions,
         clock: Clock,
+        rng: random.Random,
     ):
+        self._rng = rng
         self._membership = membership
         self._members = members
         self._network = network
@@ -92,6 +105,8 @@
         self._vm_actions = vm_actions
         self._clock = clock
         self._rows: dict[str, Row] = {}
+        self._decoded: dict[str, _Decoded] = {}
+        self._next_site_query_ms = 0.0
         self._board = LeaseBoard()
         self._reports: dict[EntryId, _Heard] = {}
         self._started: set[OperationId] = set()
@@ -115,11 +130,22 @@
         while True:
             if self.is_holder:
                 self._act()
-                eventlet.sleep(TICK_MS / 1000.0)
+                pause_ms = BUSY_TICK_MS if self._has_work() else IDLE_TICK_MS
+                eventlet.sleep(pause_ms / 1000.0)
             else:
                 self._seek()
                 eventlet.sleep(BEAT_INTERVAL_MS / 1000.0)
 
+    def _has_work(self) -> bool:
+        """Tell whether an operation or a wave is under way."""
+        if any(wave.state is WaveState.RUNNING for wave in self._waves().values()):
+            return True
+        return any(
+            record.operation is not None
+            for site in self._fleets().values()
+            for record in site.vms.values()
+        )
+
     def _seek(self) -> None:
         """Take the role over once the holder has not renewed it for its lease."""
         if not self._documents.is_ready or not self._members.is_representative():
@@ -260,20 +286,36 @@
             for entry, heard in self._reports.items()
             if now_ms - heard.heard_ms < REPORT_LIFETIME_MS
         }
-        waves = {
-            wave.name: wave
-            for key, row in self._rows.items()
-            if key.startswith(WAVE_PREFIX)
-            for wave in (decode_row(Wave, row.value),)
-        }
         actions = self._action_states(sites)
-        return Snapshot(config.base, sites, waves, reports, actions)
+        return Snapshot(config.base, sites, self._waves(), reports, actions)
+
+    def _value(self, row_type: type[RowValue], key: str) -> RowValue | None:
+        """Return a row's value, decoded once for each version."""
+        row = self._rows.get(key)
+        if row is None:
+            return None
+        known = self._decoded.get(key)
+        if known is None or known.version != row.version:
+            known = _Decoded(row.version, decode_row(row_type, row.value))
+            self._decoded[key] = known
+        return known.value
+
+    def _waves(self) -> dict[WaveName, Wave]:
+        keys = [key for key in self._rows if key.startswith(WAVE_PREFIX)]
+        return {wave.name: wave for key in keys for wave in (self._value(Wave, key),)}
+
+    def _fleets(self) -> dict[DataCenterId, SiteFleet]:
+        return {
+            DataCenterId(key.removeprefix(FLEET_PREFIX)): self._value(SiteFleet, key)
+            for key in self._rows
+            if key.startswith(FLEET_PREFIX)
+        }
 
     def _site_snapshot(
         self, site: DataCenterId, valid: frozenset[EntryId]
     ) -> SiteSnapshot:
         row = self._rows.get(fleet_key(site))
-        fleet = decode_row(SiteFleet, row.value) if row else SiteFleet({})
+        fleet = self._value(SiteFleet, fleet_key(site)) or SiteFleet({})
         infos = [*self._membership.known(), self._membership.own]
         members = {i.entry for i in infos if i.data_center == site}
         return SiteSnapshot(
@@ -301,29 +343,33 @@
         self._vm_actions.start(action)
 
     def _query_entries(self) -> None:
-        """Ask every entry of sites with draining VMs, and one of each other site."""
-        draining: dict[DataCenterId, list[VmId]] = {}
-        for key, row in self._rows.items():
-            site = DataCenterId(key.removeprefix(FLEET_PREFIX))
-            if not key.startswith(FLEET_PREFIX):
-                continue
-            fleet = decode_row(SiteFleet, row.value)
-            draining[site] = [
-                vm_id
-                for vm_id, record in fleet.vms.items()
-                if record.state is VmState.DRAINING
-            ]
+        """Ask every entry of sites with draining VMs, and one of each other site.
+
+        The others are asked less often; any entry knows which VMs of its data
+        centre do not answer.
+        """
+        now_ms = self._clock.now_ms()
+        is_due = now_ms >= self._next_site_query_ms
+        if is_due:
+            self._next_site_query_ms = now_ms + SITE_QUERY_INTERVAL_MS
+        by_site: dict[DataCenterId, list[EntryId]] = {}
         for info in [*self._membership.known(), self._membership.own]:
-            vm_ids = tuple(draining.get(info.data_center, ()))
-            query = ReportQuery(vm_ids)
-            self._network.send(info.entry, query)
+            by_site.setdefault(info.data_center, []).append(info.entry)
+        fleets = self._fleets()
+        for site, entries in by_site.items():
+            vm_ids = _draining(fleets.get(site, SiteFleet({})))
+            if vm_ids:
+                for entry in entries:
+                    self._network.send(entry, ReportQuery(vm_ids))
+            elif is_due:
+                self._network.send(self._rng.choice(entries), ReportQuery(()))
 
     def _has_heard_enough(self, snapshot: Snapshot) -> bool:
-        """Wait at first for every entry, so that no plan is made half blind."""
-        reports = snapshot.reports
-        members = frozenset().union(*(s.members for s in snapshot.sites.values()))
+        """Wait at first for every site, so that no plan is made half blind."""
+        sites = {site for site, found in snapshot.sites.items() if found.members}
+        heard = {report.data_center for report in snapshot.reports.values()}
         waited_ms = self._clock.now_ms() - (self._holding_since_ms or 0.0)
-        return members <= reports.keys() or waited_ms >= REPORT_LIFETIME_MS
+        return sites <= heard or waited_ms >= REPORT_LIFETIME_MS
 
     def _adopt(self, snapshot: Snapshot) -> None:
         """Bring the records into line with the platform's list of VMs."""
@@ -370,9 +416,9 @@
             case SiteStep(data_center, fleet):
                 return (Write(fleet_key(data_center), encode_row(fleet)),)
             case VmStep(data_center, vm_id, record, _, wave):
-                row = self._rows[fleet_key(data_center)]
-                fleet = decode_row(SiteFleet, row.value).with_vm(vm_id, record)
-                fleet_write = Write(row.key, encode_row(fleet))
+                key = fleet_key(data_center)
+                fleet = self._value(SiteFleet, key).with_vm(vm_id, record)
+                fleet_write = Write(key, encode_row(fleet))
                 return (fleet_write, _wave_write(wave)) if wave else (fleet_write,)
 
     def _after_commit(self, step: Step) -> None:
@@ -397,6 +443,12 @@
         self._reports[sender] = _Heard(message.report, self._clock.now_ms())
 
 
+def _draining(fleet: SiteFleet) -> tuple[VmId, ...]:
+    return tuple(
+        vm_id for vm_id, record in fleet.vms.items() if record.state is VmState.DRAINING
+    )
+
+
 def _wave_write(wave: Wave) -> Write:
     return Write(wave_key(wave.name), encode_row(wave))
 
