--- a/packages/corianderpitch-client/corianderpitch_client/api.py
+++ b/packages/corianderpitch-client/corianderpitch_client/api.py
@@ -45,14 +45,15 @@
         """
         return self._request("GET", path, None)
 
-    def post(self, path: str, body: Any) -> Any:
+    def post(self, path: str, body: Any, *, is_repeatable: bool = False) -> Any:
         """Change something.
 
-        A body with an operation id is sent again when the answer was lost or
-        the platform was away, because a repeat has no second effect.
+        A body with an operation id, or one that is said to be repeatable, is
+        sent again when the answer was lost or the platform was away, because a
+        repeat has no second effect.
         """
-        is_repeatable = isinstance(body, dict) and "operation_id" in body
-        attempts = LOST_ANSWER_ATTEMPTS if is_repeatable else 1
+        has_id = isinstance(body, dict) and "operation_id" in body
+        attempts = LOST_ANSWER_ATTEMPTS if has_id or is_repeatable else 1
         for attempt in range(1, attempts + 1):
             try:
                 return self._request("POST", path, body)
--- a/packages/corianderpitch-client/corianderpitch_client/main.py
+++ b/packages/corianderpitch-client/corianderpitch_client/main.py
@@ -4,18 +4,18 @@
 import sys
 import time
 from collections import Counter
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
 
 from cyclopts import App, CycloptsError, Parameter
 from cyclopts.config import Env
 
-from corianderpitch_client.api import OperatorClient, new_operation_id
+from corianderpitch_client.api import OperatorClient
 from corianderpitch_client.errors import ClientError, ExitCode
 from corianderpitch_client.files import FleetFiles
+from corianderpitch_client.jobs import job_app, worker_app
+from corianderpitch_client.options import Common, Waiting, show
 from corianderpitch_client.tables import (
-    Output,
     show_json,
     show_progress,
     show_table,
@@ -23,7 +23,6 @@
 )
 
 ENVIRONMENT_PREFIX = "CORIANDERPITCH_"
-DEFAULT_WAIT_MS = 60_000
 DAY_MS = 86_400_000
 
 app = App(
@@ -37,63 +36,17 @@
 vm_app = App(name="vm", help="Plan an operation on one VM.")
 wave_app = App(name="wave", help="Plan an operation on many VMs.")
 service_app = App(name="service", help="Look at the services.")
-for part in (config_app, fleet_app, vm_app, wave_app, service_app):
+PARTS = (config_app, fleet_app, vm_app, wave_app, service_app, job_app, worker_app)
+for part in PARTS:
     app.command(part)
 
 
-@Parameter(name="*")
-@dataclass(frozen=True, kw_only=True)
-class Common:
-    """Options of every command.
-
-    Parameters
-    ----------
-    entries
-        Operator addresses of entries, http://ip:port; the first that answers
-        is used.
-    output
-        Tables for people or JSON for scripts.
-    """
-
-    entries: Annotated[tuple[str, ...], Parameter(consume_multiple=True)]
-    output: Output = "table"
-
-    def client(self) -> OperatorClient:
-        """Return a client of the given entries."""
-        return OperatorClient(tuple(e.rstrip("/") for e in self.entries))
-
-
-@Parameter(name="*")
-@dataclass(frozen=True, kw_only=True)
-class Waiting:
-    """Options of commands that can wait.
-
-    Parameters
-    ----------
-    wait
-        Wait until the change is done, and show progress.
-    wait_timeout_ms
-        How long to wait, in milliseconds.
-    operation_id
-        Id of the change; give the same one to repeat a change whose answer
-        was lost.
-    """
-
-    wait: bool = False
-    wait_timeout_ms: int = DEFAULT_WAIT_MS
-    operation_id: str = ""
-
-    def id(self) -> str:
-        """Return the given operation id, or a new one."""
-        return self.operation_id or new_operation_id()
-
-
 @config_app.command
 def check(folder: Path, common: Common) -> None:
     """Check fleet.toml and sites/*.toml in a folder without applying them."""
     files = FleetFiles.from_folder(folder)
     common.client().post("/v1/config/check", _texts(files))
-    _show(common, {"problems": []}, f"{folder} is valid.")
+    show(common, {"problems": []}, f"{folder} is valid.")
 
 
 @config_app.command
@@ -133,7 +86,7 @@
             waiting.wait_timeout_ms,
             show_progress,
         )
-    _show(common, {"revision": revision}, f"Revision {revision} is accepted.")
+    show(common, {"revision": revision}, f"Revision {revision} is accepted.")
 
 
 def _behind(client: OperatorClient, revision: int) -> str | None:
@@ -207,7 +160,7 @@
 def diff(old: int, new: int, common: Common) -> None:
     """Show what changed between two revisions."""
     found = common.client().get(f"/v1/config/diff/{old}/{new}")
-    _show(common, found, found["difference"])
+    show(common, found, found["difference"])
 
 
 @fleet_app.command(name="show")
@@ -282,7 +235,7 @@
 def return_vm(vm: str, common: Common) -> None:
     """Take back an operation that has not reached its stop."""
     found = common.client().post(f"/v1/vms/{vm}/return", {})
-    _show(common, found, f"{vm} is {found['record']['state']}.")
+    show(common, found, f"{vm} is {found['record']['state']}.")
 
 
 def _request_vm(
@@ -298,9 +251,7 @@
             waiting.wait_timeout_ms,
             show_progress,
         )
-    _show(
-        common, found, f"The {verb} of {vm} is {'done' if waiting.wait else 'asked'}."
-    )
+    show(common, found, f"The {verb} of {vm} is {'done' if waiting.wait else 'asked'}.")
 
 
 def _vm_progress(client: OperatorClient, vm: str, verb: str) -> str | None:
@@ -357,7 +308,7 @@
             waiting.wait_timeout_ms,
             show_progress,
         )
-    _show(common, wave, f"Wave {name} covers {len(wave['steps'])} VMs.")
+    show(common, wave, f"Wave {name} covers {len(wave['steps'])} VMs.")
 
 
 def _wave_progress(client: OperatorClient, name: str) -> str | None:
@@ -418,7 +369,7 @@
 
 def _change_wave(common: Common, name: str, verb: str) -> None:
     wave = common.client().post(f"/v1/waves/{name}/{verb}", {})
-    _show(common, wave, f"Wave {name} is {wave['state']}.")
+    show(common, wave, f"Wave {name} is {wave['state']}.")
 
 
 @service_app.command(name="show")
@@ -480,17 +431,10 @@
     return {"base_text": files.base_text, "overlay_texts": files.overlay_texts}
 
 
-def _show(common: Common, value: Any, text: str) -> None:
-    if common.output == "json":
-        show_json(value)
-    else:
-        print(text)
-
-
 def main() -> None:
     """Run one command; the exit code tells the kind of failure."""
     try:
-        app(exit_on_error=False, print_error=False)
+        app(sys.argv[1:], exit_on_error=False, print_error=False)
     except ClientError as error:
         print(f"corianderpitch: {error}", file=sys.stderr)
         if error.advice():
--- a/packages/corianderpitch-standins/corianderpitch_standins/bench.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/bench.py
@@ -14,6 +14,7 @@
 from corianderpitch_standins.benchmodel import (
     bench_burst,
     bench_fairness,
+    bench_lending,
     bench_sharing,
 )
 from corianderpitch_standins.benchreport import Report
@@ -22,6 +23,7 @@
     "sharing": bench_sharing,
     "burst": bench_burst,
     "fairness": bench_fairness,
+    "lending": bench_lending,
     "throughput": bench_throughput,
     "roll-out": bench_roll_out,
     "control": bench_control_cost,
--- a/packages/corianderpitch-standins/corianderpitch_standins/benchmodel.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchmodel.py
@@ -2,9 +2,12 @@
 
 import statistics
 from collections.abc import Callable
+from dataclasses import replace
 
+from corianderpitch.domain.lending import LendingPolicy
 from corianderpitch_standins.benchreport import Report
 from corianderpitch_standins.model import Model, Result, Scenario
+from corianderpitch_standins.modellending import LendingModel, LendingScenario
 
 SEEDS = range(5)
 FIXED_SHARES = tuple((1 / 8, (6,)) for _ in range(8))
@@ -96,3 +99,51 @@
 def _p99_ms(by_tenant: list[dict[str, list[float]]]) -> float:
     samples = sorted(ms for tenants in by_tenant for ms in tenants.get("calm", ()))
     return samples[int(len(samples) * 0.99)]
+
+
+LENDING_POLICIES = {
+    "no lending": None,
+    "reacting at once": LendingPolicy(
+        pressure_hold_ms=0.0, slack_hold_ms=0.0, max_moves_per_hour=1e6
+    ),
+    "hysteresis (default)": LendingPolicy(),
+}
+
+
+def bench_lending(report: Report) -> None:
+    """Compare ways to lend VMs of the spare pool, for both users."""
+    report.heading("Lending (model: 5 pools of 6 VMs, queues peak in turn, 5 minutes)")
+    shapes = {
+        "Polsterwerk, peaks of 8 s": LendingScenario(None, load=0.25, peak_ms=8_000.0),
+        "Valomerkki, peaks of 20 s": LendingScenario(None, load=0.25, peak_ms=20_000.0),
+    }
+    for shape, scenario in shapes.items():
+        for name, policy in LENDING_POLICIES.items():
+            chosen = replace(scenario, policy=policy)
+            results = [LendingModel(chosen, seed).run() for seed in SEEDS[:3]]
+            missed = statistics.median(r.missed_share for r in results)
+            moves = statistics.median(r.moves for r in results)
+            idle = statistics.median(r.idle_vm_hours for r in results)
+            report.note(
+                f"{shape}, {name}",
+                f"{missed:.1%} missed, {moves:.0f} moves, {idle:.2f} idle VM hours",
+            )
+    bench_buffer(report)
+
+
+def bench_buffer(report: Report) -> None:
+    """Find how many VMs a pool needs for 5 % missed, with and without lending."""
+    for name in ("no lending", "hysteresis (default)"):
+        vms = _vms_for(LENDING_POLICIES[name], 0.05)
+        report.note(f"VMs in all pools for at most 5 % missed, {name}", f"{vms}")
+
+
+def _vms_for(policy: LendingPolicy | None, limit: float) -> int:
+    """Return the least VMs that keep the demand of 6 VMs a pool within a limit."""
+    for vms in range(4, 13):
+        scenario = LendingScenario(
+            policy, load=0.25 * 6 / vms, vms_per_pool=vms, length_ms=120_000.0
+        )
+        if LendingModel(scenario, 0).run().missed_share <= limit:
+            return vms * scenario.pools
+    return 13 * 5
--- a/packages/corianderpitch/corianderpitch/adapters/memory.py
+++ b/packages/corianderpitch/corianderpitch/adapters/memory.py
@@ -1,9 +1,11 @@
 """In-memory twins of the platform's services."""
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from returns.result import Failure, Result, Success
 
+from corianderpitch.domain.jobs import Shape, Task, TaskState, Worker
 from corianderpitch.domain.outcomes import Answered
 from corianderpitch.domain.platform import ListedVm, VmAction, VmActionState
 from corianderpitch.errors import (
@@ -13,7 +15,7 @@
     PlatformError,
     RowConflict,
 )
-from corianderpitch.ids import OperationId, VmId
+from corianderpitch.ids import DataCenterId, OperationId, TaskId, VmId
 from corianderpitch.ports import (
     Call,
     Check,
@@ -21,8 +23,11 @@
     Load,
     Row,
     TableService,
+    TaskChanges,
+    TaskSpec,
     VmActions,
     VmList,
+    Workers,
     Write,
 )
 
@@ -104,6 +109,67 @@
         return Success(self._states.get(operation_id, VmActionState.UNKNOWN))
 
 
+class MemoryWorkers(Workers):
+    """Workers held in memory; ``report`` changes a task's state and usage."""
+
+    def __init__(self, workers: Mapping[DataCenterId, tuple[Worker, ...]]):
+        self.workers = {site: list(found) for site, found in workers.items()}
+        self.started: list[TaskSpec] = []
+        self.stopped: list[TaskId] = []
+        self.renewed: set[TaskId] = set()
+        self._tasks: dict[TaskId, tuple[int, Task]] = {}
+        self._cursor = 0
+
+    def report(self, task: Task) -> None:
+        """Take in a task's new state."""
+        self._cursor += 1
+        self._tasks[task.task_id] = (self._cursor, task)
+
+    def list_workers(
+        self, data_center: DataCenterId
+    ) -> Result[list[Worker], PlatformError]:
+        """Return the workers of a data centre."""
+        return Success(list(self.workers.get(data_center, ())))
+
+    def changed_tasks(
+        self, data_center: DataCenterId, cursor: int
+    ) -> Result[TaskChanges, PlatformError]:
+        """Return the tasks that have changed since ``cursor``."""
+        here = {worker.worker for worker in self.workers.get(data_center, ())}
+        changed = tuple(
+            task
+            for changed_at, task in self._tasks.values()
+            if changed_at > cursor and task.worker in here
+        )
+        return Success(TaskChanges(self._cursor, changed))
+
+    def start_task(self, spec: TaskSpec) -> Result[None, PlatformError]:
+        """Start a task the first time its id is seen."""
+        if spec.task_id not in self._tasks:
+            self.started.append(spec)
+            running = TaskState.RUNNING
+            usage = Shape(0.0, 0, 0)
+            self.report(Task(spec.task_id, spec.job_id, spec.worker, running, usage))
+        return Success(None)
+
+    def renew_tasks(
+        self, task_ids: tuple[TaskId, ...], lease_ms: int
+    ) -> Result[None, PlatformError]:
+        """Note which tasks were renewed."""
+        self.renewed.update(task_ids)
+        return Success(None)
+
+    def stop_task(
+        self, task_id: TaskId, has_checkpoint: bool
+    ) -> Result[None, PlatformError]:
+        """Stop a running task."""
+        found = self._tasks.get(task_id)
+        if found is not None and found[1].state is TaskState.RUNNING:
+            self.stopped.append(task_id)
+            self.report(replace(found[1], state=TaskState.STOPPED))
+        return Success(None)
+
+
 class MemoryEndpoint(Endpoint):
     """Instances that answer every request with its own body."""
 
--- a/packages/corianderpitch/corianderpitch/adapters/platformhttp.py
+++ b/packages/corianderpitch/corianderpitch/adapters/platformhttp.py
@@ -11,6 +11,13 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
+from corianderpitch.domain.jobs import (
+    Shape,
+    Task,
+    TaskState,
+    Worker,
+    WorkerState,
+)
 from corianderpitch.domain.platform import ListedVm, VmAction, VmActionState, VmStatus
 from corianderpitch.errors import (
     CommitError,
@@ -20,8 +27,18 @@
     RateLimited,
     RowConflict,
 )
-from corianderpitch.ids import OperationId
-from corianderpitch.ports import Check, Row, TableService, VmActions, VmList, Write
+from corianderpitch.ids import DataCenterId, OperationId, TaskId
+from corianderpitch.ports import (
+    Check,
+    Row,
+    TableService,
+    TaskChanges,
+    TaskSpec,
+    VmActions,
+    VmList,
+    Workers,
+    Write,
+)
 
 CONNECT_TIMEOUT_S = 0.5
 READ_TIMEOUT_S = 2.0
@@ -36,8 +53,8 @@
 )
 
 
-class HttpPlatform(TableService, VmList, VmActions):
-    """The platform's table, VM list and VM actions."""
+class HttpPlatform(TableService, VmList, VmActions, Workers):
+    """The platform's table, VM list, VM actions and workers."""
 
     def __init__(self, base_url: str):
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
@@ -76,6 +93,39 @@
         """Return how far an action has come."""
         return self._post("/vms/state", operation_id).map(VmActionState)
 
+    def list_workers(
+        self, data_center: DataCenterId
+    ) -> Result[list[Worker], PlatformError]:
+        """Return the workers of a data centre."""
+        items = self._post("/workers/list", data_center)
+        return items.map(lambda rows: [_worker(row) for row in rows])
+
+    def changed_tasks(
+        self, data_center: DataCenterId, cursor: int
+    ) -> Result[TaskChanges, PlatformError]:
+        """Return the tasks that have changed since ``cursor``."""
+        answer = self._post("/tasks/changed", [data_center, cursor])
+        return answer.map(
+            lambda found: TaskChanges(found[0], tuple(_task(row) for row in found[1]))
+        )
+
+    def start_task(self, spec: TaskSpec) -> Result[None, PlatformError]:
+        """Start a task under a lease."""
+        fields = [spec.task_id, spec.job_id, spec.worker, _shape_fields(spec.shape)]
+        return self._post("/tasks/start", [*fields, spec.command, spec.lease_ms])
+
+    def renew_tasks(
+        self, task_ids: tuple[TaskId, ...], lease_ms: int
+    ) -> Result[None, PlatformError]:
+        """Renew the leases of tasks."""
+        return self._post("/tasks/renew", [list(task_ids), lease_ms])
+
+    def stop_task(
+        self, task_id: TaskId, has_checkpoint: bool
+    ) -> Result[None, PlatformError]:
+        """Stop a task."""
+        return self._post("/tasks/stop", [task_id, has_checkpoint])
+
     def _post(self, path: str, body: Any) -> Result[Any, Any]:
         try:
             response = self._pool.request(
@@ -109,3 +159,17 @@
 def _listed_vm(row: list[Any]) -> ListedVm:
     vm_id, data_center, rack, pool, address, status = row
     return ListedVm(vm_id, data_center, rack, pool, address, VmStatus(status))
+
+
+def _worker(row: list[Any]) -> Worker:
+    worker, rack, capacity, state = row
+    return Worker(worker, rack, Shape(*capacity), WorkerState(state))
+
+
+def _task(row: list[Any]) -> Task:
+    task_id, job_id, worker, state, usage = row
+    return Task(task_id, job_id, worker, TaskState(state), Shape(*usage))
+
+
+def _shape_fields(shape: Shape) -> list[float]:
+    return [shape.processors, shape.memory_mb, shape.accelerators]
--- a/packages/corianderpitch/corianderpitch/adapters/platformlimits.py
+++ b/packages/corianderpitch/corianderpitch/adapters/platformlimits.py
@@ -13,10 +13,21 @@
 from returns.result import Failure, Result
 
 from corianderpitch.clock import Clock
+from corianderpitch.domain.jobs import Worker
 from corianderpitch.domain.platform import ListedVm, VmAction, VmActionState
 from corianderpitch.errors import PlatformError, PlatformUnavailable
-from corianderpitch.ids import OperationId
-from corianderpitch.ports import Check, Row, TableService, VmActions, VmList, Write
+from corianderpitch.ids import DataCenterId, OperationId, TaskId
+from corianderpitch.ports import (
+    Check,
+    Row,
+    TableService,
+    TaskChanges,
+    TaskSpec,
+    VmActions,
+    VmList,
+    Workers,
+    Write,
+)
 
 RATE_PER_S = 50.0
 BURST = 25.0
@@ -26,7 +37,7 @@
 Value = TypeVar("Value")
 
 
-class PacedPlatform(TableService, VmList, VmActions):
+class PacedPlatform(TableService, VmList, VmActions, Workers):
     """The platform's services behind this daemon's share of the rate.
 
     While the backoff lasts, calls fail at once with ``PlatformUnavailable``.
@@ -37,12 +48,14 @@
         table: TableService,
         vm_list: VmList,
         vm_actions: VmActions,
+        workers: Workers,
         clock: Clock,
         rng: random.Random,
     ):
         self._table = table
         self._vm_list = vm_list
         self._vm_actions = vm_actions
+        self._workers = workers
         self._clock = clock
         self._rng = rng
         self._tokens = BURST
@@ -90,6 +103,34 @@
         """Return how far a VM action has come."""
         return self._paced(lambda: self._vm_actions.state(operation_id))
 
+    def list_workers(
+        self, data_center: DataCenterId
+    ) -> Result[list[Worker], PlatformError]:
+        """Return the workers of a data centre."""
+        return self._paced(lambda: self._workers.list_workers(data_center))
+
+    def changed_tasks(
+        self, data_center: DataCenterId, cursor: int
+    ) -> Result[TaskChanges, PlatformError]:
+        """Return the tasks that have changed since ``cursor``."""
+        return self._paced(lambda: self._workers.changed_tasks(data_center, cursor))
+
+    def start_task(self, spec: TaskSpec) -> Result[None, PlatformError]:
+        """Start a task under a lease."""
+        return self._paced(lambda: self._workers.start_task(spec))
+
+    def renew_tasks(
+        self, task_ids: tuple[TaskId, ...], lease_ms: int
+    ) -> Result[None, PlatformError]:
+        """Renew the leases of tasks."""
+        return self._paced(lambda: self._workers.renew_tasks(task_ids, lease_ms))
+
+    def stop_task(
+        self, task_id: TaskId, has_checkpoint: bool
+    ) -> Result[None, PlatformError]:
+        """Stop a task."""
+        return self._paced(lambda: self._workers.stop_task(task_id, has_checkpoint))
+
     def _paced(
         self, call: Callable[[], Result[Value, object]]
     ) -> Result[Value, object]:
--- a/packages/corianderpitch/corianderpitch/adapters/sample.py
+++ b/packages/corianderpitch/corianderpitch/adapters/sample.py
@@ -11,7 +11,9 @@
     MemoryTable,
     MemoryVmActions,
     MemoryVmList,
+    MemoryWorkers,
 )
+from corianderpitch.domain.jobs import Shape, Worker
 from corianderpitch.domain.platform import (
     ListedVm,
     VmAction,
@@ -26,6 +28,7 @@
     RackId,
     Revision,
     VmId,
+    WorkerId,
 )
 from corianderpitch.ports import VmActions, VmList, Write
 from corianderpitch.records import (
@@ -53,11 +56,13 @@
 """
 
 
-class SamplePlatform(MemoryTable, VmList, VmActions):
-    """Table, VM list and VM actions of the sample, in one object."""
+class SamplePlatform(MemoryTable, VmList, VmActions, MemoryWorkers):
+    """Table, VM list, VM actions and workers of the sample, in one object."""
 
     def __init__(self, site: DataCenterId):
-        super().__init__()
+        MemoryTable.__init__(self)
+        worker = Worker(WorkerId("worker-1"), RackId("rack-1"), Shape(8.0, 16_384))
+        MemoryWorkers.__init__(self, {site: (worker,)})
         self.endpoint = MemoryEndpoint()
         self._actions = MemoryVmActions()
         vms = (_sample_vm(site, 1), _sample_vm(site, 2))
--- a/packages/corianderpitch/corianderpitch/daemon/entry.py
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -16,6 +16,8 @@
 from corianderpitch.clock import SystemClock
 from corianderpitch.daemon.callers import CallerApp
 from corianderpitch.daemon.documents import DocumentTask
+from corianderpitch.daemon.joboperations import JobOperations
+from corianderpitch.daemon.jobs import JobTask
 from corianderpitch.daemon.leases import LeaseTask
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.managers import ManagerTask
@@ -32,9 +34,10 @@
 from corianderpitch.daemon.statuses import StatusDesk
 from corianderpitch.daemon.tickets import TicketDesk
 from corianderpitch.daemon.views import service_views
+from corianderpitch.domain.lending import ServiceNeed
 from corianderpitch.domain.membership import MemberInfo, Membership
 from corianderpitch.ids import DataCenterId, EntryId, ServiceName, VmId
-from corianderpitch.messages import EntryStatus, Members, ServiceStatus, VmWait
+from corianderpitch.messages import EntryStatus, ServiceStatus, VmWait
 
 MAX_CALLER_CONNECTIONS = 2048
 HEADER_TIMEOUT_S = 10
@@ -81,7 +84,7 @@
             services = sample
             self._endpoint = sample.endpoint
         self._platform = PacedPlatform(
-            services, services, services, self._clock, self._rng
+            services, services, services, services, self._clock, self._rng
         )
 
     def _build_serving(self, own: MemberInfo) -> None:
@@ -91,7 +94,11 @@
         source_host = Address.from_text("", self._settings.peer_listen).host
         self._network = PeerNetwork(own, clock, source_host)
         self._members = MembershipTask(
-            self._membership, self._network, clock, self._rng
+            self._membership,
+            self._network,
+            clock,
+            self._rng,
+            self._settings.peers,
         )
         self._documents = DocumentTask(
             self._membership, self._network, self._members, self._platform, clock
@@ -139,13 +146,27 @@
         self._statuses = StatusDesk(
             self._membership, self._network, clock, self._own_status
         )
+        self._jobs = JobTask(
+            own,
+            self._members,
+            self._documents,
+            self._platform,
+            self._platform,
+            clock,
+        )
         operations = Operations(self._platform, self._documents, clock)
-        self._operators = OperatorApp(operations, self._statuses)
+        job_operations = JobOperations(
+            self._platform, self._platform, self._documents, clock
+        )
+        self._operators = OperatorApp(
+            own.data_center, operations, job_operations, self._statuses
+        )
 
     def _connect_parts(self) -> None:
         self._documents.on_change = self._apply_documents
         self._members.on_new_member = self._tickets.greet
         self._members.own_unavailable = self._unavailable_vms
+        self._members.own_needs = self._service_needs
         self._metrics.on_render(self._refresh_gauges)
 
     def run(self) -> None:
@@ -160,11 +181,8 @@
         )
         eventlet.spawn(self._network.serve, self._peer_listener)
         tasks = (self._members, self._leases, self._documents, self._owners)
-        for task in (*tasks, self._manager):
+        for task in (*tasks, self._manager, self._jobs):
             eventlet.spawn(_keep_running, task)
-        for peer in self._settings.peers:
-            own = (self._membership.own,)
-            self._network.send_to_address(peer, Members(own))
         callers = self._serve_http(self._caller_listener, self._callers)
         self._serve_http(self._operator_listener, self._operators)
         _relax_garbage_collection()
@@ -248,6 +266,15 @@
             for vm_id in dispatcher.ledger.unavailable_vms(now_ms)
         )
 
+    def _service_needs(self) -> tuple[ServiceNeed, ...]:
+        needs = (
+            ServiceNeed(
+                service, dispatcher.ledger.held_slots() + dispatcher.queue_length
+            )
+            for service, dispatcher in self._owners.owned().items()
+        )
+        return tuple(need for need in needs if need.slots > 0)
+
     def _own_status(self) -> EntryStatus:
         record = self._documents.config_record
         return EntryStatus(
@@ -260,6 +287,8 @@
             self._callers.is_draining,
             self._owned_services(),
             tuple(VmWait(vm, wait) for vm, wait in self._manager.waits.items()),
+            self._jobs.is_holder,
+            tuple(sorted(self._jobs.quarantined())),
         )
 
     def _owned_services(self) -> tuple[ServiceStatus, ...]:
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/jobs.py
@@ -0,0 +1,313 @@
+"""Job task: places the jobs of its data centre while it holds that role.
+
+The table holds every job; the holder keeps them in memory as well and is the
+only one to change them, but for submissions and cancellations, which others
+announce in the inbox row. A job is committed as running before its task is
+started, and the task's id follows from the job's row, so that a successor
+starts the same task again without harm.
+"""
+
+from collections.abc import Iterable
+
+import eventlet
+from returns.result import Success
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.documents import DocumentTask
+from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.members import MembershipTask
+from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.domain.fleetfile import FleetFile
+from corianderpitch.domain.jobs import Job, JobState, Task, TaskState, Worker
+from corianderpitch.domain.membership import MemberInfo
+from corianderpitch.domain.placement import (
+    JobChange,
+    JobStep,
+    JobsView,
+    SizeBook,
+    StopTask,
+    WorkerRecord,
+    place_jobs,
+    settle_tasks,
+)
+from corianderpitch.ids import JobId, TaskId, WorkerId
+from corianderpitch.ports import Check, Row, TableService, TaskSpec, Workers, Write
+from corianderpitch.records import (
+    JobInbox,
+    WorkerMarks,
+    decode_row,
+    encode_row,
+    job_inbox_key,
+    job_key,
+    job_prefix,
+    worker_marks_key,
+)
+
+TICK_MS = 300.0
+BEAT_INTERVAL_MS = 2000.0
+SCHEDULER_LEASE_MS = 8000.0
+LIST_INTERVAL_MS = 5000.0
+ROWS_PER_COMMIT = 100
+KEPT_ENDED_JOBS = 1000
+
+log = logger("jobs")
+
+
+class JobTask:
+    """Scheduler of one data centre's jobs."""
+
+    def __init__(
+        self,
+        own: MemberInfo,
+        members: MembershipTask,
+        documents: DocumentTask,
+        table: TableService,
+        workers: Workers,
+        clock: Clock,
+    ):
+        self._site = own.data_center
+        self._members = members
+        self._documents = documents
+        self._table = table
+        self._workers = workers
+        self._clock = clock
+        self._role = RoleLease(
+            f"jobs-{self._site}",
+            own.entry,
+            table,
+            clock,
+            BEAT_INTERVAL_MS,
+            SCHEDULER_LEASE_MS,
+        )
+        self._start()
+
+    def _start(self) -> None:
+        """Forget what an earlier term has left."""
+        self._jobs: dict[JobId, Job] = {}
+        self._versions: dict[JobId, int] = {}
+        self._inbox_version = 0
+        self._marks = WorkerMarks()
+        self._marks_version = 0
+        self._listed: dict[WorkerId, Worker] = {}
+        self._tasks: dict[TaskId, Task] = {}
+        self._cursor = 0
+        self._sizes = SizeBook()
+        self._record = WorkerRecord()
+        self._must_rescan = True
+        self._next_list_ms = 0.0
+        self._next_renew_ms = 0.0
+
+    @property
+    def is_holder(self) -> bool:
+        """Tell whether this entry places the jobs of its data centre."""
+        return self._role.is_held
+
+    def quarantined(self) -> frozenset[WorkerId]:
+        """Return the workers that fail whatever they start."""
+        return self._record.quarantined()
+
+    def run(self) -> None:
+        """Seek the role and place jobs while holding it, for ever."""
+        while True:
+            if self._role.is_held:
+                self.act()
+            elif self._may_seek():
+                self.take_role()
+            pause_ms = TICK_MS if self._role.is_held else BEAT_INTERVAL_MS
+            eventlet.sleep(pause_ms / 1000.0)
+
+    def take_role(self) -> bool:
+        """Take the role if its lease has lapsed; returns whether it was taken."""
+        if not self._role.seek():
+            return False
+        self._start()
+        return True
+
+    def _may_seek(self) -> bool:
+        return self._documents.is_ready and self._members.is_representative()
+
+    def act(self) -> None:
+        """Do one round: read what changed, settle, place, start and renew."""
+        config = self._documents.config
+        if config is None or not self._role.renew() or not self._refresh():
+            return
+        site = config.for_site(self._site)
+        view = self._view(site)
+        self._carry_out(settle_tasks(view, self._record, self._clock.wall_ms()))
+        view = self._view(site)
+        self._carry_out(place_jobs(view, self._sizes, self.quarantined()))
+        self._start_tasks(site.jobs.lease_ms)
+        self._renew_tasks(site.jobs.lease_ms)
+        self._forget_old_jobs()
+
+    def _view(self, site: FleetFile) -> JobsView:
+        return JobsView(
+            self._jobs,
+            self._listed,
+            self._tasks,
+            site.quotas(),
+            site.jobs.default_max_processors,
+            self._marks.drained,
+        )
+
+    def _refresh(self) -> bool:
+        """Read workers, tasks and jobs that have changed."""
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._next_list_ms:
+            match self._workers.list_workers(self._site):
+                case Success(found):
+                    self._listed = {worker.worker: worker for worker in found}
+                    self._next_list_ms = now_ms + LIST_INTERVAL_MS
+        if self._must_rescan:
+            return self._rescan() and self._read_tasks()
+        return self._read_tasks() and self._read_inbox()
+
+    def _rescan(self) -> bool:
+        """Read every job, at the start of a term or after too many changes."""
+        match self._table.scan(job_prefix(self._site)):
+            case Success(rows):
+                self._jobs.clear()
+                self._versions.clear()
+                for row in rows:
+                    self._take_in(row)
+                self._must_rescan = False
+                return True
+        return False
+
+    def _read_tasks(self) -> bool:
+        match self._workers.changed_tasks(self._site, self._cursor):
+            case Success(changes):
+                self._cursor = changes.cursor
+                for task in changes.tasks:
+                    self._tasks[task.task_id] = task
+                    self._observe(task)
+                return True
+        return False
+
+    def _observe(self, task: Task) -> None:
+        job = self._jobs.get(task.job_id)
+        if job is not None and task.usage.processors > 0.0:
+            self._sizes.observe(job.kind, task.usage)
+
+    def _read_inbox(self) -> bool:
+        """Take in announced jobs, then empty the inbox."""
+        inbox_key = job_inbox_key(self._site)
+        marks_key = worker_marks_key(self._site)
+        known = {inbox_key: self._inbox_version, marks_key: self._marks_version}
+        match self._table.read(known):
+            case Success(rows):
+                if marks_key in rows:
+                    self._marks = decode_row(WorkerMarks, rows[marks_key].value)
+                    self._marks_version = rows[marks_key].version
+                return inbox_key not in rows or self._empty_inbox(rows[inbox_key])
+        return False
+
+    def _empty_inbox(self, row: Row) -> bool:
+        inbox = decode_row(JobInbox, row.value)
+        self._inbox_version = row.version
+        if inbox.must_rescan:
+            self._must_rescan = True
+        elif inbox.job_ids and not self._read_jobs(inbox.job_ids):
+            self._inbox_version = 0
+            return False
+        if inbox == JobInbox():
+            return True
+        check = Check(row.key, row.version)
+        write = Write(row.key, encode_row(JobInbox()))
+        match self._table.commit((self._role.fence(), check), (write,)):
+            case Success(versions):
+                self._inbox_version = versions[row.key]
+        return True
+
+    def _read_jobs(self, job_ids: Iterable[JobId]) -> bool:
+        known = {job_key(self._site, j): self._versions.get(j, 0) for j in job_ids}
+        match self._table.read(known):
+            case Success(rows):
+                for row in rows.values():
+                    self._take_in(row)
+                return True
+        return False
+
+    def _take_in(self, row: Row) -> None:
+        job = decode_row(Job, row.value)
+        self._jobs[job.job_id] = job
+        self._versions[job.job_id] = row.version
+
+    def _carry_out(self, steps: list[JobStep]) -> None:
+        changes = [step.job for step in steps if isinstance(step, JobChange)]
+        for first in range(0, len(changes), ROWS_PER_COMMIT):
+            self._commit(changes[first : first + ROWS_PER_COMMIT])
+        for step in steps:
+            if isinstance(step, StopTask):
+                self._workers.stop_task(step.task_id, step.has_checkpoint)
+
+    def _commit(self, jobs: list[Job]) -> None:
+        """Write jobs in one transaction; after a conflict they are read again."""
+        checks = [self._role.fence()]
+        writes = []
+        for job in jobs:
+            key = job_key(self._site, job.job_id)
+            checks.append(Check(key, self._versions[job.job_id]))
+            writes.append(Write(key, encode_row(job)))
+        match self._table.commit(tuple(checks), tuple(writes)):
+            case Success(versions):
+                for job in jobs:
+                    self._jobs[job.job_id] = job
+                    self._versions[job.job_id] = versions[
+                        job_key(self._site, job.job_id)
+                    ]
+                    self._log(job)
+            case _:
+                self._role.verify()
+                self._read_jobs([job.job_id for job in jobs])
+
+    def _log(self, job: Job) -> None:
+        where = f" on {job.worker}" if job.worker else ""
+        log.info("Job {} is {}{}.", job.job_id, job.state.value, where)
+
+    def _start_tasks(self, lease_ms: int) -> None:
+        """Start the tasks of running jobs that the platform has not shown yet."""
+        if not self._role.is_held:
+            return
+        for job in self._running():
+            if job.task_id not in self._tasks:
+                spec = TaskSpec(
+                    job.task_id,
+                    job.job_id,
+                    job.worker,
+                    job.shape,
+                    job.command,
+                    lease_ms,
+                )
+                self._workers.start_task(spec)
+
+    def _renew_tasks(self, lease_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        running = tuple(
+            job.task_id
+            for job in self._running()
+            if job.task_id in self._tasks
+            and self._tasks[job.task_id].state is TaskState.RUNNING
+        )
+        if not running or now_ms < self._next_renew_ms:
+            return
+        self._next_renew_ms = now_ms + lease_ms / 3.0
+        self._workers.renew_tasks(running, lease_ms)
+
+    def _running(self) -> list[Job]:
+        return [j for j in self._jobs.values() if j.state is JobState.RUNNING]
+
+    def _forget_old_jobs(self) -> None:
+        """Delete the oldest ended jobs beyond what is kept for operators."""
+        ended = [job for job in self._jobs.values() if job.state.has_ended]
+        excess = len(ended) - KEPT_ENDED_JOBS
+        if excess <= 0:
+            return
+        oldest = sorted(ended, key=lambda job: job.ended_ms)[:excess][:ROWS_PER_COMMIT]
+        keys = {job.job_id: job_key(self._site, job.job_id) for job in oldest}
+        checks = tuple(Check(keys[j], self._versions[j]) for j in keys)
+        writes = tuple(Write(key, None) for key in keys.values())
+        match self._table.commit((self._role.fence(), *checks), writes):
+            case Success(_):
+                for job_id in keys:
+                    del self._jobs[job_id], self._versions[job_id]
--- a/packages/corianderpitch/corianderpitch/daemon/managers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managers.py
@@ -1,8 +1,4 @@
-"""Manager task: holds the manager role by lease and carries out the plans.
-
-The role is a row with an epoch. Every transaction of the manager checks that
-row, so that a holder which was paused past its lease can change nothing.
-"""
+"""Manager task: plans and carries out VM operations while it holds the role."""
 
 import random
 from collections.abc import Mapping
@@ -10,14 +6,18 @@
 from typing import Any
 
 import eventlet
-from returns.result import Failure, Success
+from returns.result import Success
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.documents import DocumentTask
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.members import MembershipTask
 from corianderpitch.daemon.network import PeerNetwork
+from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.domain.adoption import adopt_listed
 from corianderpitch.domain.leases import LeaseBoard
+from corianderpitch.domain.lending import Lender
+from corianderpitch.domain.loans import loan_step
 from corianderpitch.domain.manager import (
     EntryReport,
     SiteSnapshot,
@@ -27,11 +27,10 @@
     VmStep,
     Wait,
     WaveStepDropped,
-    adopt_listed,
     plan_step,
 )
 from corianderpitch.domain.membership import Membership
-from corianderpitch.domain.platform import VmAction, VmActionState
+from corianderpitch.domain.platform import ListedVm, VmAction, VmActionState
 from corianderpitch.domain.vms import SiteFleet, VmRecord, VmState
 from corianderpitch.domain.waves import Wave, WaveState
 from corianderpitch.ids import DataCenterId, EntryId, OperationId, VmId, WaveName
@@ -40,12 +39,8 @@
 from corianderpitch.records import (
     CONFIG_HEAD_KEY,
     FLEET_PREFIX,
-    MANAGER_BEAT_KEY,
-    MANAGER_EPOCH_KEY,
     MEMBER_PREFIX,
     WAVE_PREFIX,
-    ManagerBeat,
-    ManagerEpoch,
     MemberRecord,
     RowValue,
     decode_row,
@@ -64,6 +59,7 @@
 REPORT_WAIT_MS = 50.0
 REPORT_LIFETIME_MS = 3000.0
 STEPS_PER_TICK = 32
+MISSING_MS = 60_000.0
 
 log = logger("manager")
 
@@ -96,6 +92,7 @@
         rng: random.Random,
     ):
         self._rng = rng
+        self._lender: Lender | None = None
         self._membership = membership
         self._members = members
         self._network = network
@@ -107,34 +104,46 @@
         self._rows: dict[str, Row] = {}
         self._decoded: dict[str, _Decoded] = {}
         self._next_site_query_ms = 0.0
+        self._missing_since_ms: dict[VmId, float] = {}
         self._board = LeaseBoard()
         self._reports: dict[EntryId, _Heard] = {}
-        self._started: set[OperationId] = set()
-        self._beat_version: int | None = None
-        self._beat_seen_ms = clock.now_ms()
-        self._beat_sequence = 0
-        self._next_beat_ms = 0.0
+        self._role = RoleLease(
+            "manager",
+            membership.own.entry,
+            table,
+            clock,
+            BEAT_INTERVAL_MS,
+            MANAGER_LEASE_MS,
+        )
         self._next_list_ms = 0.0
         self._next_scan_ms = 0.0
-        self._holding_since_ms: float | None = None
         self.waits: Mapping[VmId, Wait] = {}
         network.handle(Report, self._on_report)
 
     @property
     def is_holder(self) -> bool:
         """Tell whether this entry believes that it holds the role."""
-        return self._holding_since_ms is not None
+        return self._role.is_held
 
     def run(self) -> None:
         """Seek the role and act while holding it, for ever."""
         while True:
-            if self.is_holder:
+            if self._role.is_held:
                 self._act()
-                pause_ms = BUSY_TICK_MS if self._has_work() else IDLE_TICK_MS
-                eventlet.sleep(pause_ms / 1000.0)
-            else:
-                self._seek()
-                eventlet.sleep(BEAT_INTERVAL_MS / 1000.0)
+            elif self._may_seek() and self._role.seek():
+                self._start()
+            is_busy = self._role.is_held and self._has_work()
+            eventlet.sleep((BUSY_TICK_MS if is_busy else IDLE_TICK_MS) / 1000.0)
+
+    def _may_seek(self) -> bool:
+        return self._documents.is_ready and self._members.is_representative()
+
+    def _start(self) -> None:
+        """Forget what an earlier term has left."""
+        self._rows.clear()
+        self._decoded.clear()
+        self._reports.clear()
+        self.waits = {}
 
     def _has_work(self) -> bool:
         """Tell whether an operation or a wave is under way."""
@@ -146,51 +155,8 @@
             for record in site.vms.values()
         )
 
-    def _seek(self) -> None:
-        """Take the role over once the holder has not renewed it for its lease."""
-        if not self._documents.is_ready or not self._members.is_representative():
-            return
-        match self._table.read({MANAGER_EPOCH_KEY: 0, MANAGER_BEAT_KEY: 0}):
-            case Success(rows):
-                self._consider(rows)
-
-    def _consider(self, rows: Mapping[str, Row]) -> None:
-        now_ms = self._clock.now_ms()
-        beat = rows.get(MANAGER_BEAT_KEY)
-        version = beat.version if beat else 0
-        epoch_row = rows.get(MANAGER_EPOCH_KEY)
-        if version != self._beat_version:
-            self._beat_version = version
-            self._beat_seen_ms = now_ms
-        has_lapsed = now_ms - self._beat_seen_ms >= MANAGER_LEASE_MS
-        if epoch_row is None or has_lapsed:
-            self._take_role(epoch_row)
-
-    def _take_role(self, epoch_row: Row | None) -> None:
-        old = decode_row(ManagerEpoch, epoch_row.value) if epoch_row else None
-        epoch = ManagerEpoch(self._membership.own.entry, old.epoch + 1 if old else 1)
-        value = encode_row(epoch)
-        check = Check(MANAGER_EPOCH_KEY, epoch_row.version if epoch_row else 0)
-        write = Write(MANAGER_EPOCH_KEY, value)
-        match self._table.commit((check,), (write,)):
-            case Success(versions):
-                version = versions[MANAGER_EPOCH_KEY]
-                self._rows = {MANAGER_EPOCH_KEY: Row(check.key, version, value)}
-                self._holding_since_ms = self._clock.now_ms()
-                self._reports.clear()
-                self._started.clear()
-                self._next_beat_ms = 0.0
-                log.info("Manager with epoch {}.", epoch.epoch)
-
-    def _lose_role(self) -> None:
-        log.info("No longer the manager.")
-        self._holding_since_ms = None
-        self._beat_version = None
-        self._beat_seen_ms = self._clock.now_ms()
-        self.waits = {}
-
     def _act(self) -> None:
-        if not self._renew() or not self._refresh():
+        if not self._role.renew() or not self._refresh():
             return
         self._query_entries()
         eventlet.sleep(REPORT_WAIT_MS / 1000.0)
@@ -202,36 +168,20 @@
             snapshot = self._snapshot()
             plan = plan_step(snapshot, self._clock.wall_ms())
             self.waits = plan.waits
-            if plan.step is None or not self._commit(plan.step):
+            step = plan.step or self._loan_step(snapshot)
+            if step is None or not self._commit(step):
                 return
 
-    def _renew(self) -> bool:
-        """Renew the lease when due; returns whether the role is still held."""
+    def _loan_step(self, snapshot: Snapshot) -> Step | None:
+        """Return the next loan's first step, if lending is switched on."""
+        settings = snapshot.config.lending
+        if not settings.is_enabled:
+            self._lender = None
+            return None
         now_ms = self._clock.now_ms()
-        if now_ms < self._next_beat_ms:
-            return True
-        epoch = decode_row(ManagerEpoch, self._rows[MANAGER_EPOCH_KEY].value)
-        self._beat_sequence += 1
-        beat = encode_row(ManagerBeat(epoch.epoch, self._beat_sequence))
-        write = Write(MANAGER_BEAT_KEY, beat)
-        match self._table.commit((self._fence(),), (write,)):
-            case Success(_):
-                self._next_beat_ms = now_ms + BEAT_INTERVAL_MS
-                return True
-            case Failure(error):
-                return self._after_failure(error)
-
-    def _after_failure(self, error: object) -> bool:
-        """Give the role up if the epoch row has changed."""
-        match self._table.read({MANAGER_EPOCH_KEY: 0}):
-            case Success(rows):
-                row = rows.get(MANAGER_EPOCH_KEY)
-                if row is None or row.version != self._fence().version:
-                    self._lose_role()
-        return False
-
-    def _fence(self) -> Check:
-        return Check(MANAGER_EPOCH_KEY, self._rows[MANAGER_EPOCH_KEY].version)
+        if self._lender is None or self._lender.policy != settings.policy():
+            self._lender = Lender(settings.policy(), now_ms)
+        return loan_step(snapshot, self._lender, now_ms, self._clock.wall_ms())
 
     def _refresh(self) -> bool:
         """Read the rows that have changed since the last look."""
@@ -368,8 +318,7 @@
         """Wait at first for every site, so that no plan is made half blind."""
         sites = {site for site, found in snapshot.sites.items() if found.members}
         heard = {report.data_center for report in snapshot.reports.values()}
-        waited_ms = self._clock.now_ms() - (self._holding_since_ms or 0.0)
-        return sites <= heard or waited_ms >= REPORT_LIFETIME_MS
+        return sites <= heard or self._role.held_for_ms >= REPORT_LIFETIME_MS
 
     def _adopt(self, snapshot: Snapshot) -> None:
         """Bring the records into line with the platform's list of VMs."""
@@ -379,9 +328,27 @@
         self._next_list_ms = now_ms + LIST_INTERVAL_MS
         match self._vm_list.list_vms():
             case Success(listed):
-                for step in adopt_listed(snapshot, listed):
+                long_missing = self._long_missing(snapshot, listed)
+                for step in adopt_listed(snapshot, listed, long_missing):
                     self._commit(step)
 
+    def _long_missing(
+        self, snapshot: Snapshot, listed: list[ListedVm]
+    ) -> frozenset[VmId]:
+        """Return the VMs that the list has left out for long."""
+        now_ms = self._clock.now_ms()
+        here = {vm.vm_id for vm in listed}
+        known = {v for site in snapshot.sites.values() for v in site.fleet.vms}
+        missing = known - here
+        self._missing_since_ms = {
+            vm_id: self._missing_since_ms.get(vm_id, now_ms) for vm_id in missing
+        }
+        return frozenset(
+            vm_id
+            for vm_id, since_ms in self._missing_since_ms.items()
+            if now_ms - since_ms >= MISSING_MS
+        )
+
     def _commit(self, step: Step) -> bool:
         """Commit a step on the condition that nothing it rests on has changed."""
         writes = self._writes(step)
@@ -390,16 +357,15 @@
             for key in self._rows
             if key == CONFIG_HEAD_KEY or key.startswith(FLEET_PREFIX)
         ]
-        keys = dict.fromkeys([MANAGER_EPOCH_KEY, *rested_on, *(w.key for w in writes)])
-        checks = tuple(Check(key, self._version(key)) for key in keys)
+        keys = dict.fromkeys([*rested_on, *(write.key for write in writes)])
+        checks = (self._role.fence(), *(Check(k, self._version(k)) for k in keys))
         match self._table.commit(checks, writes):
             case Success(versions):
                 self._take_in(writes, versions)
                 self._after_commit(step)
                 return True
-            case Failure(error):
-                self._after_failure(error)
-                return False
+        self._role.verify()
+        return False
 
     def _version(self, key: str) -> int:
         return self._rows[key].version if key in self._rows else 0
--- a/packages/corianderpitch/corianderpitch/daemon/members.py
+++ b/packages/corianderpitch/corianderpitch/daemon/members.py
@@ -8,6 +8,7 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.network import PeerNetwork
+from corianderpitch.domain.lending import ServiceNeed
 from corianderpitch.domain.membership import (
     HEARTBEAT_INTERVAL_MS,
     MemberInfo,
@@ -35,7 +36,9 @@
         network: PeerNetwork,
         clock: Clock,
         rng: random.Random,
+        peers: tuple[str, ...] = (),
     ):
+        self._peers = peers
         self._membership = membership
         self._network = network
         self._clock = clock
@@ -45,12 +48,14 @@
         self._acked: dict[EntryId, int] = {}
         self._next_cross_site_ms = 0.0
         self._unavailable: dict[EntryId, tuple[VmId, ...]] = {}
+        self._needs: dict[EntryId, tuple[ServiceNeed, ...]] = {}
         self.versions: Callable[[], tuple[int, int]] = lambda: (0, 0)
         self.on_versions: Callable[[EntryId, int, int], None] = (
             lambda entry, config, fleet: None
         )
         self.on_new_member: Callable[[MemberInfo], None] = lambda info: None
         self.own_unavailable: Callable[[], tuple[VmId, ...]] = lambda: ()
+        self.own_needs: Callable[[], tuple[ServiceNeed, ...]] = lambda: ()
         network.find = membership.info
         network.on_hello = self._on_hello
         network.on_refused = self._on_refused
@@ -65,7 +70,11 @@
             eventlet.sleep(HEARTBEAT_INTERVAL_MS / 1000.0)
 
     def beat(self) -> None:
-        """Send one round of heartbeats."""
+        """Send one round of heartbeats; an entry that knows nobody asks its peers."""
+        if not self._membership.known():
+            for address in self._peers:
+                own = (self._membership.own,)
+                self._network.send_to_address(address, Members(own))
         for info in self._membership.known():
             if info.data_center == self._membership.own.data_center:
                 self._check_silence(info.entry)
@@ -102,6 +111,14 @@
         named = {v for e in live for v in self._unavailable.get(e, ())}
         return tuple(sorted(named | set(self.own_unavailable())))
 
+    def needs(self) -> tuple[ServiceNeed, ...]:
+        """Return what the services of this site run and keep waiting."""
+        others = self._membership.live(self._clock.now_ms()) - {
+            self._membership.own.entry
+        }
+        heard = (need for e in sorted(others) for need in self._needs.get(e, ()))
+        return (*self.own_needs(), *heard)
+
     def say_goodbye(self) -> None:
         """Tell every entry that this one is about to exit."""
         for info in self._membership.known():
@@ -116,6 +133,7 @@
             config_version,
             fleet_version,
             self.own_unavailable(),
+            self.own_needs(),
         )
         self._network.send(entry, beat)
 
@@ -138,14 +156,14 @@
         self.learn([info])
         self._membership.heard(info.entry, self._clock.now_ms())
         if is_new:
-            known = (*self._membership.known(), self._membership.own)
-            self._network.send(info.entry, Members(known))
+            self._network.send(info.entry, Members(self._everybody()))
 
     def _on_heartbeat(self, sender: EntryId, beat: Heartbeat) -> None:
         self._membership.heard(sender, self._clock.now_ms())
         self._echo[sender] = beat.sequence
         self._acked[sender] = max(beat.echo, self._acked.get(sender, 0))
         self._unavailable[sender] = beat.unavailable
+        self._needs[sender] = beat.needs
         info = self._membership.info(sender)
         if info is None:
             return
@@ -162,6 +180,11 @@
 
     def _on_members(self, sender: EntryId, message: Members) -> None:
         self.learn(list(message.members))
+        if len(message.members) == 1:
+            self._network.send(sender, Members(self._everybody()))
+
+    def _everybody(self) -> tuple[MemberInfo, ...]:
+        return (*self._membership.known(), self._membership.own)
 
     def _on_refused(self, entry: EntryId) -> None:
         self._membership.lost(entry)
--- a/packages/corianderpitch/corianderpitch/daemon/network.py
+++ b/packages/corianderpitch/corianderpitch/daemon/network.py
@@ -86,6 +86,7 @@
         unknown = MemberInfo(EntryId(address), "", self._own.data_center, address)
         link = PeerLink(self, self._own, unknown)
         link.send(message)
+        self.later(SEND_TIMEOUT_MS, link.stop)
 
     def later(self, delay_ms: float, function: Callable[..., None], *args: Any) -> None:
         """Call a function after a delay."""
--- a/packages/corianderpitch/corianderpitch/daemon/operations.py
+++ b/packages/corianderpitch/corianderpitch/daemon/operations.py
@@ -5,6 +5,7 @@
 """
 
 import difflib
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
@@ -13,7 +14,13 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.documents import DocumentTask
 from corianderpitch.daemon.logs import logger
-from corianderpitch.domain.fleetfile import FleetConfig, check_fleet
+from corianderpitch.domain.fleetfile import (
+    BASE_FILE,
+    FleetConfig,
+    FleetFile,
+    check_fleet,
+)
+from corianderpitch.domain.problems import Problem, ProblemKind
 from corianderpitch.domain.vms import (
     OperationKind,
     Refusal,
@@ -125,15 +132,24 @@
 
     def apply_config(self, change: ConfigChange) -> Result[Revision, OperationError]:
         """Accept a configuration if it is valid and its base is the head."""
-        checked = check_fleet(change.base_text, change.overlay_texts)
-        if not isinstance(checked, FleetConfig):
-            return Failure(ConfigInvalid(tuple(checked)))
+        problems = self.check_config(change.base_text, change.overlay_texts)
+        if problems != Success([]):
+            return problems.bind(lambda found: Failure(ConfigInvalid(tuple(found))))
         match self._table.read({CONFIG_HEAD_KEY: 0}):
             case Success(rows):
                 return self._accept(change, rows.get(CONFIG_HEAD_KEY))
             case Failure(error):
                 return Failure(error)
 
+    def check_config(
+        self, base_text: str, overlay_texts: Mapping[DataCenterId, str]
+    ) -> Result[list[Problem], OperationError]:
+        """Return the problems of a configuration, by itself and for the fleet."""
+        checked = check_fleet(base_text, overlay_texts)
+        if not isinstance(checked, FleetConfig):
+            return Success(checked)
+        return self.fleet().map(lambda found: _fleet_problems(checked.base, found))
+
     def _accept(
         self, change: ConfigChange, head_row: Row | None
     ) -> Result[Revision, OperationError]:
@@ -407,6 +423,27 @@
     return "\n".join(lines)
 
 
+def _fleet_problems(base: FleetFile, found: list[FoundVm]) -> list[Problem]:
+    """Return where a configuration does not fit the VMs there are."""
+    kept = [vm.record for vm in found if vm.record.state is not VmState.RETIRED]
+    counts = Counter(record.pool for record in kept)
+    problems = [
+        _inconsistent(f"pools.{pool}", f"is needed: {count} VMs are in this pool")
+        for pool, count in sorted(counts.items())
+        if pool not in base.pools
+    ]
+    for name, service in base.services.items():
+        count = counts[service.pool]
+        if 0 < count < service.budget.min_available:
+            path = f"services.{name}.budget.min_available"
+            problems.append(_inconsistent(path, f"the pool has only {count} VMs"))
+    return problems
+
+
+def _inconsistent(path: str, detail: str) -> Problem:
+    return Problem(BASE_FILE, path, ProblemKind.INCONSISTENT, detail)
+
+
 def _found_vms(rows: list[Row]) -> list[FoundVm]:
     found = []
     for row in rows:
--- a/packages/corianderpitch/corianderpitch/daemon/operators.py
+++ b/packages/corianderpitch/corianderpitch/daemon/operators.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import json
+import urllib.parse
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
@@ -10,6 +11,7 @@
 import pydantic
 from returns.result import Failure, Result, Success
 
+from corianderpitch.daemon.joboperations import JobOperations, JobRequest
 from corianderpitch.daemon.operations import (
     ConfigChange,
     Operations,
@@ -17,13 +19,15 @@
     config_difference,
 )
 from corianderpitch.daemon.statuses import StatusDesk
-from corianderpitch.domain.fleetfile import FleetConfig, check_fleet
+from corianderpitch.domain.problems import Problem
 from corianderpitch.domain.vms import OperationKind, Refusal, VmOperation
 from corianderpitch.domain.waves import WaveState
 from corianderpitch.errors import (
     ConfigConflict,
     ConfigInvalid,
     CorianderpitchError,
+    JobRefusal,
+    JobRefused,
     NoSuchRevision,
     OperationError,
     OutcomeLost,
@@ -34,7 +38,16 @@
     WaveRefusal,
     WaveRefused,
 )
-from corianderpitch.ids import OperationId, PoolName, Revision, VmId, WaveName
+from corianderpitch.ids import (
+    DataCenterId,
+    JobId,
+    OperationId,
+    PoolName,
+    Revision,
+    VmId,
+    WaveName,
+    WorkerId,
+)
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
 
@@ -45,6 +58,7 @@
     "resume": WaveState.RUNNING,
     "abort": WaveState.ABORTED,
 }
+_WORKER_VERBS = ("drain", "return")
 _VM_KINDS = {kind.value: kind for kind in OperationKind}
 
 
@@ -76,8 +90,16 @@
 class OperatorApp:
     """Serves the operators' command line."""
 
-    def __init__(self, operations: Operations, statuses: StatusDesk):
+    def __init__(
+        self,
+        site: DataCenterId,
+        operations: Operations,
+        job_operations: JobOperations,
+        statuses: StatusDesk,
+    ):
+        self._site = site
         self._operations = operations
+        self._job_operations = job_operations
         self._statuses = statuses
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
@@ -108,6 +130,14 @@
                 return self._vm(VmId(vm_id), verb, environ)
             case (_, "v1", "waves", *rest):
                 return self._wave(method, rest, environ)
+            case (_, "v1", "jobs", *rest):
+                return self._job(method, rest, environ)
+            case ("POST", "v1", "workers", worker, verb) if verb in _WORKER_VERBS:
+                site = _site(environ, self._site)
+                marks = self._job_operations.set_drained(
+                    site, WorkerId(worker), verb == "drain"
+                )
+                return _answer(marks)
         raise BadOperatorRequest(HTTPStatus.NOT_FOUND, f"no {method} {path}")
 
     def _status(self) -> dict[str, Any]:
@@ -134,10 +164,10 @@
                 return _answer(self._difference(int(old), int(new)))
             case ("POST", "check"):
                 texts = _read(environ, FleetTexts)
-                checked = check_fleet(texts.base_text, texts.overlay_texts)
-                if isinstance(checked, FleetConfig):
-                    return HTTPStatus.OK, {"problems": []}
-                return _answer(Failure(ConfigInvalid(tuple(checked))))
+                checked = self._operations.check_config(
+                    texts.base_text, texts.overlay_texts
+                )
+                return _answer(checked.bind(_all_clear))
             case ("POST", "apply"):
                 change = _read(environ, ConfigChange)
                 accepted = self._operations.apply_config(change)
@@ -180,6 +210,37 @@
                 return _answer(self._operations.set_wave_state(WaveName(name), state))
         raise BadOperatorRequest(HTTPStatus.NOT_FOUND, "no such wave request")
 
+    def _job(
+        self, method: str, rest: list[str], environ: Environ
+    ) -> tuple[HTTPStatus, Any]:
+        site = _site(environ, self._site)
+        match (method, *rest):
+            case ("GET",):
+                return _answer(self._job_operations.jobs(site))
+            case ("POST",):
+                requests = _read(environ, list[JobRequest])
+                if not requests:
+                    raise BadOperatorRequest(HTTPStatus.BAD_REQUEST, "no jobs given")
+                return _answer(self._job_operations.submit(site, requests))
+            case ("POST", "cancel"):
+                job_ids = _read(environ, list[JobId])
+                return _answer(self._job_operations.cancel(site, job_ids))
+        raise BadOperatorRequest(HTTPStatus.NOT_FOUND, "no such job request")
+
+
+def _all_clear(
+    problems: list[Problem],
+) -> Result[dict[str, list[Problem]], OperationError]:
+    if problems:
+        return Failure(ConfigInvalid(tuple(problems)))
+    return Success({"problems": []})
+
+
+def _site(environ: Environ, own: DataCenterId) -> DataCenterId:
+    """Return the data centre that a request names, or the entry's own."""
+    query = urllib.parse.parse_qs(environ.get("QUERY_STRING", ""))
+    return DataCenterId(query.get("site", [own])[0])
+
 
 def _read(environ: Environ, body_type: type) -> Any:
     length = environ.get("CONTENT_LENGTH") or "0"
@@ -215,6 +276,10 @@
             return HTTPStatus.NOT_FOUND
         case WaveRefused(refusal=WaveRefusal.NO_SUCH_WAVE) | NoSuchRevision():
             return HTTPStatus.NOT_FOUND
+        case JobRefused(refusal=JobRefusal.NO_SUCH_JOB | JobRefusal.NO_SUCH_SITE):
+            return HTTPStatus.NOT_FOUND
+        case JobRefused():
+            return HTTPStatus.UNPROCESSABLE_ENTITY
         case VmRefused() | WaveRefused():
             return HTTPStatus.CONFLICT
         case RateLimited() | PlatformUnavailable():
--- a/packages/corianderpitch/corianderpitch/daemon/reports.py
+++ b/packages/corianderpitch/corianderpitch/daemon/reports.py
@@ -50,6 +50,7 @@
             drains,
             self._members.unavailable(),
             self._membership.live(self._clock.now_ms()),
+            self._members.needs(),
         )
 
     def _in_flight(self, vm_id: VmId) -> int:
--- a/packages/corianderpitch/corianderpitch/daemon/requests.py
+++ b/packages/corianderpitch/corianderpitch/daemon/requests.py
@@ -108,7 +108,7 @@
             offer = self._acquire(request, deadline_ms, excluded)
             if isinstance(offer, NotRun):
                 return lost or offer
-            outcome = self._attempt(request, offer, deadline_ms)
+            outcome = self._attempt(request, offer, deadline_ms, lost is None)
             if isinstance(outcome, Answered):
                 return outcome
             if isinstance(outcome, Unknown):
@@ -138,8 +138,14 @@
             self._metrics.record_permit(request.service, request.class_name, wait_ms)
         return offer
 
-    def _attempt(self, request: Request, offer: Offer, deadline_ms: float) -> Outcome:
-        """Use one permit; ``NotRun`` means that the instance ran nothing."""
+    def _attempt(
+        self, request: Request, offer: Offer, deadline_ms: float, may_reuse: bool
+    ) -> Outcome:
+        """Use one permit; ``NotRun`` means that the instance ran nothing.
+
+        After an attempt that was lost, connections are not reused: what broke
+        one may have broken others.
+        """
         started_ms = self._clock.now_ms()
         if is_debugging():
             log.debug(
@@ -156,9 +162,9 @@
             request.content_type,
             request.body,
             remaining_ms,
-            min(remaining_ms, self._silence_ms(request.service)),
+            min(remaining_ms / 2.0, self._silence_ms(request.service)),
             self._idle_limit(request.service),
-            is_once=not request.is_idempotent,
+            is_once=not (request.is_idempotent and may_reuse),
         )
         result = RunResult.ABANDONED
         run_ms = 0.0
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -0,0 +1,126 @@
+"""Roles that one entry holds at a time, by a lease in the table.
+
+A role has two rows. The epoch row changes only when the role changes hands;
+its version is checked in every transaction of the holder, so that a holder
+which was paused past its lease can change nothing. The beat row is renewed by
+the holder; others take the role when it has not changed for the lease's time,
+measured by their own clocks. The method is that of fencing tokens.
+"""
+
+from collections.abc import Mapping
+
+from returns.result import Success
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.logs import logger
+from corianderpitch.ids import EntryId
+from corianderpitch.ports import Check, Row, TableService, Write
+from corianderpitch.records import RoleBeat, RoleEpoch, decode_row, encode_row
+
+log = logger("roles")
+
+
+class RoleLease:
+    """One role, as seen from one entry."""
+
+    def __init__(
+        self,
+        name: str,
+        entry: EntryId,
+        table: TableService,
+        clock: Clock,
+        beat_interval_ms: float,
+        lease_ms: float,
+    ):
+        self._name = name
+        self._entry = entry
+        self._table = table
+        self._clock = clock
+        self._beat_interval_ms = beat_interval_ms
+        self._lease_ms = lease_ms
+        self._epoch_key = f"role/{name}/epoch"
+        self._beat_key = f"role/{name}/beat"
+        self._epoch = 0
+        self._epoch_version = 0
+        self._beat_sequence = 0
+        self._beat_version: int | None = None
+        self._beat_seen_ms = clock.now_ms()
+        self._next_beat_ms = 0.0
+        self._held_since_ms: float | None = None
+
+    @property
+    def is_held(self) -> bool:
+        """Tell whether this entry believes that it holds the role."""
+        return self._held_since_ms is not None
+
+    @property
+    def held_for_ms(self) -> float:
+        """Return for how long this entry has held the role."""
+        if self._held_since_ms is None:
+            return 0.0
+        return self._clock.now_ms() - self._held_since_ms
+
+    def fence(self) -> Check:
+        """Return the check that every transaction of the holder carries."""
+        return Check(self._epoch_key, self._epoch_version)
+
+    def seek(self) -> bool:
+        """Take the role if its lease has lapsed; returns whether it was taken."""
+        match self._table.read({self._epoch_key: 0, self._beat_key: 0}):
+            case Success(rows):
+                return self._has_lapsed(rows) and self._take(rows.get(self._epoch_key))
+        return False
+
+    def renew(self) -> bool:
+        """Renew the lease when due; returns whether the role is still held."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_beat_ms:
+            return True
+        self._beat_sequence += 1
+        beat = encode_row(RoleBeat(self._epoch, self._beat_sequence))
+        write = Write(self._beat_key, beat)
+        match self._table.commit((self.fence(),), (write,)):
+            case Success(_):
+                self._next_beat_ms = now_ms + self._beat_interval_ms
+                return True
+        self.verify()
+        return False
+
+    def verify(self) -> None:
+        """Give the role up if it has changed hands, after a failed transaction."""
+        match self._table.read({self._epoch_key: 0}):
+            case Success(rows):
+                row = rows.get(self._epoch_key)
+                if row is None or row.version != self._epoch_version:
+                    self._lose()
+
+    def _has_lapsed(self, rows: Mapping[str, Row]) -> bool:
+        now_ms = self._clock.now_ms()
+        beat = rows.get(self._beat_key)
+        version = beat.version if beat else 0
+        if version != self._beat_version:
+            self._beat_version = version
+            self._beat_seen_ms = now_ms
+        is_new = self._epoch_key not in rows
+        return is_new or now_ms - self._beat_seen_ms >= self._lease_ms
+
+    def _take(self, epoch_row: Row | None) -> bool:
+        old = decode_row(RoleEpoch, epoch_row.value) if epoch_row else None
+        epoch = RoleEpoch(self._entry, old.epoch + 1 if old else 1)
+        check = Check(self._epoch_key, epoch_row.version if epoch_row else 0)
+        write = Write(self._epoch_key, encode_row(epoch))
+        match self._table.commit((check,), (write,)):
+            case Success(versions):
+                self._epoch = epoch.epoch
+                self._epoch_version = versions[self._epoch_key]
+                self._held_since_ms = self._clock.now_ms()
+                self._next_beat_ms = 0.0
+                log.info("Taking the role {}, epoch {}.", self._name, epoch.epoch)
+                return True
+        return False
+
+    def _lose(self) -> None:
+        log.info("Lost the role {}.", self._name)
+        self._held_since_ms = None
+        self._beat_version = None
+        self._beat_seen_ms = self._clock.now_ms()
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/adoption.py
@@ -0,0 +1,72 @@
+"""Bringing the fleet's records into line with the platform's list of VMs."""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
+
+from corianderpitch.domain.fleetfile import FleetFile
+from corianderpitch.domain.manager import SiteStep, Snapshot
+from corianderpitch.domain.platform import ListedVm, VmStatus
+from corianderpitch.domain.vms import SiteFleet, VmRecord, VmState
+from corianderpitch.ids import DataCenterId, VmId
+
+
+def adopt_listed(
+    snapshot: Snapshot,
+    listed: Iterable[ListedVm],
+    long_missing: frozenset[VmId] = frozenset(),
+) -> Iterator[SiteStep]:
+    """Return the sites whose records must change to match the platform's list.
+
+    New VMs enter the pool the platform names, or the spare pool. A VM that the
+    platform reports as failed or leaving gets no work until it is live again. A
+    VM on which an action is running is left alone. The list lags, so a VM that
+    it leaves out counts as failed only once it is among ``long_missing``.
+    """
+    by_site: dict[DataCenterId, dict[VmId, ListedVm]] = {}
+    for vm in listed:
+        by_site.setdefault(vm.data_center, {})[vm.vm_id] = vm
+    for data_center in snapshot.config.sites:
+        site = snapshot.sites.get(data_center)
+        old = dict(site.fleet.vms) if site else {}
+        found = by_site.get(data_center, {})
+        new = _adopted(snapshot.config, old, found, long_missing)
+        if new != old:
+            yield SiteStep(data_center, SiteFleet(new))
+
+
+def _adopted(
+    config: FleetFile,
+    old: dict[VmId, VmRecord],
+    listed: dict[VmId, ListedVm],
+    long_missing: frozenset[VmId],
+) -> dict[VmId, VmRecord]:
+    new = dict(old)
+    for vm_id, vm in listed.items():
+        record = old.get(vm_id)
+        if record is None and vm.status is VmStatus.LIVE:
+            pool = vm.pool if vm.pool in config.pools else config.spare_pool()
+            if pool is not None:
+                new[vm_id] = VmRecord(pool, vm.rack, vm.address)
+        elif record is not None:
+            new[vm_id] = _matched(record, vm)
+    for vm_id in long_missing & old.keys() - listed.keys():
+        record = old[vm_id]
+        if record.state is VmState.RETIRED:
+            del new[vm_id]
+        elif record.state is not VmState.STOPPING:
+            new[vm_id] = replace(record, state=VmState.FAILED, operation=None)
+    return new
+
+
+def _matched(record: VmRecord, vm: ListedVm) -> VmRecord:
+    """Return a record as the list's status wants it."""
+    if record.state in (VmState.STOPPING, VmState.RETIRED):
+        return record
+    if vm.status is VmStatus.FAILED:
+        return replace(record, state=VmState.FAILED, operation=None)
+    if vm.status is VmStatus.LEAVING and record.state is VmState.ACTIVE:
+        return replace(record, state=VmState.LEAVING, operation=None)
+    is_back = record.state in (VmState.FAILED, VmState.LEAVING)
+    if vm.status is VmStatus.LIVE and is_back:
+        return replace(record, state=VmState.ACTIVE, address=vm.address)
+    return record
--- a/packages/corianderpitch/corianderpitch/domain/fleetfile.py
+++ b/packages/corianderpitch/corianderpitch/domain/fleetfile.py
@@ -14,12 +14,14 @@
 import pydantic
 from pydantic import BaseModel, ConfigDict, Field
 
+from corianderpitch.domain.lending import LendingPolicy
 from corianderpitch.domain.problems import Problem, ProblemKind
 from corianderpitch.ids import (
     ClassName,
     DataCenterId,
     PoolName,
     ServiceName,
+    TeamName,
     TenantName,
 )
 
@@ -77,6 +79,46 @@
         return max(0, spare // MAX_ENTRIES - 1)
 
 
+class LendingSettings(_Section):
+    """When VMs of the spare pool are lent to pools under pressure.
+
+    Shares compare the slots needed with the slots there are.
+    """
+
+    is_enabled: bool = False
+    pressure_share: Weight = 1.0
+    slack_share: Weight = 0.5
+    pressure_hold_ms: NotNegative = 1_000
+    slack_hold_ms: NotNegative = 120_000
+    max_moves_per_hour: Weight = 120.0
+
+    def policy(self) -> LendingPolicy:
+        """Return the thresholds for the lender."""
+        return LendingPolicy(
+            self.pressure_share,
+            self.slack_share,
+            float(self.pressure_hold_ms),
+            float(self.slack_hold_ms),
+            self.max_moves_per_hour,
+        )
+
+
+class TeamSettings(_Section):
+    """A team and the processors that its jobs may use in one data centre."""
+
+    max_processors: Weight
+
+
+class JobsSettings(_Section):
+    """Limits of jobs.
+
+    A task whose lease of ``lease_ms`` is not renewed stops by itself.
+    """
+
+    lease_ms: Positive = 60_000
+    default_max_processors: Weight = 16.0
+
+
 class TenantSettings(_Section):
     """A tenant and its share of each service's slots."""
 
@@ -98,6 +140,17 @@
     services: dict[ServiceName, ServiceSettings]
     tenants: dict[TenantName, TenantSettings] = {}
     classes: dict[ClassName, ClassSettings] = {}
+    lending: LendingSettings = LendingSettings()
+    teams: dict[TeamName, TeamSettings] = {}
+    jobs: JobsSettings = JobsSettings()
+
+    def quotas(self) -> dict[TeamName, float]:
+        """Return the processors that each team may use in a data centre."""
+        return {name: team.max_processors for name, team in self.teams.items()}
+
+    def quota(self, team: TeamName) -> float:
+        """Return the processors that one team may use in a data centre."""
+        return self.quotas().get(team, self.jobs.default_max_processors)
 
     def service_of_pool(self, pool: PoolName) -> ServiceName | None:
         """Return the service whose instances run on a pool's VMs."""
@@ -212,6 +265,9 @@
     "services": ServiceSettings,
     "tenants": TenantSettings,
     "classes": ClassSettings,
+    "lending": LendingSettings,
+    "teams": TeamSettings,
+    "jobs": JobsSettings,
 }
 
 
--- a/packages/corianderpitch/corianderpitch/domain/lending.py
+++ b/packages/corianderpitch/corianderpitch/domain/lending.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from corianderpitch.ids import PoolName
+from corianderpitch.ids import PoolName, ServiceName
 
 HOUR_MS = 3_600_000.0
 
@@ -24,9 +24,17 @@
 
     pressure_share: float = 1.0
     slack_share: float = 0.5
-    pressure_hold_ms: float = 5_000.0
-    slack_hold_ms: float = 60_000.0
-    max_moves_per_hour: float = 30.0
+    pressure_hold_ms: float = 1_000.0
+    slack_hold_ms: float = 120_000.0
+    max_moves_per_hour: float = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceNeed:
+    """Requests of a service that run or wait in one data centre."""
+
+    service: ServiceName
+    slots: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,10 +78,10 @@
     """Decides when a VM is lent and when it is taken back."""
 
     def __init__(self, policy: LendingPolicy, now_ms: float):
-        self._policy = policy
+        self.policy = policy
         self._pressed_since_ms: dict[PoolName, float] = {}
         self._slack_since_ms: dict[PoolName, float] = {}
-        self._moves_left = 1.0
+        self._moves_left = self._burst()
         self._refilled_ms = now_ms
 
     def decide(
@@ -95,21 +103,24 @@
         return move
 
     def _refill(self, now_ms: float) -> None:
-        earned = (now_ms - self._refilled_ms) * self._policy.max_moves_per_hour
-        burst = max(1.0, self._policy.max_moves_per_hour / 10.0)
-        self._moves_left = min(burst, self._moves_left + earned / HOUR_MS)
+        earned = (now_ms - self._refilled_ms) * self.policy.max_moves_per_hour
+        self._moves_left = min(self._burst(), self._moves_left + earned / HOUR_MS)
         self._refilled_ms = now_ms
 
+    def _burst(self) -> float:
+        """Return how many moves may be made at once: a tenth of an hour's."""
+        return max(1.0, self.policy.max_moves_per_hour / 10.0)
+
     def _observe(self, by_pool: Mapping[PoolName, PoolDemand], now_ms: float) -> None:
         """Note since when each pool has been under pressure or slack."""
         for pool, demand in by_pool.items():
             is_pressed = demand.needed_slots >= (
-                self._policy.pressure_share * demand.slots
+                self.policy.pressure_share * demand.slots
             )
             _mark(self._pressed_since_ms, pool, is_pressed, now_ms)
             left_slots = (demand.vms - 1) * demand.slots_per_vm
             is_slack = demand.lent_vms > 0 and demand.needed_slots <= (
-                self._policy.slack_share * left_slots
+                self.policy.slack_share * left_slots
             )
             _mark(self._slack_since_ms, pool, is_slack, now_ms)
 
@@ -125,7 +136,7 @@
         due = [
             pool
             for pool, since_ms in self._pressed_since_ms.items()
-            if pool in by_pool and now_ms - since_ms >= self._policy.pressure_hold_ms
+            if pool in by_pool and now_ms - since_ms >= self.policy.pressure_hold_ms
         ]
         if not due:
             return None
@@ -136,7 +147,7 @@
         self, by_pool: Mapping[PoolName, PoolDemand], now_ms: float
     ) -> TakeBack | None:
         for pool, since_ms in sorted(self._slack_since_ms.items()):
-            has_lasted = now_ms - since_ms >= self._policy.slack_hold_ms
+            has_lasted = now_ms - since_ms >= self.policy.slack_hold_ms
             if has_lasted and pool in by_pool:
                 return TakeBack(pool)
         return None
--- a/packages/corianderpitch/corianderpitch/domain/manager.py
+++ b/packages/corianderpitch/corianderpitch/domain/manager.py
@@ -7,16 +7,12 @@
 """
 
 import enum
-from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 
 from corianderpitch.domain.fleetfile import FleetFile
-from corianderpitch.domain.platform import (
-    ListedVm,
-    VmAction,
-    VmActionState,
-    VmStatus,
-)
+from corianderpitch.domain.lending import ServiceNeed
+from corianderpitch.domain.platform import VmAction, VmActionState
 from corianderpitch.domain.vms import (
     OperationKind,
     SiteFleet,
@@ -55,7 +51,8 @@
 
     ``fleet_version`` is the version of its data centre's record that it has
     put in force; ``unavailable`` lists the VMs that do not answer; ``live``
-    are the entries of its data centre whose heartbeats it receives.
+    are the entries of its data centre whose heartbeats it receives; ``needs``
+    is what the services of its data centre run and keep waiting.
     """
 
     entry: EntryId
@@ -64,6 +61,7 @@
     drains: tuple[DrainReport, ...]
     unavailable: tuple[VmId, ...]
     live: frozenset[EntryId]
+    needs: tuple[ServiceNeed, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -376,51 +374,3 @@
     name = record.operation.wave if record.operation else None
     wave = snapshot.waves.get(name) if name else None
     return wave.with_step(vm_id, step) if wave and vm_id in wave.steps else None
-
-
-def adopt_listed(snapshot: Snapshot, listed: Iterable[ListedVm]) -> Iterator[SiteStep]:
-    """Return the sites whose records must change to match the platform's list.
-
-    New VMs enter the pool the platform names, or the spare pool. A VM that the
-    platform reports as failed leaves its operation; it becomes active again
-    once it is live. A VM on which an action is running is left alone.
-    """
-    by_site: dict[DataCenterId, dict[VmId, ListedVm]] = {}
-    for vm in listed:
-        by_site.setdefault(vm.data_center, {})[vm.vm_id] = vm
-    for data_center in snapshot.config.sites:
-        site = snapshot.sites.get(data_center)
-        old = dict(site.fleet.vms) if site else {}
-        new = _adopted(snapshot.config, old, by_site.get(data_center, {}))
-        if new != old:
-            yield SiteStep(data_center, SiteFleet(new))
-
-
-def _adopted(
-    config: FleetFile, old: dict[VmId, VmRecord], listed: dict[VmId, ListedVm]
-) -> dict[VmId, VmRecord]:
-    new = dict(old)
-    for vm_id, vm in listed.items():
-        record = old.get(vm_id)
-        if record is None and vm.status is VmStatus.LIVE:
-            pool = vm.pool if vm.pool in config.pools else config.spare_pool()
-            if pool is not None:
-                new[vm_id] = VmRecord(pool, vm.rack, vm.address)
-        elif record is not None:
-            new[vm_id] = _matched(record, vm)
-    for vm_id, record in old.items():
-        if vm_id not in listed and record.state is VmState.RETIRED:
-            del new[vm_id]
-        elif vm_id not in listed and record.state is not VmState.STOPPING:
-            new[vm_id] = replace(record, state=VmState.FAILED, operation=None)
-    return new
-
-
-def _matched(record: VmRecord, vm: ListedVm) -> VmRecord:
-    if record.state in (VmState.STOPPING, VmState.RETIRED):
-        return record
-    if vm.status is VmStatus.FAILED:
-        return replace(record, state=VmState.FAILED, operation=None)
-    if vm.status is VmStatus.LIVE and record.state is VmState.FAILED:
-        return replace(record, state=VmState.ACTIVE, address=vm.address)
-    return record
--- a/packages/corianderpitch/corianderpitch/domain/vms.py
+++ b/packages/corianderpitch/corianderpitch/domain/vms.py
@@ -22,6 +22,7 @@
     DRAINED = "drained"
     STOPPING = "stopping"
     RETIRED = "retired"
+    LEAVING = "leaving"
     FAILED = "failed"
 
 
@@ -36,17 +37,25 @@
 
 @dataclass(frozen=True, slots=True)
 class VmOperation:
-    """A planned operation; ``target_pool`` is set for moves only."""
+    """A planned operation; ``target_pool`` is set for moves only.
+
+    A move with ``is_loan`` set lends a VM of the spare pool, or returns it.
+    """
 
     operation_id: OperationId
     kind: OperationKind
     target_pool: PoolName | None = None
     wave: WaveName | None = None
+    is_loan: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class VmRecord:
-    """A VM as the table knows it; ``address`` is its instance's ip:port."""
+    """A VM as the table knows it.
+
+    ``address`` is its instance's ip:port; ``lent_from`` is the pool that it
+    will be returned to.
+    """
 
     pool: PoolName
     rack: RackId
@@ -54,6 +63,7 @@
     state: VmState = VmState.ACTIVE
     operation: VmOperation | None = None
     last_maintained_ms: int = 0
+    lent_from: PoolName | None = None
 
     @property
     def is_open(self) -> bool:
@@ -138,10 +148,16 @@
 
 def start_stop(record: VmRecord) -> VmRecord:
     """Take the step that cannot be undone; a move changes the pool here."""
-    pool = record.pool
-    if record.operation is not None and record.operation.target_pool is not None:
-        pool = record.operation.target_pool
-    return replace(record, state=VmState.STOPPING, pool=pool)
+    operation = record.operation
+    if operation is None or operation.target_pool is None:
+        return replace(record, state=VmState.STOPPING)
+    is_lent = operation.is_loan and operation.target_pool != record.lent_from
+    return replace(
+        record,
+        state=VmState.STOPPING,
+        pool=operation.target_pool,
+        lent_from=record.pool if is_lent else None,
+    )
 
 
 def finish_stop(record: VmRecord, wall_ms: int) -> VmRecord:
--- a/packages/corianderpitch/corianderpitch/errors.py
+++ b/packages/corianderpitch/corianderpitch/errors.py
@@ -5,7 +5,7 @@
 
 from corianderpitch.domain.problems import Problem
 from corianderpitch.domain.vms import Refusal
-from corianderpitch.ids import EntryId, Revision, VmId, WaveName
+from corianderpitch.ids import EntryId, JobId, Revision, VmId, WaveName
 
 
 class CorianderpitchError(Exception):
@@ -154,8 +154,27 @@
     revision: Revision
 
 
+class JobRefusal(enum.Enum):
+    """Why a job is refused or cannot be cancelled."""
+
+    TOO_LARGE = "too_large"
+    OVER_QUOTA = "over_quota"
+    NO_SUCH_JOB = "no_such_job"
+    HAS_ENDED = "has_ended"
+    NO_SUCH_SITE = "no_such_site"
+
+
+@dataclass(frozen=True, slots=True)
+class JobRefused:
+    """A job that can never run, or a request that does not fit its state."""
+
+    job_id: JobId
+    refusal: JobRefusal
+
+
 OperationError = (
     CommitError
+    | JobRefused
     | ConfigInvalid
     | ConfigConflict
     | VmRefused
--- a/packages/corianderpitch/corianderpitch/messages.py
+++ b/packages/corianderpitch/corianderpitch/messages.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from corianderpitch.domain.dispatch import Offer
+from corianderpitch.domain.lending import ServiceNeed
 from corianderpitch.domain.manager import EntryReport, Wait
 from corianderpitch.domain.membership import MemberInfo
 from corianderpitch.domain.outcomes import (
@@ -24,6 +25,7 @@
     TenantName,
     TicketId,
     VmId,
+    WorkerId,
 )
 from corianderpitch.wire import message
 
@@ -42,7 +44,8 @@
     """Sign of life; ``echo`` is the last sequence heard from the receiver.
 
     ``config_version`` and ``fleet_version`` are the row versions that the
-    sender has in force. ``unavailable`` lists VMs that do not answer it.
+    sender has in force. ``unavailable`` lists VMs that do not answer it, and
+    ``needs`` the requests of the services that it owns.
     """
 
     sequence: int
@@ -50,6 +53,7 @@
     config_version: int
     fleet_version: int
     unavailable: tuple[VmId, ...]
+    needs: tuple[ServiceNeed, ...]
 
 
 @message(3)
@@ -327,7 +331,8 @@
     """What an entry has in force, as operators see it.
 
     ``platform_age_ms`` is the time since the platform last answered this
-    entry, or ``None`` if it never did.
+    entry, or ``None`` if it never did. ``quarantined`` lists the workers that
+    the scheduler gives no jobs, because they fail whatever they start.
     """
 
     entry: EntryId
@@ -339,6 +344,8 @@
     is_draining: bool
     owned: tuple[ServiceStatus, ...]
     waits: tuple[VmWait, ...]
+    is_scheduler: bool
+    quarantined: tuple[WorkerId, ...]
 
 
 @message(50)
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -9,10 +9,18 @@
 
 from returns.result import Result
 
+from corianderpitch.domain.jobs import Shape, Task, Worker
 from corianderpitch.domain.outcomes import Answered
 from corianderpitch.domain.platform import ListedVm, VmAction, VmActionState
 from corianderpitch.errors import CommitError, InstanceError, PlatformError
-from corianderpitch.ids import OperationId, VmId
+from corianderpitch.ids import (
+    DataCenterId,
+    JobId,
+    OperationId,
+    TaskId,
+    VmId,
+    WorkerId,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,3 +130,55 @@
     @abc.abstractmethod
     def load(self, vm_id: VmId, address: str) -> Result[Load, InstanceError]:
         """Ask an instance for its load over a new connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskSpec:
+    """A task to start; a repeat with the same task id has no effect."""
+
+    task_id: TaskId
+    job_id: JobId
+    worker: WorkerId
+    shape: Shape
+    command: str
+    lease_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class TaskChanges:
+    """Tasks that have changed since an earlier cursor, and the new cursor."""
+
+    cursor: int
+    tasks: tuple[Task, ...]
+
+
+class Workers(abc.ABC):
+    """The platform's workers and the tasks on them."""
+
+    @abc.abstractmethod
+    def list_workers(
+        self, data_center: DataCenterId
+    ) -> Result[list[Worker], PlatformError]:
+        """Return the workers of a data centre."""
+
+    @abc.abstractmethod
+    def changed_tasks(
+        self, data_center: DataCenterId, cursor: int
+    ) -> Result[TaskChanges, PlatformError]:
+        """Return the tasks that have changed since ``cursor`` (0: all)."""
+
+    @abc.abstractmethod
+    def start_task(self, spec: TaskSpec) -> Result[None, PlatformError]:
+        """Start a task under a lease."""
+
+    @abc.abstractmethod
+    def renew_tasks(
+        self, task_ids: tuple[TaskId, ...], lease_ms: int
+    ) -> Result[None, PlatformError]:
+        """Renew the leases of tasks; a task whose lease lapses stops by itself."""
+
+    @abc.abstractmethod
+    def stop_task(
+        self, task_id: TaskId, has_checkpoint: bool
+    ) -> Result[None, PlatformError]:
+        """Stop a task; with a checkpoint its job can go on later."""
--- a/packages/corianderpitch/corianderpitch/records.py
+++ b/packages/corianderpitch/corianderpitch/records.py
@@ -10,14 +10,14 @@
 import pydantic
 
 from corianderpitch.domain.membership import MemberInfo
-from corianderpitch.domain.vms import SiteFleet
-from corianderpitch.domain.waves import Wave
 from corianderpitch.ids import (
     DataCenterId,
     EntryId,
+    JobId,
     OperationId,
     Revision,
     WaveName,
+    WorkerId,
 )
 
 CONFIG_HEAD_KEY = "config/head"
@@ -25,8 +25,6 @@
 FLEET_PREFIX = "fleet/"
 MEMBER_PREFIX = "member/"
 WAVE_PREFIX = "wave/"
-MANAGER_EPOCH_KEY = "manager/epoch"
-MANAGER_BEAT_KEY = "manager/beat"
 
 RowValue = TypeVar("RowValue")
 
@@ -58,16 +56,16 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ManagerEpoch:
-    """Who holds the manager role; ``epoch`` grows with every holder."""
+class RoleEpoch:
+    """Who holds a role; ``epoch`` grows with every holder."""
 
     holder: EntryId
     epoch: int
 
 
 @dataclass(frozen=True, slots=True)
-class ManagerBeat:
-    """Renewal of the manager's lease."""
+class RoleBeat:
+    """Renewal of a role's lease."""
 
     epoch: int
     sequence: int
@@ -81,6 +79,44 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True)
+class JobInbox:
+    """Jobs that were submitted or cancelled since the scheduler last looked.
+
+    ``must_rescan`` stands for more changes than are listed.
+    """
+
+    job_ids: tuple[JobId, ...] = ()
+    must_rescan: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerMarks:
+    """Workers of a data centre that operators have taken out of service."""
+
+    drained: frozenset[WorkerId] = frozenset()
+
+
+def job_prefix(data_center: DataCenterId) -> str:
+    """Return the prefix of the keys of a data centre's jobs."""
+    return f"job/{data_center}/"
+
+
+def job_key(data_center: DataCenterId, job_id: JobId) -> str:
+    """Return the key of a job."""
+    return f"{job_prefix(data_center)}{job_id}"
+
+
+def job_inbox_key(data_center: DataCenterId) -> str:
+    """Return the key of the list of changed jobs."""
+    return f"jobinbox/{data_center}"
+
+
+def worker_marks_key(data_center: DataCenterId) -> str:
+    """Return the key of the workers taken out of service."""
+    return f"workermarks/{data_center}"
+
+
 def fleet_key(data_center: DataCenterId) -> str:
     """Return the key of a data centre's VMs."""
     return f"{FLEET_PREFIX}{data_center}"
@@ -116,20 +152,3 @@
 @cache
 def _adapter(row_type: type) -> pydantic.TypeAdapter:
     return pydantic.TypeAdapter(row_type)
-
-
-__all__ = [
-    "AcceptedOperation",
-    "ConfigRecord",
-    "ManagerBeat",
-    "ManagerEpoch",
-    "MemberRecord",
-    "SiteFleet",
-    "Wave",
-    "config_revision_key",
-    "decode_row",
-    "encode_row",
-    "fleet_key",
-    "member_key",
-    "wave_key",
-]
--- /dev/null
+++ b/packages/corianderpitch/tests/test_jobs.py
@@ -0,0 +1,225 @@
+"""The job task over an in-memory table, with takeovers and lost answers."""
+
+from types import SimpleNamespace
+
+import pytest
+from returns.result import Failure, Success
+
+from corianderpitch.adapters.memory import MemoryTable, MemoryWorkers
+from corianderpitch.clock import ManualClock
+from corianderpitch.daemon.joboperations import JobOperations, JobRequest
+from corianderpitch.daemon.jobs import SCHEDULER_LEASE_MS, JobTask
+from corianderpitch.domain.fleetfile import check_fleet
+from corianderpitch.domain.jobs import Priority, Shape, Task, TaskState, Worker
+from corianderpitch.domain.membership import MemberInfo
+from corianderpitch.errors import JobRefusal, OutcomeLost
+
+BASE = """
+name = "x"
+[sites.a]
+region = "r"
+[pools.p]
+vm_processors = 1
+vm_memory_mb = 1
+[services.s]
+pool = "p"
+instance_slots = 8
+instance_connections = 64
+budget = { min_available = 1 }
+[teams.small]
+max_processors = 2.0
+"""
+
+
+class LossyTable(MemoryTable):
+    def __init__(self):
+        super().__init__()
+        self.lose = 0
+
+    def commit(self, checks, writes):
+        result = super().commit(checks, writes)
+        if self.lose:
+            self.lose -= 1
+            return Failure(OutcomeLost("test"))
+        return result
+
+
+class Site:
+    def __init__(self):
+        self.clock = ManualClock()
+        self.table = LossyTable()
+        found = tuple(Worker(f"w{n}", "r", Shape(4.0, 4000)) for n in range(2))
+        self.workers = MemoryWorkers({"a": found})
+        self.documents = SimpleNamespace(config=check_fleet(BASE, {}), is_ready=True)
+        self.operations = JobOperations(
+            self.table, self.workers, self.documents, self.clock
+        )
+        self.task = self.new_task("e1")
+        assert self.task.take_role()
+
+    def new_task(self, entry):
+        own = MemberInfo(entry, "i", "a", "x:1")
+        members = SimpleNamespace(is_representative=lambda: True)
+        return JobTask(
+            own, members, self.documents, self.table, self.workers, self.clock
+        )
+
+    def submit(self, *numbers, team="t", processors=1.0, priority=Priority.ORDINARY):
+        shape = Shape(processors, 100)
+        requests = [
+            JobRequest(f"j{n}", team, "k", shape, "", priority) for n in numbers
+        ]
+        return self.operations.submit("a", requests)
+
+    def round(self):
+        self.clock.advance(300.0)
+        self.task.act()
+
+    def end(self, job_id, state=TaskState.DONE):
+        spec = [s for s in self.workers.started if s.job_id == job_id][-1]
+        usage = Shape(1.0, 100)
+        task = Task(spec.task_id, spec.job_id, spec.worker, state, usage)
+        self.workers.report(task)
+
+    def states(self):
+        return {j.job_id: j.state.value for j in self.operations.jobs("a").unwrap()}
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+def test_job_runs_and_ends(site):
+    site.submit(1)
+    site.round()
+    assert site.states() == {"j1": "running"}
+    site.round()
+    site.end("j1")
+    site.round()
+    assert site.states() == {"j1": "done"}
+    assert len(site.workers.started) == 1
+
+
+def test_submission_repeated_after_a_lost_answer_runs_once(site):
+    site.table.lose = 1
+    assert isinstance(site.submit(1), Failure)
+    assert isinstance(site.submit(1), Success)
+    for _ in range(3):
+        site.round()
+    assert [s.job_id for s in site.workers.started] == ["j1"]
+
+
+@pytest.mark.parametrize(
+    ("team", "processors", "refusal"),
+    [("t", 5.0, JobRefusal.TOO_LARGE), ("small", 3.0, JobRefusal.OVER_QUOTA)],
+)
+def test_impossible_job_is_refused_at_once(site, team, processors, refusal):
+    failure = site.submit(1, team=team, processors=processors).failure()
+    assert failure.refusal is refusal
+    assert site.states() == {}
+
+
+def test_successor_starts_a_committed_job_once_more_under_the_same_task_id(site):
+    """The holder dies between committing a start and carrying it out."""
+    site.submit(1)
+    site.workers.start_task = lambda spec: Failure(OutcomeLost("dies here"))
+    site.round()
+    assert site.states() == {"j1": "running"}
+    del site.workers.start_task
+    heir = site.new_task("e2")
+    heir.take_role()
+    site.clock.advance(SCHEDULER_LEASE_MS)
+    assert heir.take_role()
+    site.task = heir
+    site.round()
+    assert [s.task_id for s in site.workers.started] == ["j1.1"]
+
+
+def test_holder_paused_past_its_lease_changes_nothing(site):
+    heir = site.new_task("e2")
+    heir.take_role()
+    site.clock.advance(SCHEDULER_LEASE_MS)
+    assert heir.take_role()
+    site.submit(1)
+    site.task.act()
+    assert not site.task.is_holder
+    assert site.states() == {"j1": "queued"}
+    heir.act()
+    assert site.states() == {"j1": "running"}
+
+
+def test_holder_paused_in_the_middle_of_a_round_changes_nothing(site):
+    """The pause comes after the lease was renewed and before the commit."""
+    heir = site.new_task("e2")
+    heir.take_role()
+    site.submit(1)
+    read_tasks = site.workers.changed_tasks
+
+    def pause(data_center, cursor):
+        site.workers.changed_tasks = read_tasks
+        site.clock.advance(SCHEDULER_LEASE_MS)
+        heir.take_role()
+        site.clock.advance(SCHEDULER_LEASE_MS)
+        assert heir.take_role()
+        return read_tasks(data_center, cursor)
+
+    site.workers.changed_tasks = pause
+    site.round()
+    assert site.states() == {"j1": "queued"}
+    assert site.workers.started == []
+
+
+def test_lost_answer_of_a_start_does_not_start_twice(site):
+    site.submit(1)
+    site.round()
+    site.submit(2)
+    site.table.lose = 3
+    for _ in range(4):
+        site.round()
+    started = [s.task_id for s in site.workers.started]
+    assert started == ["j1.1", "j2.1"]
+
+
+def test_burst_of_cancellations(site):
+    site.submit(*range(250), processors=0.5)
+    site.round()
+    cancelled = site.operations.cancel("a", [f"j{n}" for n in range(250)])
+    assert len(cancelled.unwrap()) == 250
+    for _ in range(4):
+        site.round()
+    assert set(site.states().values()) == {"cancelled"}
+
+
+def test_cancelling_an_unknown_job_is_refused(site):
+    failure = site.operations.cancel("a", ["nope"]).failure()
+    assert failure.refusal is JobRefusal.NO_SUCH_JOB
+
+
+def test_drained_worker_hands_its_jobs_on(site):
+    site.submit(1)
+    site.round()
+    first = site.workers.started[0].worker
+    site.operations.set_drained("a", first, True)
+    for _ in range(3):
+        site.round()
+    last = site.workers.started[-1]
+    assert (last.task_id, last.worker != first) == ("j1.2", True)
+    assert site.workers.stopped == ["j1.1"]
+
+
+def test_leases_of_running_tasks_are_renewed(site):
+    site.submit(1)
+    site.round()
+    site.round()
+    assert site.workers.renewed == {"j1.1"}
+
+
+def test_urgent_job_starts_within_its_time_under_a_flood(site):
+    site.submit(*range(100), processors=2.0)
+    site.round()
+    site.submit(900, processors=2.0, priority=Priority.URGENT)
+    submitted_ms = site.clock.now_ms()
+    while site.states()["j900"] != "running":
+        site.round()
+    assert site.clock.now_ms() - submitted_ms <= 1500.0
--- a/packages/corianderpitch/tests/test_manager.py
+++ b/packages/corianderpitch/tests/test_manager.py
@@ -7,6 +7,7 @@
 from returns.result import Success
 
 from corianderpitch.adapters.memory import MemoryTable
+from corianderpitch.domain.adoption import adopt_listed
 from corianderpitch.domain.fleetfile import FleetFile
 from corianderpitch.domain.manager import (
     DrainReport,
@@ -16,7 +17,6 @@
     Snapshot,
     VmStep,
     Wait,
-    adopt_listed,
     drain_wait,
     plan_step,
 )
@@ -404,9 +404,10 @@
     return ListedVm(vm_id, "a", "rack", pool, "addr", status)
 
 
-def adopted(vms, *items):
+def adopted(vms, *items, missing=()):
     site = SiteSnapshot(SiteFleet(vms), 1, frozenset())
-    steps = list(adopt_listed(Snapshot(CONFIG, {"a": site}, {}, {}), items))
+    snapshot = Snapshot(CONFIG, {"a": site}, {}, {})
+    steps = list(adopt_listed(snapshot, items, frozenset(missing)))
     return dict(steps[0].fleet.vms) if steps else vms
 
 
@@ -427,6 +428,23 @@
     record = VmRecord("p", "r", "addr", VmState.STOPPING, REBOOT)
     assert adopted({"x": record}, listed("x", VmStatus.LIVE)) == {"x": record}
     assert adopted({"x": record}) == {"x": record}
+    assert adopted({"x": record}, missing={"x"}) == {"x": record}
+
+
+def test_vm_missing_from_the_lagging_list_fails_only_after_long():
+    """A list that comes back empty must not take the fleet out of service."""
+    record = VmRecord("p", "r", "addr")
+    assert adopted({"x": record}) == {"x": record}
+    failed = adopted({"x": record}, missing={"x"})
+    assert failed["x"].state is VmState.FAILED
+
+
+def test_vm_listed_as_leaving_gets_no_work_until_it_is_live_again():
+    leaving = adopted({"x": VmRecord("p", "r", "a")}, listed("x", VmStatus.LEAVING))
+    assert leaving["x"].state is VmState.LEAVING
+    assert not leaving["x"].is_open
+    back = adopted(leaving, listed("x", VmStatus.LIVE))
+    assert back["x"].is_open
 
 
 def test_site_step_is_only_made_for_a_difference():
--- a/packages/corianderpitch/tests/test_operations.py
+++ b/packages/corianderpitch/tests/test_operations.py
@@ -108,6 +108,16 @@
     assert operations.config_head() == Success(None)
 
 
+def test_configuration_must_fit_the_vms_there_are(operations):
+    large = BASE.replace("min_available = 1", "min_available = 4")
+    large = large.replace("[pools.p]", "[pools.r]").replace('pool = "p"', 'pool = "r"')
+    refused = operations.apply_config(change(0, "op", large)).failure()
+    assert [p.path for p in refused.problems] == ["pools.p"]
+    too_much = BASE.replace("min_available = 1", "min_available = 4")
+    refused = operations.apply_config(change(0, "op", too_much)).failure()
+    assert [p.path for p in refused.problems] == ["services.s.budget.min_available"]
+
+
 def test_history_lists_the_newest_first(operations):
     for revision in range(3):
         operations.apply_config(change(revision, f"op{revision}"))
--- a/tests/integration/fleets.py
+++ b/tests/integration/fleets.py
@@ -4,17 +4,23 @@
 from corianderpitch_standins.localfleet import LocalFleet, wait_until
 
 SERVICES = ("s1", "s2")
-BASE = """
-name = "test"
+LENDING = """
+[lending]
+is_enabled = true
+pressure_hold_ms = 300
+slack_hold_ms = 2000
+max_moves_per_hour = 3600.0
 """
 
 
-def base_text(sites, min_available=2, **changes):
-    text = 'name = "test"\n'
+def base_text(sites, min_available=2, spare="", **changes):
+    """Return a base file; VMs of ``spare`` are lent to the other pool."""
+    text = 'name = "test"\n' + (LENDING if spare else "")
     for site in sites:
         text += f'[sites.{site}]\nregion = "r"\n'
     for service in SERVICES:
         text += f"[pools.{service}]\nvm_processors = 1\nvm_memory_mb = 1\n"
+        text += "is_spare = true\n" if service == spare else ""
         text += (
             f'[services.{service}]\npool = "{service}"\ninstance_slots = 8\n'
             f"instance_connections = 64\nmax_body_bytes = 100000\n"
@@ -25,7 +31,7 @@
     return text
 
 
-def start_fleet(sites, entries_per_site=2, vms_per_site=2, min_available=2):
+def start_fleet(sites, entries_per_site=2, vms_per_site=2, min_available=2, spare=""):
     """Start a fleet whose sites each have VMs of both services."""
     fleet = LocalFleet(list(sites))
     try:
@@ -42,7 +48,7 @@
                 fleet.start_entry(f"{site}{n}", site, wait=False)
         for entry in fleet.entries.values():
             fleet.finish_start(entry)
-        fleet.apply_config(base_text(sites, min_available), 0, "first")
+        fleet.apply_config(base_text(sites, min_available, spare), 0, "first")
         fleet.wait_ready()
         wait_until(lambda: all_active(fleet), 20.0, "all VMs active")
         wait_until(lambda: all_serving(fleet), 10.0, "all entries serve")
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -4,7 +4,7 @@
 import time
 
 import pytest
-from fleets import cut_off, load, start_fleet, verdict
+from fleets import all_active, cut_off, load, start_fleet, verdict
 
 from corianderpitch_standins.localfleet import wait_until
 
@@ -218,3 +218,29 @@
     wait_until(lambda: state_of(fleet, "s1-a-0") == "active", 10.0, "active")
     performed = fleet.platform_counts()["performed"]
     assert len(performed) == statuses.count(200)
+
+
+def test_spare_vms_are_lent_under_pressure_and_returned():
+    """A lent VM cuts nothing off on either way, and the spare budget holds."""
+    with start_fleet(SITES, min_available=2, spare="s2") as fleet:
+        callers = load(fleet, threads=48, run_ms=150.0, pause_ms=0.0)
+        callers.services[:] = ["s1"]
+        wait_until(
+            lambda: any(r["lent_from"] == "s2" for r in fleet.vm_records().values()),
+            20.0,
+            "a loan",
+        )
+        time.sleep(2.0)
+        spare = [r for r in fleet.vm_records().values() if r["pool"] == "s2"]
+        assert len(spare) >= 2
+        found = verdict(fleet, callers.stop())
+        assert found.outcomes["unknown"] == 0
+        wait_until(
+            lambda: (
+                all(r["lent_from"] is None for r in fleet.vm_records().values())
+                and all_active(fleet)
+            ),
+            40.0,
+            "every VM is home",
+        )
+        assert cut_off(fleet) == 0
