Plan with the configuration whose version the transaction checks

Cause: the manager planned with the configuration in force at its entry, and its transaction checked the version that it had read from the table. A budget raised through another entry was ignored in between, although the check passed: a drain broke the new budget. The manager now puts the row it reads in force before it plans.

Found by a new test of the manager task, which failed first. Ruled out: the transaction's checks, which hold for the rows themselves.

--- a/packages/corianderpitch-standins/corianderpitch_standins/bench.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/bench.py
@@ -18,6 +18,7 @@
     bench_sharing,
 )
 from corianderpitch_standins.benchreport import Report
+from corianderpitch_standins.benchroles import bench_roles
 
 PARTS = {
     "sharing": bench_sharing,
@@ -28,6 +29,7 @@
     "roll-out": bench_roll_out,
     "control": bench_control_cost,
     "wave": bench_wave,
+    "roles": bench_roles,
 }
 
 
--- a/packages/corianderpitch/corianderpitch/daemon/managers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managers.py
@@ -128,13 +128,17 @@
     def run(self) -> None:
         """Seek the role and act while holding it, for ever."""
         while True:
-            if self._role.is_held:
-                self._act()
-            elif self._may_seek() and self._role.seek():
-                self._start()
+            self.act_once()
             is_busy = self._role.is_held and self._has_work()
             eventlet.sleep((BUSY_TICK_MS if is_busy else IDLE_TICK_MS) / 1000.0)
 
+    def act_once(self) -> None:
+        """Do one round with the role, or seek it."""
+        if self._role.is_held:
+            self._act()
+        elif self._may_seek() and self._role.seek():
+            self._start()
+
     def _may_seek(self) -> bool:
         return self._documents.is_ready and self._members.is_representative()
 
@@ -194,6 +198,7 @@
         match self._table.read(known):
             case Success(rows):
                 self._rows.update(rows)
+                self._documents.offer(rows)  # plan with the version checked
             case _:
                 return False
         now_ms = self._clock.now_ms()
--- a/packages/corianderpitch/tests/conftest.py
+++ b/packages/corianderpitch/tests/conftest.py
@@ -1,10 +1,13 @@
 """Hypothesis profiles: fixed examples in CI, a longer search by hand."""
 
 import os
+import sys
 import warnings
+from pathlib import Path
 
 from hypothesis import HealthCheck, settings
 
+sys.path.insert(0, str(Path(__file__).parent))
 warnings.filterwarnings("ignore", message="\\s*Eventlet is deprecated")
 
 settings.register_profile(
--- /dev/null
+++ b/packages/corianderpitch/tests/test_managers.py
@@ -0,0 +1,140 @@
+"""The manager task over an in-memory table."""
+
+import random
+
+import pytest
+from fakes import FakeNetwork
+
+from corianderpitch.adapters.memory import MemoryTable, MemoryVmActions, MemoryVmList
+from corianderpitch.clock import ManualClock
+from corianderpitch.daemon.documents import DocumentTask
+from corianderpitch.daemon.managers import MANAGER_LEASE_MS, ManagerTask
+from corianderpitch.daemon.members import MembershipTask
+from corianderpitch.daemon.operations import ConfigChange, Operations
+from corianderpitch.domain.manager import EntryReport
+from corianderpitch.domain.membership import SETTLE_MS, MemberInfo, Membership
+from corianderpitch.domain.platform import ListedVm, VmStatus
+from corianderpitch.domain.vms import (
+    OperationKind,
+    SiteFleet,
+    VmOperation,
+    VmState,
+)
+from corianderpitch.messages import Report
+from corianderpitch.records import decode_row, fleet_key
+
+BASE = """
+name = "x"
+[sites.a]
+region = "r"
+[pools.p]
+vm_processors = 1
+vm_memory_mb = 1
+[services.s]
+pool = "p"
+instance_slots = 8
+instance_connections = 64
+budget = { min_available = 1 }
+"""
+REBOOT = VmOperation("op", OperationKind.REBOOT)
+
+
+class Entry:
+    """An entry's manager and what it needs, over a shared table."""
+
+    def __init__(self, name, table, vm_list, actions, clock):
+        self.clock = clock
+        own = MemberInfo(name, "i", "a", "x:1")
+        membership = Membership(own, -SETTLE_MS)
+        self.network = FakeNetwork(name)
+        rng = random.Random(1)
+        members = MembershipTask(membership, self.network, clock, rng)
+        self.documents = DocumentTask(membership, self.network, members, table, clock)
+        self.operations = Operations(table, self.documents, clock)
+        self.manager = ManagerTask(
+            membership,
+            members,
+            self.network,
+            self.documents,
+            table,
+            vm_list,
+            actions,
+            clock,
+            rng,
+        )
+
+    def report(self, version):
+        """Let the only entry report that it has closed what is closed."""
+        report = EntryReport("e1", "a", version, (), (), frozenset())
+        self.network.handlers[Report]("e1", Report(report))
+
+
+class World:
+    def __init__(self):
+        self.table = MemoryTable()
+        self.clock = ManualClock()
+        self.actions = MemoryVmActions()
+        vms = tuple(
+            ListedVm(f"vm{n}", "a", "rack", "p", "addr", VmStatus.LIVE)
+            for n in range(3)
+        )
+        self.vm_list = MemoryVmList(vms)
+        self.entry = self.new_entry("e1")
+        self.apply(0, BASE)
+        self.entry.manager.act_once()
+        self.entry.manager.act_once()
+
+    def new_entry(self, name):
+        return Entry(name, self.table, self.vm_list, self.actions, self.clock)
+
+    def apply(self, based_on, text, entry=None):
+        change = ConfigChange(based_on, f"op{based_on}", "me", text, {})
+        (entry or self.entry).operations.apply_config(change).unwrap()
+
+    def fleet(self):
+        row = self.table.read({fleet_key("a"): 0}).unwrap()[fleet_key("a")]
+        return row.version, decode_row(SiteFleet, row.value).vms
+
+    def act(self, entry=None):
+        entry = entry or self.entry
+        entry.report(self.fleet()[0])
+        entry.manager.act_once()
+        self.clock.advance(300.0)
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def test_listed_vms_are_adopted(world):
+    world.act()
+    assert set(world.fleet()[1]) == {"vm0", "vm1", "vm2"}
+
+
+def test_budget_raised_elsewhere_is_obeyed_before_it_is_in_force_here(world):
+    """Another entry accepts the change; this one has not heard of it."""
+    world.act()
+    other = world.new_entry("e2")
+    other.documents.poll()
+    raised = BASE.replace("min_available = 1", "min_available = 3")
+    world.apply(1, raised, other)
+    world.entry.operations.request_vm("vm0", REBOOT).unwrap()
+    assert world.entry.documents.config_record.revision == 1
+    for _ in range(3):
+        world.act()
+    assert world.fleet()[1]["vm0"].state is VmState.ACTIVE
+
+
+def test_manager_that_lost_its_role_commits_nothing(world):
+    world.act()
+    heir = world.new_entry("e2")
+    heir.documents.poll()
+    heir.manager.act_once()
+    world.clock.advance(MANAGER_LEASE_MS)
+    heir.manager.act_once()
+    assert heir.manager.is_holder
+    world.entry.operations.request_vm("vm0", REBOOT).unwrap()
+    world.act()
+    assert not world.entry.manager.is_holder
+    assert world.fleet()[1]["vm0"].state is VmState.ACTIVE
--- a/packages/corianderpitch/tests/test_owners.py
+++ b/packages/corianderpitch/tests/test_owners.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from fakes import FakeNetwork
 
 from corianderpitch.adapters.memory import MemoryEndpoint
 from corianderpitch.clock import ManualClock
@@ -14,24 +15,6 @@
 from corianderpitch.messages import NotOwner, PermitGrant, PermitRequest, SlotAsk
 
 
-class FakeNetwork:
-    """Delivers to oneself at once and records what goes to others."""
-
-    def __init__(self, own):
-        self.own = own
-        self.handlers = {}
-        self.sent = []
-
-    def handle(self, message_type, handler):
-        self.handlers[message_type] = handler
-
-    def send(self, entry, message, lane=None):
-        if entry == self.own:
-            self.handlers[type(message)](entry, message)
-        else:
-            self.sent.append((entry, message))
-
-
 class Fixture:
     def __init__(self):
         own = MemberInfo("e1", "i1", "a", "x:1")
