--- a/packages/corianderpitch/corianderpitch/adapters/endpointhttp.py
+++ b/packages/corianderpitch/corianderpitch/adapters/endpointhttp.py
@@ -10,6 +10,7 @@
 
 import eventlet
 import urllib3
+from eventlet.green import select
 from returns.result import Failure, Result, Success
 from urllib3.connection import HTTPConnection
 
@@ -68,14 +69,13 @@
         same instance, which may have lost their other end together.
         """
         connection = None if call.is_once else self._young_connection(address)
-        wait_ms = call.silence_ms
+        is_reused = connection is not None
         if connection is None:
             connected = self._connect(vm_id, address)
             if not isinstance(connected, Success):
                 return connected
             connection = connected.unwrap()
-            wait_ms = call.timeout_ms
-        outcome = self._exchange(vm_id, connection, call, wait_ms)
+        outcome = self._exchange(vm_id, connection, call, is_reused)
         match outcome:
             case Success(_) | Failure(InstanceRefused()):
                 self._keep(address, connection, call.idle_limit)
@@ -116,31 +116,27 @@
         return Success(connection)
 
     def _exchange(
-        self, vm_id: VmId, connection: HTTPConnection, call: Call, wait_ms: float
+        self, vm_id: VmId, connection: HTTPConnection, call: Call, is_reused: bool
     ) -> Result[Answered, InstanceError]:
         headers = {
             "Content-Type": call.content_type,
             "X-Request-Id": call.request_id,
             "X-Timeout-Ms": str(int(call.timeout_ms)),
         }
-        timeout_s = max(0.001, wait_ms / 1000.0)
+        timeout_s = max(0.001, call.timeout_ms / 1000.0)
         connection.timeout = timeout_s
         try:
             with eventlet.Timeout(timeout_s):
                 connection.request("POST", "/run", body=call.body, headers=headers)
+                if is_reused and _is_silent(connection, call) and call.may_give_up():
+                    return Failure(InstanceSilent(vm_id))
                 response = connection.getresponse()
                 body = response.data
         except _TIMEOUT_ERRORS:
             return Failure(InstanceSilent(vm_id))
         except _BROKEN_ERRORS:
             return Failure(InstanceBrokeOff(vm_id))
-        if not _has_known_length(response):
-            return Failure(InstanceBrokeOff(vm_id))
-        refusal = response.headers.get(NOT_RUN_HEADER)
-        if response.status == HTTP_UNAVAILABLE and refusal is not None:
-            return Failure(InstanceRefused(vm_id, refusal == LEAVING_VALUE))
-        content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
-        return Success(Answered(response.status, content_type, body))
+        return _read_answer(vm_id, response, body)
 
     def _young_connection(self, address: str) -> HTTPConnection | None:
         idle = self._idle[address]
@@ -164,6 +160,24 @@
             idle.connection.close()
 
 
+def _is_silent(connection: HTTPConnection, call: Call) -> bool:
+    """Wait for the first byte of an answer; tell whether none came in time."""
+    readable, _, _ = select.select([connection.sock], [], [], call.silence_ms / 1000.0)
+    return not readable
+
+
+def _read_answer(
+    vm_id: VmId, response: urllib3.BaseHTTPResponse, body: bytes
+) -> Result[Answered, InstanceError]:
+    if not _has_known_length(response):
+        return Failure(InstanceBrokeOff(vm_id))
+    refusal = response.headers.get(NOT_RUN_HEADER)
+    if response.status == HTTP_UNAVAILABLE and refusal is not None:
+        return Failure(InstanceRefused(vm_id, refusal == LEAVING_VALUE))
+    content_type = response.headers.get("Content-Type", DEFAULT_CONTENT_TYPE)
+    return Success(Answered(response.status, content_type, body))
+
+
 def _has_known_length(response: urllib3.BaseHTTPResponse) -> bool:
     """Tell whether the answer itself says where it ends.
 
--- a/packages/corianderpitch/corianderpitch/daemon/requests.py
+++ b/packages/corianderpitch/corianderpitch/daemon/requests.py
@@ -102,20 +102,23 @@
         run".
         """
         self._budget.record_first_attempt()
+        retries = _Retries(self._budget)
         excluded: frozenset[VmId] = frozenset()
         lost: Unknown | None = None
         for attempt in range(1, MAX_ATTEMPTS + 1):
             offer = self._acquire(request, deadline_ms, excluded)
             if isinstance(offer, NotRun):
                 return lost or offer
-            outcome = self._attempt(request, offer, deadline_ms, lost is None)
+            outcome = self._attempt(
+                request, offer, deadline_ms, retries if lost is None else None
+            )
             if isinstance(outcome, Answered):
                 return outcome
             if isinstance(outcome, Unknown):
                 lost = outcome
             may_repeat = request.is_idempotent or isinstance(outcome, NotRun)
             is_last = attempt == MAX_ATTEMPTS
-            if not may_repeat or is_last or not self._budget.try_spend():
+            if not may_repeat or is_last or not retries.take():
                 return lost or outcome
             excluded |= {offer.vm_id}
         return lost or NotRun(Reason.NO_INSTANCE, RETRY_AFTER_FAILURE_MS)
@@ -139,12 +142,16 @@
         return offer
 
     def _attempt(
-        self, request: Request, offer: Offer, deadline_ms: float, may_reuse: bool
+        self,
+        request: Request,
+        offer: Offer,
+        deadline_ms: float,
+        retries: "_Retries | None",
     ) -> Outcome:
         """Use one permit; ``NotRun`` means that the instance ran nothing.
 
-        After an attempt that was lost, connections are not reused: what broke
-        one may have broken others.
+        Without ``retries``, after an attempt that was lost, connections are not
+        reused: what broke one may have broken others.
         """
         started_ms = self._clock.now_ms()
         if is_debugging():
@@ -157,14 +164,20 @@
             self._desk.release(offer, RunResult.UNUSED, 0.0)
             return NotRun(Reason.DEADLINE, RETRY_AFTER_FAILURE_MS)
         remaining_ms = deadline_ms - started_ms
+        silence_ms = self._silence_ms(request.service)
+        has_time_for_another = silence_ms < remaining_ms / 2.0
+        may_reuse = request.is_idempotent and retries is not None
         call = Call(
             request.request_id,
             request.content_type,
             request.body,
             remaining_ms,
-            min(remaining_ms / 2.0, self._silence_ms(request.service)),
+            silence_ms,
             self._idle_limit(request.service),
-            is_once=not (request.is_idempotent and may_reuse),
+            is_once=not may_reuse,
+            may_give_up=lambda: (
+                may_reuse and has_time_for_another and retries.reserve()
+            ),
         )
         result = RunResult.ABANDONED
         run_ms = 0.0
@@ -191,6 +204,27 @@
         return max(MIN_SILENCE_MS, SILENCE_FACTOR * slow_run_ms)
 
 
+class _Retries:
+    """The retries of one request, taken from the budget of all."""
+
+    def __init__(self, budget: RetryBudget):
+        self._budget = budget
+        self._is_reserved = False
+
+    def reserve(self) -> bool:
+        """Take a retry before an attempt is given up for it."""
+        if not self._is_reserved:
+            self._is_reserved = self._budget.try_spend()
+        return self._is_reserved
+
+    def take(self) -> bool:
+        """Use the reserved retry, or take one."""
+        if self._is_reserved:
+            self._is_reserved = False
+            return True
+        return self._budget.try_spend()
+
+
 def _judge(error: InstanceError) -> tuple[RunResult, NotRun | Unknown]:
     """Return what a failed attempt means for the slot and for the request."""
     not_run = NotRun(Reason.NO_INSTANCE, RETRY_AFTER_FAILURE_MS)
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -4,7 +4,7 @@
 """
 
 import abc
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from returns.result import Result
@@ -95,10 +95,10 @@
     """One request as it is sent to an instance.
 
     A call with ``is_once`` set is sent over a new connection, because a reused
-    one can fail in a way that leaves open whether the request ran. On a reused
-    connection ``silence_ms`` bounds the wait instead of ``timeout_ms``, because
-    the connection may have lost its other end. Up to ``idle_limit`` connections
-    are kept for reuse.
+    one can fail in a way that leaves open whether the request ran. A reused
+    connection that has brought no byte after ``silence_ms`` may have lost its
+    other end; the call then ends if ``may_give_up`` agrees. Up to
+    ``idle_limit`` connections are kept for reuse.
     """
 
     request_id: str
@@ -108,6 +108,7 @@
     silence_ms: float
     idle_limit: int
     is_once: bool = False
+    may_give_up: Callable[[], bool] = lambda: False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/integration/test_interface.py
+++ b/tests/integration/test_interface.py
@@ -111,7 +111,7 @@
     def use(number):
         started_s = time.monotonic()
         response = post(
-            fleet, entry, "s2", '{"run_ms": 400}', **{"X-Timeout-Ms": "700"}
+            fleet, entry, "s2", '{"run_ms": 400}', **{"X-Timeout-Ms": "500"}
         )
         return response, time.monotonic() - started_s
 
@@ -169,6 +169,17 @@
     assert time.monotonic() - started_s < 2.0 + 30 * 0.1
 
 
+def test_slow_run_on_a_reused_connection_is_waited_for(fleet, entry):
+    """Longer than any run before, and than half of the time to the deadline."""
+    for _ in range(4):
+        post(fleet, entry, "s2", '{"run_ms": 5}')
+    headers = {"X-Timeout-Ms": "450"}
+    statuses = [
+        post(fleet, entry, "s2", '{"run_ms": 350}', **headers).status for _ in range(3)
+    ]
+    assert statuses == [200] * 3
+
+
 def test_metrics_show_histograms_by_class_and_tenant(fleet, entry):
     post(fleet, entry, "s1", "{}", **{"X-Class": "urgent", "X-Tenant": "counters"})
     text = fleet.http.request("GET", f"{entry.url}/metrics").data.decode()
