--- a/packages/corianderpitch-standins/corianderpitch_standins/benchfleet.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchfleet.py
@@ -12,7 +12,7 @@
 from corianderpitch_standins.benchreport import Report, fit_line
 from corianderpitch_standins.localfleet import LocalFleet, wait_until
 
-HAMMER = "corianderpitch_standins.hammer"
+LOAD_GENERATOR = "corianderpitch_standins.loadgenerator"
 CONNECTIONS = 32
 IDLE_S = 10.0
 CHANGES = 20
@@ -49,9 +49,17 @@
         fleet.finish_start(entry)
 
 
-def hammer(address: str, path: str, rate_per_s: float = 0.0) -> dict[str, float]:
+def generate_load(address: str, path: str, rate_per_s: float = 0.0) -> dict[str, float]:
     """Run the load generator and return its figures."""
-    command = [sys.executable, "-m", HAMMER, "--address", address, "--path", path]
+    command = [
+        sys.executable,
+        "-m",
+        LOAD_GENERATOR,
+        "--address",
+        address,
+        "--path",
+        path,
+    ]
     command += ["--connections", str(CONNECTIONS), "--rate-per-s", str(rate_per_s)]
     done = subprocess.run(command, capture_output=True, text=True, check=True)
     return json.loads(done.stdout)
@@ -70,8 +78,8 @@
         direct_address = fleet.vms["vm0"].address
         entry_address = fleet.entries["a-0"].url.removeprefix("http://")
         path = "/v1/services/s0/requests"
-        direct = hammer(direct_address, "/run")
-        entry = hammer(entry_address, path)
+        direct = generate_load(direct_address, "/run")
+        entry = generate_load(entry_address, path)
         report.at_least(
             "throughput over direct",
             entry["rate_per_s"] / direct["rate_per_s"],
@@ -80,8 +88,8 @@
             f"{entry['rate_per_s']:.0f}/s against {direct['rate_per_s']:.0f}/s",
         )
         half = entry["rate_per_s"] / 2
-        direct_half = hammer(direct_address, "/run", half)
-        entry_half = hammer(entry_address, path, half)
+        direct_half = generate_load(direct_address, "/run", half)
+        entry_half = generate_load(entry_address, path, half)
         report.at_most(
             "added p50 at half load",
             entry_half["p50_ms"] - direct_half["p50_ms"],
--- a/packages/corianderpitch-standins/corianderpitch_standins/benchroles.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchroles.py
@@ -21,13 +21,13 @@
 from corianderpitch.domain.outcomes import Answered
 from corianderpitch.domain.placement import (
     JobsView,
-    SizeBook,
+    UsageEstimator,
     WorkerRecord,
     place_jobs,
     settle_tasks,
 )
 from corianderpitch.domain.slots import InstanceSpec, RunResult
-from corianderpitch.domain.tickets import TicketBook
+from corianderpitch.domain.tickets import TicketStore
 from corianderpitch.domain.vms import SiteFleet, VmRecord
 from corianderpitch.messages import (
     Heartbeat,
@@ -168,7 +168,7 @@
     points = []
     for size in JOB_SIZES:
         view = _jobs_view(size)
-        record, sizes = WorkerRecord(), SizeBook()
+        record, sizes = WorkerRecord(), UsageEstimator()
 
         def one_round(view: JobsView = view) -> None:
             settle_tasks(view, record, 0)  # noqa: B023 - called at once
@@ -205,11 +205,11 @@
     points = []
     for count in (1000, 2000, 4000):
         tracemalloc.start()
-        book = TicketBook("e", "i", b"s" * 32)
+        store = TicketStore("e", "i", b"s" * 32)
         for _ in range(count):
-            ticket = book.issue("theke", "counters", "urgent", 0.0)
-            book.begin(ticket, 0.0)
-            book.finish(ticket, Answered(200, "application/json", bytes(200)))
+            ticket = store.issue("theke", "counters", "urgent", 0.0)
+            store.begin(ticket, 0.0)
+            store.finish(ticket, Answered(200, "application/json", bytes(200)))
         points.append((float(count), tracemalloc.get_traced_memory()[0] / 1024.0))
         tracemalloc.stop()
     _note_fit(report, "memory of answers of 200 bytes", "ticket", points, "KB")
--- a/packages/corianderpitch-standins/corianderpitch_standins/hammer.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/loadgenerator.py
@@ -17,7 +17,7 @@
 READ_BYTES = 65_536
 
 
-class Hammer:
+class LoadGenerator:
     """Connections that send the same request over and over."""
 
     def __init__(self, address: str, request: bytes, seconds: float):
@@ -106,17 +106,17 @@
     parser.add_argument("--rate-per-s", type=float, default=0.0)
     arguments = parser.parse_args()
     request = build_request(arguments.path, '{"run_ms": 0}')
-    hammer = Hammer(arguments.address, request, arguments.seconds)
+    generator = LoadGenerator(arguments.address, request, arguments.seconds)
     if arguments.rate_per_s:
-        hammer.run_open(arguments.connections, arguments.rate_per_s)
+        generator.run_open(arguments.connections, arguments.rate_per_s)
     else:
-        hammer.run_closed(arguments.connections)
-    found = sorted(hammer.latencies_ms)
+        generator.run_closed(arguments.connections)
+    found = sorted(generator.latencies_ms)
     report = {
         "rate_per_s": len(found) / arguments.seconds,
         "p50_ms": found[len(found) // 2],
         "p99_ms": found[int(len(found) * 0.99)],
-        "failed": hammer.failed,
+        "failed": generator.failed,
     }
     print(json.dumps(report))
 
--- a/packages/corianderpitch-standins/corianderpitch_standins/platform.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/platform.py
@@ -35,7 +35,7 @@
 )
 from corianderpitch.ports import Check, Write
 from corianderpitch_standins.jsonserver import RawReply, announce, listen, serve
-from corianderpitch_standins.workers import WorkerPark
+from corianderpitch_standins.workers import FakeWorkers
 
 DEFAULT_ACTION_MS = 100.0
 
@@ -45,7 +45,7 @@
 
     def __init__(self):
         self._table = MemoryTable()
-        self._park = WorkerPark()
+        self._workers = FakeWorkers()
         self._vms: dict[str, ListedVm] = {}
         self._listed: list[tuple[float, dict[str, ListedVm]]] = []
         self._actions: dict[str, VmActionState] = {}
@@ -70,7 +70,7 @@
                 return {
                     "requests": dict(self._requests),
                     "performed": dict(self._performed),
-                    "tasks": self._park.report(),
+                    "tasks": self._workers.report(),
                 }
         if self._is_down:
             return RawReply("503 Service Unavailable", b"")
@@ -99,7 +99,7 @@
                 state = self._actions.get(body, VmActionState.UNKNOWN)
                 return _packed(state.value)
         if path.startswith(("/workers/", "/tasks/")):
-            return _packed(self._park.serve(path, body))
+            return _packed(self._workers.serve(path, body))
         return RawReply("404 Not Found", b"")
 
     def _commit(self, body: Any) -> RawReply:
@@ -170,7 +170,7 @@
         self._rate_per_s = command.get("rate_per_s", self._rate_per_s)
         self._list_lag_ms = command.get("list_lag_ms", self._list_lag_ms)
         self._action_ms = command.get("action_ms", self._action_ms)
-        self._park.control(command)
+        self._workers.control(command)
         for fields in command.get("vms", ()):
             self._set_vm(ListedVm(*fields[:5], VmStatus(fields[5])))
         return {}
--- a/packages/corianderpitch-standins/corianderpitch_standins/workers.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/workers.py
@@ -15,7 +15,7 @@
 STEP_S = 0.02
 
 
-class WorkerPark:
+class FakeWorkers:
     """Workers, their tasks and their faults."""
 
     def __init__(self):
--- a/packages/corianderpitch/corianderpitch/daemon/callers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/callers.py
@@ -13,7 +13,7 @@
 from corianderpitch.daemon.documents import DocumentTask
 from corianderpitch.daemon.metrics import Metrics
 from corianderpitch.daemon.requests import Request, RequestRunner
-from corianderpitch.daemon.tickets import TicketDesk
+from corianderpitch.daemon.tickets import TicketService
 from corianderpitch.domain.fleetfile import ServiceSettings
 from corianderpitch.domain.membership import MemberInfo
 from corianderpitch.domain.outcomes import (
@@ -91,7 +91,7 @@
         self,
         own: MemberInfo,
         runner: RequestRunner,
-        tickets: TicketDesk,
+        tickets: TicketService,
         documents: DocumentTask,
         metrics: Metrics,
     ):
--- a/packages/corianderpitch/corianderpitch/daemon/documents.py
+++ b/packages/corianderpitch/corianderpitch/daemon/documents.py
@@ -100,7 +100,7 @@
         self.on_change()
         self._members.beat()
         if any(row.key == CONFIG_HEAD_KEY for row in changed):
-            self._members.greet_other_sites()
+            self._members.send_cross_site_heartbeats()
 
     def _version(self, key: str) -> int:
         return self._rows[key].version if key in self._rows else 0
--- a/packages/corianderpitch/corianderpitch/daemon/entry.py
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -4,6 +4,7 @@
 import os
 import random
 import secrets
+from typing import Protocol
 
 import eventlet
 from eventlet import wsgi
@@ -28,12 +29,12 @@
 from corianderpitch.daemon.network import PeerNetwork
 from corianderpitch.daemon.operators import OperatorApp
 from corianderpitch.daemon.owners import OwnerTask
-from corianderpitch.daemon.permits import PermitDesk
+from corianderpitch.daemon.permits import PermitClient
 from corianderpitch.daemon.reports import Reporter
 from corianderpitch.daemon.requests import RequestRunner
 from corianderpitch.daemon.settings import Address, Settings
-from corianderpitch.daemon.statuses import StatusDesk
-from corianderpitch.daemon.tickets import TicketDesk
+from corianderpitch.daemon.statuses import StatusCollector
+from corianderpitch.daemon.tickets import TicketService
 from corianderpitch.daemon.views import service_views
 from corianderpitch.domain.lending import ServiceNeed
 from corianderpitch.domain.membership import MemberInfo, Membership
@@ -49,6 +50,10 @@
 log = logger("entry")
 
 
+class _Task(Protocol):
+    def run(self) -> None: ...
+
+
 class Entry:
     """One entry with all of its tasks."""
 
@@ -104,19 +109,21 @@
         self._documents = DocumentTask(
             self._membership, self._network, self._members, self._platform, clock
         )
-        self._desk = PermitDesk(self._membership, self._network, clock)
+        self._permits = PermitClient(self._membership, self._network, clock)
         self._owners = OwnerTask(
             self._membership,
             self._network,
-            self._desk,
+            self._permits,
             self._endpoint,
             clock,
             self._rng,
         )
         self._runner = RequestRunner(
-            self._desk, self._endpoint, self._metrics, clock, self._idle_limit
+            self._permits, self._endpoint, self._metrics, clock, self._idle_limit
+        )
+        self._tickets = TicketService(
+            self._membership, self._network, self._runner, clock
         )
-        self._tickets = TicketDesk(self._membership, self._network, self._runner, clock)
         self._callers = CallerApp(
             own, self._runner, self._tickets, self._documents, self._metrics
         )
@@ -140,11 +147,11 @@
             self._network,
             self._members,
             self._owners,
-            self._desk,
+            self._permits,
             clock,
             self._owners.fleet_version,
         )
-        self._statuses = StatusDesk(
+        self._statuses = StatusCollector(
             self._membership, self._network, clock, self._own_status
         )
         self._jobs = JobTask(
@@ -166,7 +173,7 @@
 
     def _connect_parts(self) -> None:
         self._documents.on_change = self._apply_documents
-        self._members.on_new_member = self._tickets.greet
+        self._members.on_new_member = self._tickets.announce_successors
         self._members.own_unavailable = self._unavailable_vms
         self._members.own_needs = self._service_needs
         self._metrics.on_render(self._refresh_gauges)
@@ -221,7 +228,7 @@
         successor = self._successor()
         if successor is not None and not self._tickets.hand_over(successor):
             log.warning("{} did not confirm the tickets.", successor)
-        self._members.say_goodbye()
+        self._members.announce_leaving()
         self._leases.give_up()
         eventlet.sleep(STOP_CHECK_S)
         log.info("Left.")
@@ -238,7 +245,9 @@
         }
         return min(live or elsewhere, default=None)
 
-    def _serve_http(self, listener: socket.socket, app: object):
+    def _serve_http(
+        self, listener: socket.socket, app: object
+    ) -> eventlet.greenthread.GreenThread:
         return eventlet.spawn(
             wsgi.server,
             listener,
@@ -320,7 +329,7 @@
     gc.set_threshold(GC_ALLOCATIONS)
 
 
-def _keep_running(task) -> None:
+def _keep_running(task: _Task) -> None:
     """Run a task for ever; a failure is logged and the task goes on."""
     while True:
         try:
--- a/packages/corianderpitch/corianderpitch/daemon/joboperations.py
+++ b/packages/corianderpitch/corianderpitch/daemon/joboperations.py
@@ -1,5 +1,6 @@
 """Operators' requests about jobs and workers, as functions with typed results."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from returns.result import Failure, Result, Success
@@ -31,6 +32,8 @@
 INBOX_JOBS = 200
 BATCH_JOBS = 100
 
+JobChanger = Callable[[Job, Job | None], Job]
+
 
 @dataclass(frozen=True, slots=True)
 class JobRequest:
@@ -152,7 +155,9 @@
         committed = self._table.commit((check,), (Write(key, encode_row(changed)),))
         return committed.map(lambda _: changed)
 
-    def _change(self, site, jobs: list[Job], change) -> Result:
+    def _change(
+        self, site: DataCenterId, jobs: list[Job], change: JobChanger
+    ) -> Result[list[Job], OperationError]:
         """Write jobs and announce them, again if another change came first.
 
         ``change(job, old)`` returns the new record from the given job and the
@@ -167,7 +172,9 @@
             return result
         return result
 
-    def _try_change(self, site, jobs: list[Job], change) -> Result:
+    def _try_change(
+        self, site: DataCenterId, jobs: list[Job], change: JobChanger
+    ) -> Result[list[Job], OperationError]:
         inbox_key = job_inbox_key(site)
         keys = {job_key(site, job.job_id): job for job in jobs}
         match self._table.read(dict.fromkeys([*keys, inbox_key], 0)):
--- a/packages/corianderpitch/corianderpitch/daemon/jobs.py
+++ b/packages/corianderpitch/corianderpitch/daemon/jobs.py
@@ -24,8 +24,8 @@
     JobChange,
     JobStep,
     JobsView,
-    SizeBook,
     StopTask,
+    UsageEstimator,
     WorkerRecord,
     place_jobs,
     settle_tasks,
@@ -92,7 +92,7 @@
         self._listed: dict[WorkerId, Worker] = {}
         self._tasks: dict[TaskId, Task] = {}
         self._cursor = 0
-        self._sizes = SizeBook()
+        self._sizes = UsageEstimator()
         self._record = WorkerRecord()
         self._must_rescan = True
         self._next_list_ms = 0.0
--- a/packages/corianderpitch/corianderpitch/daemon/leases.py
+++ b/packages/corianderpitch/corianderpitch/daemon/leases.py
@@ -6,7 +6,7 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.members import MembershipTask
-from corianderpitch.domain.leases import LeaseBoard
+from corianderpitch.domain.leases import LeaseObserver
 from corianderpitch.domain.membership import Membership
 from corianderpitch.errors import RowConflict
 from corianderpitch.ports import Check, Row, TableService, Write
@@ -41,7 +41,7 @@
         self._key = member_key(membership.own)
         self._version = 0
         self._sequence = 0
-        self.board = LeaseBoard()
+        self.board = LeaseObserver()
 
     def run(self) -> None:
         """Renew and scan for ever."""
--- a/packages/corianderpitch/corianderpitch/daemon/managerview.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managerview.py
@@ -9,7 +9,7 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.documents import DocumentTask
 from corianderpitch.daemon.members import MembershipTask
-from corianderpitch.domain.leases import LeaseBoard
+from corianderpitch.domain.leases import LeaseObserver
 from corianderpitch.domain.manager import SiteSnapshot
 from corianderpitch.domain.membership import Membership
 from corianderpitch.domain.vms import SiteFleet
@@ -55,7 +55,7 @@
         self._clock = clock
         self._rows: dict[str, Row] = {}
         self._decoded: dict[str, _Decoded] = {}
-        self._board = LeaseBoard()
+        self._board = LeaseObserver()
         self._next_wave_scan_ms = 0.0
         self._next_member_scan_ms = 0.0
 
--- a/packages/corianderpitch/corianderpitch/daemon/members.py
+++ b/packages/corianderpitch/corianderpitch/daemon/members.py
@@ -82,9 +82,9 @@
         now_ms = self._clock.now_ms()
         if now_ms >= self._next_cross_site_ms and self.is_representative():
             self._next_cross_site_ms = now_ms + CROSS_SITE_INTERVAL_MS
-            self.greet_other_sites()
+            self.send_cross_site_heartbeats()
 
-    def greet_other_sites(self) -> None:
+    def send_cross_site_heartbeats(self) -> None:
         """Send a heartbeat to a random entry of every other data centre."""
         for data_center in self._membership.data_centers():
             known = self._membership.known()
@@ -119,7 +119,7 @@
         heard = (need for e in sorted(others) for need in self._needs.get(e, ()))
         return (*self.own_needs(), *heard)
 
-    def say_goodbye(self) -> None:
+    def announce_leaving(self) -> None:
         """Tell every entry that this one is about to exit."""
         for info in self._membership.known():
             self._network.send(info.entry, Leaving())
--- a/packages/corianderpitch/corianderpitch/daemon/operators.py
+++ b/packages/corianderpitch/corianderpitch/daemon/operators.py
@@ -22,7 +22,7 @@
     WaveRequest,
 )
 from corianderpitch.daemon.joboperations import JobOperations, JobRequest
-from corianderpitch.daemon.statuses import StatusDesk
+from corianderpitch.daemon.statuses import StatusCollector
 from corianderpitch.domain.problems import Problem
 from corianderpitch.domain.vms import OperationKind, Refusal, VmOperation
 from corianderpitch.domain.waves import WaveState
@@ -100,7 +100,7 @@
         config_operations: ConfigOperations,
         fleet_operations: FleetOperations,
         job_operations: JobOperations,
-        statuses: StatusDesk,
+        statuses: StatusCollector,
     ):
         self._site = site
         self._configs = config_operations
--- a/packages/corianderpitch/corianderpitch/daemon/owners.py
+++ b/packages/corianderpitch/corianderpitch/daemon/owners.py
@@ -11,7 +11,7 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import is_debugging, logger
 from corianderpitch.daemon.network import PeerNetwork
-from corianderpitch.daemon.permits import PermitDesk
+from corianderpitch.daemon.permits import PermitClient
 from corianderpitch.domain.dispatch import DispatchPolicy, ServiceDispatcher
 from corianderpitch.domain.effects import (
     AskForSlots,
@@ -83,14 +83,14 @@
         self,
         membership: Membership,
         network: PeerNetwork,
-        desk: PermitDesk,
+        permits: PermitClient,
         endpoint: Endpoint,
         clock: Clock,
         rng: random.Random,
     ):
         self._membership = membership
         self._network = network
-        self._desk = desk
+        self._permits = permits
         self._endpoint = endpoint
         self._clock = clock
         self._rng = rng
@@ -184,7 +184,7 @@
         self._inbox.put((sender, message))
 
     def _on_link_up(self, entry: EntryId) -> None:
-        self._desk.reattach(entry)
+        self._permits.reattach(entry)
 
     def _process(self, sender: EntryId, message: Any) -> None:
         if isinstance(message, _NewViews):
@@ -295,7 +295,7 @@
                 self._take_over(service, now_ms)
             elif service in self._owned:
                 self._resign(service)
-            self._desk.set_owner(service, owner)
+            self._permits.set_owner(service, owner)
 
     def _take_over(self, service: ServiceName, now_ms: float) -> None:
         log.info("Taking over {}.", service)
--- a/packages/corianderpitch/corianderpitch/daemon/permits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/permits.py
@@ -1,4 +1,4 @@
-"""Permit desk: the side of an entry that asks owners for permits."""
+"""Permit client: the side of an entry that asks owners for permits."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -64,7 +64,7 @@
     is_borrowed: bool
 
 
-class PermitDesk:
+class PermitClient:
     """Requests that wait for a permit and permits in use, on this entry."""
 
     def __init__(self, membership: Membership, network: PeerNetwork, clock: Clock):
--- a/packages/corianderpitch/corianderpitch/daemon/reports.py
+++ b/packages/corianderpitch/corianderpitch/daemon/reports.py
@@ -6,7 +6,7 @@
 from corianderpitch.daemon.members import MembershipTask
 from corianderpitch.daemon.network import PeerNetwork
 from corianderpitch.daemon.owners import OwnerTask
-from corianderpitch.daemon.permits import PermitDesk
+from corianderpitch.daemon.permits import PermitClient
 from corianderpitch.domain.manager import DrainReport, EntryReport
 from corianderpitch.domain.membership import Membership
 from corianderpitch.ids import EntryId, VmId
@@ -26,7 +26,7 @@
         network: PeerNetwork,
         members: MembershipTask,
         owners: OwnerTask,
-        desk: PermitDesk,
+        permits: PermitClient,
         clock: Clock,
         fleet_version: Callable[[], int],
     ):
@@ -34,7 +34,7 @@
         self._network = network
         self._members = members
         self._owners = owners
-        self._desk = desk
+        self._permits = permits
         self._clock = clock
         self._fleet_version = fleet_version
         network.handle(ReportQuery, self._on_query)
@@ -58,7 +58,7 @@
             dispatcher.ledger.in_flight(vm_id)
             for dispatcher in self._owners.owned().values()
         )
-        return granted + self._desk.in_flight(vm_id)
+        return granted + self._permits.in_flight(vm_id)
 
     def _on_query(self, sender: EntryId, query: ReportQuery) -> None:
         self._network.send(sender, Report(self.report(query.vm_ids)))
--- a/packages/corianderpitch/corianderpitch/daemon/requests.py
+++ b/packages/corianderpitch/corianderpitch/daemon/requests.py
@@ -9,7 +9,7 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import is_debugging, logger
 from corianderpitch.daemon.metrics import Metrics
-from corianderpitch.daemon.permits import PermitDesk, Wanted
+from corianderpitch.daemon.permits import PermitClient, Wanted
 from corianderpitch.domain.effects import Offer
 from corianderpitch.domain.outcomes import (
     Answered,
@@ -60,14 +60,14 @@
 
     def __init__(
         self,
-        desk: PermitDesk,
+        permits: PermitClient,
         endpoint: Endpoint,
         metrics: Metrics,
         clock: Clock,
         idle_limit: Callable[[ServiceName], int],
     ):
         self._idle_limit = idle_limit
-        self._desk = desk
+        self._permits = permits
         self._endpoint = endpoint
         self._metrics = metrics
         self._clock = clock
@@ -135,7 +135,7 @@
             deadline_ms,
             excluded,
         )
-        offer = self._desk.acquire(wanted)
+        offer = self._permits.acquire(wanted)
         if isinstance(offer, Offer):
             wait_ms = self._clock.now_ms() - asked_ms
             self._metrics.record_permit(request.service, request.class_name, wait_ms)
@@ -160,8 +160,8 @@
                 request_id=request.request_id,
                 vm_id=offer.vm_id,
             )
-        if not self._desk.may_start(offer):
-            self._desk.release(offer, RunResult.UNUSED, 0.0)
+        if not self._permits.may_start(offer):
+            self._permits.release(offer, RunResult.UNUSED, 0.0)
             return NotRun(Reason.DEADLINE, RETRY_AFTER_FAILURE_MS)
         remaining_ms = deadline_ms - started_ms
         silence_ms = self._silence_ms(request.service)
@@ -196,7 +196,7 @@
                     result, outcome = _judge(error)
                     return outcome
         finally:
-            self._desk.release(offer, result, run_ms)
+            self._permits.release(offer, result, run_ms)
 
     def _silence_ms(self, service: ServiceName) -> float:
         """Return after which time a reused connection counts as silent."""
--- a/packages/corianderpitch/corianderpitch/daemon/statuses.py
+++ b/packages/corianderpitch/corianderpitch/daemon/statuses.py
@@ -14,7 +14,7 @@
 CHECK_INTERVAL_MS = 5.0
 
 
-class StatusDesk:
+class StatusCollector:
     """Answers status queries and collects the answers of the others."""
 
     def __init__(
--- a/packages/corianderpitch/corianderpitch/daemon/tickets.py
+++ b/packages/corianderpitch/corianderpitch/daemon/tickets.py
@@ -1,4 +1,4 @@
-"""Ticket desk: runs tickets once and passes them to the entry that may."""
+"""Ticket service: runs tickets once and passes them to the entry that may."""
 
 import itertools
 import secrets
@@ -22,7 +22,7 @@
     NotStarted,
     Start,
     Ticket,
-    TicketBook,
+    TicketStore,
     parse_ticket,
 )
 from corianderpitch.ids import (
@@ -49,7 +49,7 @@
 HANDOVER_TIMEOUT_MS = 2000.0
 
 log = logger("tickets")
-BookKey = tuple[EntryId, str]
+StoreKey = tuple[EntryId, str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +65,7 @@
     is_lost: bool = False
 
 
-class TicketDesk:
+class TicketService:
     """Tickets of this incarnation, and of those that handed theirs over."""
 
     def __init__(
@@ -81,11 +81,11 @@
         self._clock = clock
         own = membership.own
         secret = secrets.token_bytes(SECRET_BYTES)
-        self._book = TicketBook(own.entry, own.incarnation, secret)
-        self._books: dict[BookKey, TicketBook] = {
-            (own.entry, own.incarnation): self._book
+        self._store = TicketStore(own.entry, own.incarnation, secret)
+        self._stores: dict[StoreKey, TicketStore] = {
+            (own.entry, own.incarnation): self._store
         }
-        self._successors: dict[BookKey, EntryId] = {}
+        self._successors: dict[StoreKey, EntryId] = {}
         self._running: dict[TicketId, Event] = {}
         self._calls: dict[str, _PendingCall] = {}
         self._call_numbers = itertools.count()
@@ -106,7 +106,7 @@
         self, service: ServiceName, tenant: TenantName, class_name: ClassName
     ) -> TicketId:
         """Return a ticket that only this incarnation may start."""
-        return self._book.issue(service, tenant, class_name, self._clock.now_ms())
+        return self._store.issue(service, tenant, class_name, self._clock.now_ms())
 
     def use(
         self,
@@ -123,7 +123,7 @@
         ticket = parse_ticket(ticket_id)
         if ticket is None:
             return None
-        if (ticket.issuer, ticket.incarnation) in self._books:
+        if (ticket.issuer, ticket.incarnation) in self._stores:
             return self._use_here(ticket_id, ticket, timeout_ms, content_type, body)
         return self._use_elsewhere(ticket_id, ticket, timeout_ms, content_type, body)
 
@@ -135,16 +135,16 @@
         content_type: str,
         body: bytes | None,
     ) -> Outcome | None:
-        book = self._books[(ticket.issuer, ticket.incarnation)]
+        store = self._stores[(ticket.issuer, ticket.incarnation)]
         if self._is_handing_over:
             return self._use_elsewhere(
                 ticket_id, ticket, timeout_ms, content_type, body
             )
         now_ms = self._clock.now_ms()
         state = (
-            book.look_up(ticket_id, now_ms)
+            store.look_up(ticket_id, now_ms)
             if body is None
-            else book.begin(ticket_id, now_ms)
+            else store.begin(ticket_id, now_ms)
         )
         match state:
             case Finished(outcome):
@@ -154,18 +154,18 @@
             case Start():
                 self._running[ticket_id] = Event()
                 request = _request(ticket, ticket_id, timeout_ms, content_type, body)
-                eventlet.spawn_n(self._run, book, ticket_id, request)
+                eventlet.spawn_n(self._run, store, ticket_id, request)
             case Join():
                 pass
         return self._wait(self._running[ticket_id], timeout_ms)
 
-    def _run(self, book: TicketBook, ticket_id: TicketId, request: Request) -> None:
+    def _run(self, store: TicketStore, ticket_id: TicketId, request: Request) -> None:
         """Run a started ticket; it goes on when its caller hangs up."""
         outcome: Outcome = Unknown(Reason.INSTANCE_BROKE_OFF)
         try:
             outcome = self._runner.run(request)
         finally:
-            book.finish(ticket_id, outcome)
+            store.finish(ticket_id, outcome)
             self._running.pop(ticket_id).send(outcome)
 
     def _wait(self, event: Event, timeout_ms: float) -> Outcome:
@@ -259,7 +259,7 @@
     def _answer_call(self, sender: EntryId, call: TicketCall) -> None:
         ticket = parse_ticket(call.ticket)
         outcome: Outcome | None = None
-        if ticket is not None and (ticket.issuer, ticket.incarnation) in self._books:
+        if ticket is not None and (ticket.issuer, ticket.incarnation) in self._stores:
             outcome = self._use_here(
                 call.ticket, ticket, call.remaining_ms, call.content_type, call.body
             )
@@ -273,49 +273,49 @@
             pending.reply.send(record.to_outcome() if record is not None else None)
 
     def hand_over(self, successor: EntryId) -> bool:
-        """Give every book to another entry, when all tickets here have ended.
+        """Give every store to another entry, when all tickets here have ended.
 
         Returns whether the successor confirmed in time.
         """
         self._is_handing_over = True
-        for (issuer, incarnation), book in self._books.items():
+        for (issuer, incarnation), store in self._stores.items():
             finished = tuple(
                 FinishedTicket(number, issued_ms, OutcomeRecord.from_outcome(outcome))
-                for number, issued_ms, outcome in book.finished()
+                for number, issued_ms, outcome in store.finished()
             )
-            now_ms = self._clock.now_ms() - book.clock_offset_ms
+            now_ms = self._clock.now_ms() - store.clock_offset_ms
             handover = TicketHandover(
-                issuer, incarnation, book.secret, now_ms, finished
+                issuer, incarnation, store.secret, now_ms, finished
             )
             self._network.send(successor, handover, Lane.BULK)
         deadline_ms = self._clock.now_ms() + HANDOVER_TIMEOUT_MS
         while self._clock.now_ms() < deadline_ms:
-            if self._books.keys() <= self._successors.keys():
+            if self._stores.keys() <= self._successors.keys():
                 return True
             eventlet.sleep(0.01)
         return False
 
     def _on_handover(self, sender: EntryId, handover: TicketHandover) -> None:
         key = (handover.issuer, handover.incarnation)
-        if key not in self._books:
+        if key not in self._stores:
             offset_ms = self._clock.now_ms() - handover.now_ms
-            book = TicketBook(*key, handover.secret, offset_ms)
-            book.adopt(
+            store = TicketStore(*key, handover.secret, offset_ms)
+            store.adopt(
                 [
                     (item.number, item.issued_ms, item.outcome.to_outcome())
                     for item in handover.finished
                 ]
             )
-            self._books[key] = book
+            self._stores[key] = store
             log.info("Answering for the tickets of {}.", handover.issuer)
         successor = TicketSuccessor(*key, self._membership.own.entry)
         for info in self._membership.known():
             self._network.send(info.entry, successor)
 
-    def greet(self, info: MemberInfo) -> None:
+    def announce_successors(self, info: MemberInfo) -> None:
         """Tell a new entry which tickets have changed hands."""
         own = self._membership.own.entry
-        for key in self._books:
+        for key in self._stores:
             if key != (own, self._membership.own.incarnation):
                 self._network.send(info.entry, TicketSuccessor(*key, own))
 
--- a/packages/corianderpitch/corianderpitch/domain/leases.py
+++ b/packages/corianderpitch/corianderpitch/domain/leases.py
@@ -19,7 +19,7 @@
     since_ms: float
 
 
-class LeaseBoard:
+class LeaseObserver:
     """When each entry's lease was last seen to be renewed."""
 
     def __init__(self):
--- a/packages/corianderpitch/corianderpitch/domain/membership.py
+++ b/packages/corianderpitch/corianderpitch/domain/membership.py
@@ -90,7 +90,7 @@
             member.is_lost = True
 
     def left(self, entry: EntryId) -> None:
-        """Record that an entry said goodbye."""
+        """Record that an entry has announced its exit."""
         member = self._members.get(entry)
         if member is not None:
             member.has_left = True
--- a/packages/corianderpitch/corianderpitch/domain/placement.py
+++ b/packages/corianderpitch/corianderpitch/domain/placement.py
@@ -36,7 +36,7 @@
 NOTHING = Shape(0.0, 0, 0)
 
 
-class SizeBook:
+class UsageEstimator:
     """Sizes learnt from the usage that tasks report, by kind of job."""
 
     def __init__(self):
@@ -179,7 +179,7 @@
 
 
 def place_jobs(
-    view: JobsView, sizes: SizeBook, quarantined: frozenset[WorkerId]
+    view: JobsView, sizes: UsageEstimator, quarantined: frozenset[WorkerId]
 ) -> list[JobStep]:
     """Return the jobs to start now, and the tasks to stop for urgent ones."""
     usable = [
@@ -215,7 +215,7 @@
     )
 
 
-def _room(view: JobsView, sizes: SizeBook, usable: list[Worker]) -> _Room:
+def _room(view: JobsView, sizes: UsageEstimator, usable: list[Worker]) -> _Room:
     room = _Room({worker.worker: worker.capacity for worker in usable})
     for job in view.jobs.values():
         if job.state is not JobState.RUNNING:
@@ -273,7 +273,7 @@
 
 
 def _preempt(
-    view: JobsView, sizes: SizeBook, room: _Room, size: Shape
+    view: JobsView, sizes: UsageEstimator, room: _Room, size: Shape
 ) -> list[StopTask]:
     """Return the fewest ordinary tasks of one worker whose stop makes room."""
     best: list[Job] | None = None
--- a/packages/corianderpitch/corianderpitch/domain/tickets.py
+++ b/packages/corianderpitch/corianderpitch/domain/tickets.py
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Start:
-    """The caller of :meth:`TicketBook.begin` must run the request now."""
+    """The caller of :meth:`TicketStore.begin` must run the request now."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Invalid:
-    """The ticket was not issued by this book."""
+    """The ticket was not issued by this store."""
 
 
 TicketState = Start | Join | Finished | NotStarted | Invalid
@@ -85,10 +85,10 @@
     return ticket if is_number and are_texts else None
 
 
-class TicketBook:
+class TicketStore:
     """The tickets of one entry incarnation.
 
-    ``clock_offset_ms`` is how far the clock of the book's holder is ahead of
+    ``clock_offset_ms`` is how far the clock of the store's holder is ahead of
     the issuer's. ``None`` in the record means that the request is running.
     """
 
@@ -180,7 +180,7 @@
         ]
 
     def adopt(self, finished: list[tuple[int, int, Outcome]]) -> None:
-        """Take over the record of a book that ended in order."""
+        """Take over the record of a store that ended in order."""
         for number, issued_ms, outcome in finished:
             self._record[number] = (issued_ms, outcome)
             self._kept_bytes += _answer_bytes(outcome)
--- a/packages/corianderpitch/tests/test_membership.py
+++ b/packages/corianderpitch/tests/test_membership.py
@@ -1,7 +1,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from corianderpitch.domain.leases import ABANDONED_MS, LEASE_MS, LeaseBoard
+from corianderpitch.domain.leases import ABANDONED_MS, LEASE_MS, LeaseObserver
 from corianderpitch.domain.membership import (
     SETTLE_MS,
     SUSPECT_AFTER_MS,
@@ -67,7 +67,7 @@
 
 
 def test_lease_lapses_by_the_observers_own_clock():
-    board = LeaseBoard()
+    board = LeaseObserver()
     board.observe({"e1": 1, "e2": 1}, 0.0)
     board.observe({"e1": 2, "e2": 1}, LEASE_MS)
     assert board.valid(LEASE_MS) == {"e1"}
--- a/packages/corianderpitch/tests/test_owners.py
+++ b/packages/corianderpitch/tests/test_owners.py
@@ -8,7 +8,7 @@
 from corianderpitch.adapters.memory import MemoryEndpoint
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.owners import PAUSE_MS, OwnerTask, ServiceView
-from corianderpitch.daemon.permits import PermitDesk
+from corianderpitch.daemon.permits import PermitClient
 from corianderpitch.domain.dispatch import DispatchPolicy
 from corianderpitch.domain.membership import SETTLE_MS, MemberInfo, Membership
 from corianderpitch.domain.slots import InstanceSpec
@@ -22,11 +22,11 @@
         self.membership = Membership(own, -SETTLE_MS)
         self.membership.learn([MemberInfo("e2", "i2", "a", "x:2")])
         self.network = FakeNetwork("e1")
-        desk = PermitDesk(self.membership, self.network, self.clock)
+        permits = PermitClient(self.membership, self.network, self.clock)
         self.task = OwnerTask(
             self.membership,
             self.network,
-            desk,
+            permits,
             MemoryEndpoint(),
             self.clock,
             random.Random(1),
--- a/packages/corianderpitch/tests/test_placement.py
+++ b/packages/corianderpitch/tests/test_placement.py
@@ -17,8 +17,8 @@
     MIN_USAGE_SAMPLES,
     JobChange,
     JobsView,
-    SizeBook,
     StopTask,
+    UsageEstimator,
     WorkerRecord,
     can_ever_run,
     place_jobs,
@@ -54,7 +54,7 @@
 
 
 def placed(found, quarantined=frozenset(), sizes=None):
-    steps = place_jobs(found, sizes or SizeBook(), quarantined)
+    steps = place_jobs(found, sizes or UsageEstimator(), quarantined)
     starts = {s.job.job_id: s.job.worker for s in steps if isinstance(s, JobChange)}
     stops = [s.task_id for s in steps if isinstance(s, StopTask)]
     return starts, stops
@@ -75,7 +75,7 @@
         for n, (shape, priority, team) in enumerate(jobs)
     ]
     found = view(queued, workers, quotas={"a": quota, "b": quota})
-    steps = place_jobs(found, SizeBook(), frozenset())
+    steps = place_jobs(found, UsageEstimator(), frozenset())
     started = [step.job for step in steps if isinstance(step, JobChange)]
     for item in workers:
         total = Shape(0.0, 0, 0)
@@ -130,7 +130,7 @@
 
 
 def test_declared_size_is_corrected_from_usage():
-    sizes = SizeBook()
+    sizes = UsageEstimator()
     for _ in range(MIN_USAGE_SAMPLES):
         sizes.observe("k", Shape(1.0, 50))
     jobs = [job(n, processors=4.0) for n in range(4)]
--- a/packages/corianderpitch/tests/test_tickets.py
+++ b/packages/corianderpitch/tests/test_tickets.py
@@ -11,23 +11,23 @@
     Join,
     NotStarted,
     Start,
-    TicketBook,
+    TicketStore,
     parse_ticket,
 )
 
 SECRET = b"s" * 32
 
 
-def new_book():
-    return TicketBook("e1", "i1", SECRET)
+def new_store():
+    return TicketStore("e1", "i1", SECRET)
 
 
 class TicketMachine(RuleBasedStateMachine):
-    """Callers repeat tickets at any time; the book changes hands."""
+    """Callers repeat tickets at any time; the store changes hands."""
 
     @initialize()
     def set_up(self):
-        self.book = new_book()
+        self.store = new_store()
         self.now_ms = 0.0
         self.offset_ms = 0.0
         self.tickets = []
@@ -37,7 +37,7 @@
     @rule()
     def issue(self):
         if self.offset_ms == 0.0:
-            ticket = self.book.issue("s", "t", "c", self.now_ms)
+            ticket = self.store.issue("s", "t", "c", self.now_ms)
             assert ticket not in self.tickets
             self.tickets.append(ticket)
 
@@ -46,7 +46,7 @@
         if not self.tickets:
             return
         ticket = data.draw(st.sampled_from(self.tickets))
-        state = self.book.begin(ticket, self.now_ms + self.offset_ms)
+        state = self.store.begin(ticket, self.now_ms + self.offset_ms)
         match state:
             case Start():
                 assert ticket not in self.started, "started twice"
@@ -67,7 +67,7 @@
         ticket = data.draw(st.sampled_from(running))
         answer = Answered(200, "x", ticket.encode())
         outcome = answer if answered else NotRun(Reason.OVERLOAD, 5)
-        self.book.finish(ticket, outcome)
+        self.store.finish(ticket, outcome)
         self.outcomes[ticket] = outcome
 
     @rule(step_ms=st.sampled_from([1.0, TICKET_LIFETIME_MS / 2]))
@@ -78,10 +78,10 @@
     def hand_over(self, offset_ms):
         if len(self.started) != len(self.outcomes):
             return
-        finished = self.book.finished()
+        finished = self.store.finished()
         self.offset_ms = offset_ms
-        self.book = TicketBook("e1", "i1", SECRET, offset_ms)
-        self.book.adopt(finished)
+        self.store = TicketStore("e1", "i1", SECRET, offset_ms)
+        self.store.adopt(finished)
 
 
 TestTickets = TicketMachine.TestCase
@@ -89,12 +89,12 @@
 
 @given(st.text(max_size=40), st.integers(0, 200))
 def test_forged_or_changed_ticket_is_invalid(text, position):
-    book = new_book()
-    ticket = book.issue("s", "t", "c", 0.0)
+    store = new_store()
+    ticket = store.issue("s", "t", "c", 0.0)
     spot = position % len(ticket)
     changed = ticket[:spot] + ("A" if ticket[spot] != "A" else "B") + ticket[spot + 1 :]
-    assert isinstance(book.begin(changed, 0.0), Invalid)
-    assert isinstance(book.begin(text, 0.0), Invalid)
+    assert isinstance(store.begin(changed, 0.0), Invalid)
+    assert isinstance(store.begin(text, 0.0), Invalid)
 
 
 @given(st.text(max_size=60))
@@ -103,31 +103,31 @@
 
 
 def test_looking_up_does_not_start():
-    book = new_book()
-    ticket = book.issue("s", "t", "c", 0.0)
-    assert isinstance(book.look_up(ticket, 0.0), NotStarted)
-    assert isinstance(book.begin(ticket, 0.0), Start)
+    store = new_store()
+    ticket = store.issue("s", "t", "c", 0.0)
+    assert isinstance(store.look_up(ticket, 0.0), NotStarted)
+    assert isinstance(store.begin(ticket, 0.0), Start)
 
 
 def test_kept_answers_are_bounded():
-    book = new_book()
+    store = new_store()
     body = bytes(MAX_KEPT_ANSWER_BYTES // 2)
-    tickets = [book.issue("s", "t", "c", 0.0) for _ in range(3)]
+    tickets = [store.issue("s", "t", "c", 0.0) for _ in range(3)]
     for ticket in tickets:
-        book.begin(ticket, 0.0)
-        book.finish(ticket, Answered(200, "x", body))
-    first = book.look_up(tickets[0], 1.0)
-    last = book.look_up(tickets[2], 1.0)
+        store.begin(ticket, 0.0)
+        store.finish(ticket, Answered(200, "x", body))
+    first = store.look_up(tickets[0], 1.0)
+    last = store.look_up(tickets[2], 1.0)
     assert first == Finished(Unknown(Reason.TICKET_EXPIRED))
     assert isinstance(last.outcome, Answered)
 
 
 def test_lifetime_counts_on_after_a_handover_between_clocks():
-    book = new_book()
-    ticket = book.issue("s", "t", "c", 1000.0)
+    store = new_store()
+    ticket = store.issue("s", "t", "c", 1000.0)
     ahead_ms = 50 * TICKET_LIFETIME_MS
-    successor = TicketBook("e1", "i1", SECRET, ahead_ms)
+    successor = TicketStore("e1", "i1", SECRET, ahead_ms)
     assert isinstance(successor.begin(ticket, ahead_ms + 2000.0), Start)
     late_ms = ahead_ms + 2 * TICKET_LIFETIME_MS
-    other = TicketBook("e1", "i1", SECRET, ahead_ms)
+    other = TicketStore("e1", "i1", SECRET, ahead_ms)
     assert other.begin(ticket, late_ms) == Finished(Unknown(Reason.TICKET_EXPIRED))
