--- a/packages/corianderpitch-standins/corianderpitch_standins/modellending.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/modellending.py
@@ -8,10 +8,17 @@
 
 import itertools
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from corianderpitch.domain.dispatch import DispatchPolicy, ServiceDispatcher
-from corianderpitch.domain.effects import Effect, ProbeLoad, SendGrant, SendRefusal
+from corianderpitch.domain.effects import (
+    Effect,
+    Offer,
+    ProbeLoad,
+    SendGrant,
+    SendRefusal,
+)
 from corianderpitch.domain.fairqueue import Waiting
 from corianderpitch.domain.lending import (
     Lend,
@@ -165,7 +172,7 @@
                     )
                     self._perform(pool, more)
 
-    def _finish(self, pool: int, request: Waiting, offer, run_ms: float) -> None:
+    def _finish(self, pool: int, request: Waiting, offer: Offer, run_ms: float) -> None:
         self._running[offer.vm_id] -= 1
         if self._events.now_ms <= request.deadline_ms:
             self.result.in_time += 1
@@ -204,7 +211,9 @@
         lent = sum(1 for vm in active if self._home[vm] == spare and pool != spare)
         return PoolDemand(str(pool), len(active), SLOTS, needed, lent)
 
-    def _move_one(self, source: int, target: int, may_move) -> None:
+    def _move_one(
+        self, source: int, target: int, may_move: Callable[[str], bool]
+    ) -> None:
         """Close a VM, wait until nothing runs on it, and open it elsewhere."""
         candidates = [
             vm
