Let tests share one fleet file, and read members in one place

Cause: the same fleet file stood in six tests and the reading of entries' leases in two tasks; one method had no caller. Behaviour is unchanged. Ruled out: merging the tests' additions to that file; each test states its own.

--- a/packages/corianderpitch/corianderpitch/daemon/leases.py
+++ b/packages/corianderpitch/corianderpitch/daemon/leases.py
@@ -24,6 +24,17 @@
 log = logger("leases")
 
 
+def take_in_members(
+    rows: list[Row], members: MembershipTask, observer: LeaseObserver, now_ms: float
+) -> None:
+    """Learn of the entries in the table and note which leases were renewed."""
+    records = [decode_row(MemberRecord, row.value) for row in rows]
+    members.learn([record.info for record in records])
+    pairs = zip(records, rows, strict=True)
+    versions = {record.info.entry: row.version for record, row in pairs}
+    observer.observe(versions, now_ms)
+
+
 class LeaseTask:
     """Renews one's own lease and watches those of the others."""
 
@@ -41,7 +52,7 @@
         self._key = member_key(membership.own)
         self._version = 0
         self._sequence = 0
-        self.board = LeaseObserver()
+        self.observer = LeaseObserver()
 
     def run(self) -> None:
         """Renew and scan for ever."""
@@ -67,13 +78,7 @@
         now_ms = self._clock.now_ms()
         match self._table.scan(MEMBER_PREFIX):
             case Success(rows):
-                records = [decode_row(MemberRecord, row.value) for row in rows]
-                self._members.learn([record.info for record in records])
-                versions = {
-                    record.info.entry: row.version
-                    for record, row in zip(records, rows, strict=True)
-                }
-                self.board.observe(versions, now_ms)
+                take_in_members(rows, self._members, self.observer, now_ms)
                 self._delete_lapsed(rows, now_ms)
 
     def give_up(self) -> None:
@@ -92,7 +97,7 @@
         """Remove rows that nobody has renewed for long, and forget the entries."""
         for row in rows:
             info = decode_row(MemberRecord, row.value).info
-            if not self.board.is_abandoned(info.entry, now_ms):
+            if not self.observer.is_abandoned(info.entry, now_ms):
                 continue
             if info.entry in self._membership.live(now_ms):
                 continue  # it is only cut off from the platform
--- a/packages/corianderpitch/corianderpitch/daemon/managerview.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managerview.py
@@ -8,6 +8,7 @@
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.documents import DocumentTask
+from corianderpitch.daemon.leases import take_in_members
 from corianderpitch.daemon.members import MembershipTask
 from corianderpitch.domain.leases import LeaseObserver
 from corianderpitch.domain.manager import SiteSnapshot
@@ -21,7 +22,6 @@
     FLEET_PREFIX,
     MEMBER_PREFIX,
     WAVE_PREFIX,
-    MemberRecord,
     RowValue,
     decode_row,
     fleet_key,
@@ -55,7 +55,7 @@
         self._clock = clock
         self._rows: dict[str, Row] = {}
         self._decoded: dict[str, _Decoded] = {}
-        self._board = LeaseObserver()
+        self._leases = LeaseObserver()
         self._next_wave_scan_ms = 0.0
         self._next_member_scan_ms = 0.0
 
@@ -93,13 +93,7 @@
             return True
         match self._table.scan(MEMBER_PREFIX):
             case Success(rows):
-                records = [decode_row(MemberRecord, row.value) for row in rows]
-                self._members.learn([record.info for record in records])
-                versions = {
-                    record.info.entry: row.version
-                    for record, row in zip(records, rows, strict=True)
-                }
-                self._board.observe(versions, now_ms)
+                take_in_members(rows, self._members, self._leases, now_ms)
                 self._next_member_scan_ms = now_ms + MEMBER_SCAN_INTERVAL_MS
                 return True
         return False
@@ -143,7 +137,7 @@
     def sites(self) -> dict[DataCenterId, SiteSnapshot]:
         """Return every data centre with the entries whose leases are valid."""
         config = self._documents.config
-        valid = self._board.valid(self._clock.now_ms())
+        valid = self._leases.valid(self._clock.now_ms())
         return {site: self._site_snapshot(site, valid) for site in config.base.sites}
 
     def _site_snapshot(
--- a/packages/corianderpitch/corianderpitch/daemon/owners.py
+++ b/packages/corianderpitch/corianderpitch/daemon/owners.py
@@ -137,10 +137,6 @@
         """Return the dispatchers of this entry, for reports."""
         return self._owned
 
-    def knows(self, service: ServiceName) -> bool:
-        """Tell whether a service is configured."""
-        return service in self._views
-
     def give_up(self) -> None:
         """Resign from every service, before an orderly exit."""
         self._membership.settle(float("inf"))
--- a/packages/corianderpitch/tests/fakes.py
+++ b/packages/corianderpitch/tests/fakes.py
@@ -1,4 +1,18 @@
-"""Small fakes shared by the tests."""
+"""Small fakes and a small fleet file, shared by the tests."""
+
+BASE = """
+name = "x"
+[sites.a]
+region = "r"
+[pools.p]
+vm_processors = 1
+vm_memory_mb = 1
+[services.s]
+pool = "p"
+instance_slots = 8
+instance_connections = 64
+budget = { min_available = 1 }
+"""
 
 
 class FakeNetwork:
--- a/packages/corianderpitch/tests/test_callers.py
+++ b/packages/corianderpitch/tests/test_callers.py
@@ -4,34 +4,27 @@
 from types import SimpleNamespace
 
 import pytest
+from fakes import BASE
 
 from corianderpitch.daemon.callers import CallerApp
 from corianderpitch.domain.fleetfile import check_fleet
 from corianderpitch.domain.outcomes import Answered, NotRun, Reason, Unknown
 
-BASE = """
-name = "x"
-[sites.a]
-region = "r"
+FLEET = (
+    BASE
+    + """
 [sites.b]
 region = "r"
 [sites.far]
 region = "q"
-[pools.p]
-vm_processors = 1
-vm_memory_mb = 1
-[services.s]
-pool = "p"
-instance_slots = 8
-instance_connections = 64
-budget = { min_available = 1 }
 """
+)
 
 
 class Caller:
     def __init__(self):
         self.outcome = Answered(200, "text/plain", b"whole")
-        config = check_fleet(BASE, {})
+        config = check_fleet(FLEET, {})
         documents = SimpleNamespace(config=config, is_ready=True)
         runner = SimpleNamespace(run=self.run)
         own = SimpleNamespace(entry="e1", incarnation="i1", data_center="a")
@@ -120,6 +113,6 @@
 
 
 def test_slots_are_borrowed_within_the_region_only():
-    config = check_fleet(BASE, {})
+    config = check_fleet(FLEET, {})
     assert config.base.same_region("a") == {"b"}
     assert config.base.same_region("unknown") == frozenset()
--- a/packages/corianderpitch/tests/test_documents.py
+++ b/packages/corianderpitch/tests/test_documents.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from fakes import FakeNetwork
+from fakes import BASE, FakeNetwork
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.result import Failure
@@ -18,20 +18,6 @@
 from corianderpitch.ports import Row
 from corianderpitch.records import CONFIG_HEAD_KEY, ConfigRecord, encode_row
 
-BASE = """
-name = "x"
-[sites.a]
-region = "r"
-[pools.p]
-vm_processors = 1
-vm_memory_mb = 1
-[services.s]
-pool = "p"
-instance_slots = 8
-instance_connections = 64
-budget = { min_available = 1 }
-"""
-
 
 class CutOffTable(MemoryTable):
     def read(self, known):
--- a/packages/corianderpitch/tests/test_fleetfile.py
+++ b/packages/corianderpitch/tests/test_fleetfile.py
@@ -1,6 +1,7 @@
 from pathlib import Path
 
 import pytest
+from fakes import BASE
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -8,19 +9,6 @@
 from corianderpitch.domain.problems import ProblemKind
 
 EXAMPLES = Path(__file__).parents[3] / "examples"
-BASE = """
-name = "x"
-[sites.a]
-region = "r"
-[pools.p]
-vm_processors = 1
-vm_memory_mb = 1
-[services.s]
-pool = "p"
-instance_slots = 8
-instance_connections = 64
-budget = { min_available = 1 }
-"""
 
 
 def problems(base, **overlays):
--- a/packages/corianderpitch/tests/test_jobs.py
+++ b/packages/corianderpitch/tests/test_jobs.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 import pytest
+from fakes import BASE
 from returns.result import Failure, Success
 
 from corianderpitch.adapters.memory import MemoryTable, MemoryWorkers
@@ -14,21 +15,13 @@
 from corianderpitch.domain.membership import MemberInfo
 from corianderpitch.errors import JobRefusal, OutcomeLost
 
-BASE = """
-name = "x"
-[sites.a]
-region = "r"
-[pools.p]
-vm_processors = 1
-vm_memory_mb = 1
-[services.s]
-pool = "p"
-instance_slots = 8
-instance_connections = 64
-budget = { min_available = 1 }
+FLEET = (
+    BASE
+    + """
 [teams.small]
 max_processors = 2.0
 """
+)
 
 
 class LossyTable(MemoryTable):
@@ -50,7 +43,7 @@
         self.table = LossyTable()
         found = tuple(Worker(f"w{n}", "r", Shape(4.0, 4000)) for n in range(2))
         self.workers = MemoryWorkers({"a": found})
-        self.documents = SimpleNamespace(config=check_fleet(BASE, {}), is_ready=True)
+        self.documents = SimpleNamespace(config=check_fleet(FLEET, {}), is_ready=True)
         self.operations = JobOperations(
             self.table, self.workers, self.documents, self.clock
         )
--- a/packages/corianderpitch/tests/test_managers.py
+++ b/packages/corianderpitch/tests/test_managers.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from fakes import FakeNetwork
+from fakes import BASE, FakeNetwork
 
 from corianderpitch.adapters.memory import MemoryTable, MemoryVmActions, MemoryVmList
 from corianderpitch.clock import ManualClock
@@ -24,19 +24,6 @@
 from corianderpitch.messages import Report
 from corianderpitch.records import decode_row, fleet_key
 
-BASE = """
-name = "x"
-[sites.a]
-region = "r"
-[pools.p]
-vm_processors = 1
-vm_memory_mb = 1
-[services.s]
-pool = "p"
-instance_slots = 8
-instance_connections = 64
-budget = { min_available = 1 }
-"""
 REBOOT = VmOperation("op", OperationKind.REBOOT)
 
 
--- a/packages/corianderpitch/tests/test_operations.py
+++ b/packages/corianderpitch/tests/test_operations.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 import pytest
+from fakes import BASE
 from returns.result import Failure, Success
 
 from corianderpitch.adapters.memory import MemoryTable
@@ -30,22 +31,14 @@
 from corianderpitch.ports import Write
 from corianderpitch.records import encode_row
 
-BASE = """
-name = "x"
-[sites.a]
-region = "r"
-[pools.p]
-vm_processors = 1
-vm_memory_mb = 1
+FLEET = (
+    BASE
+    + """
 [pools.q]
 vm_processors = 1
 vm_memory_mb = 1
-[services.s]
-pool = "p"
-instance_slots = 8
-instance_connections = 64
-budget = { min_available = 1 }
 """
+)
 
 
 class LossyTable(MemoryTable):
@@ -73,7 +66,7 @@
 
 @pytest.fixture
 def operations(table):
-    documents = SimpleNamespace(offer=lambda rows: None, config=check_fleet(BASE, {}))
+    documents = SimpleNamespace(offer=lambda rows: None, config=check_fleet(FLEET, {}))
     return FleetOperations(table, documents, ManualClock())
 
 
@@ -83,13 +76,13 @@
     return ConfigOperations(table, documents, operations, ManualClock())
 
 
-def change(based_on, operation_id, text=BASE):
+def change(based_on, operation_id, text=FLEET):
     return ConfigChange(based_on, operation_id, "me", text, {})
 
 
 def test_racing_operator_gets_a_conflict_with_the_difference(configs):
     configs.apply_config(change(0, "first"))
-    configs.apply_config(change(1, "second", BASE.replace('"r"', '"r2"')))
+    configs.apply_config(change(1, "second", FLEET.replace('"r"', '"r2"')))
     conflict = configs.apply_config(change(1, "third")).failure()
     assert isinstance(conflict, ConfigConflict)
     assert conflict.head_revision == 2
@@ -112,11 +105,11 @@
 
 
 def test_configuration_must_fit_the_vms_there_are(configs):
-    large = BASE.replace("min_available = 1", "min_available = 4")
+    large = FLEET.replace("min_available = 1", "min_available = 4")
     large = large.replace("[pools.p]", "[pools.r]").replace('pool = "p"', 'pool = "r"')
     refused = configs.apply_config(change(0, "op", large)).failure()
     assert [p.path for p in refused.problems] == ["pools.p"]
-    too_much = BASE.replace("min_available = 1", "min_available = 4")
+    too_much = FLEET.replace("min_available = 1", "min_available = 4")
     refused = configs.apply_config(change(0, "op", too_much)).failure()
     assert [p.path for p in refused.problems] == ["services.s.budget.min_available"]
 
