--- a/packages/corianderpitch/tests/test_managers.py
+++ b/packages/corianderpitch/tests/test_managers.py
@@ -58,10 +58,21 @@
         self.network.handlers[Report]("e1", Report(report))
 
 
+class JumpingClock(ManualClock):
+    """A clock whose wall time is set by hand, apart from its monotonic time."""
+
+    def __init__(self):
+        super().__init__()
+        self.wall = 0
+
+    def wall_ms(self):
+        return self.wall
+
+
 class World:
     def __init__(self):
         self.table = MemoryTable()
-        self.clock = ManualClock()
+        self.clock = JumpingClock()
         self.actions = MemoryVmActions()
         vms = tuple(
             ListedVm(f"vm{n}", "a", "rack", "p", "addr", VmStatus.LIVE)
@@ -127,3 +138,21 @@
     world.act()
     assert not world.entry.manager.is_holder
     assert world.fleet()[1]["vm0"].state is VmState.ACTIVE
+
+
+@pytest.mark.parametrize("jump_ms", [365 * 86_400_000, -365 * 86_400_000])
+def test_wall_clock_that_jumps_changes_no_decision(world, jump_ms):
+    """A reboot goes on, the role stays, and a rival finds no lapsed lease."""
+    world.act()
+    world.entry.operations.request_vm("vm0", REBOOT).unwrap()
+    world.act()
+    assert world.fleet()[1]["vm0"].state is VmState.DRAINING
+    world.clock.wall += jump_ms
+    rival = world.new_entry("e2")
+    rival.documents.poll()
+    rival.manager.act_once()
+    world.act()
+    assert world.entry.manager.is_holder
+    assert not rival.manager.is_holder
+    assert world.fleet()[1]["vm0"].operation == REBOOT
+    assert world.entry.documents.config_record.revision == 1
