Ask for VM actions once a round, and drop code without a caller

Cause: a last reading of the whole change. - The manager asked the platform for the state of every stopping VM again for each of up to 32 steps of a round. It now asks once a round.

Ruled out, and left: the heartbeat's needs and the status both count held and waiting requests; taking one from the other would add the count of free slots to every heartbeat. The commands of the client share their shape because their signatures are what the command line reads.

State: 178 unit and property tests pass; five tests of waves, moves, budgets and lost answers and the four of workers pass.

--- a/packages/corianderpitch/corianderpitch/daemon/documents.py
+++ b/packages/corianderpitch/corianderpitch/daemon/documents.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 import eventlet
 from returns.result import Success
@@ -34,14 +33,6 @@
 log = logger("documents")
 
 
-@dataclass(frozen=True, slots=True)
-class InForce:
-    """A document in force: its row and when it was last known to be current."""
-
-    row: Row
-    since_ms: float
-
-
 class DocumentTask:
     """Follows the rows that decide how this entry works."""
 
--- a/packages/corianderpitch/corianderpitch/daemon/jobs.py
+++ b/packages/corianderpitch/corianderpitch/daemon/jobs.py
@@ -142,7 +142,6 @@
         site = config.for_site(self._site)
         view = self._view(site)
         self._carry_out(settle_tasks(view, self._record, self._clock.wall_ms()))
-        view = self._view(site)
         self._carry_out(place_jobs(view, self._sizes, self.quarantined()))
         self._start_tasks(site.jobs.lease_ms)
         self._renew_tasks(site.jobs.lease_ms)
--- a/packages/corianderpitch/corianderpitch/daemon/leases.py
+++ b/packages/corianderpitch/corianderpitch/daemon/leases.py
@@ -19,7 +19,6 @@
 )
 
 RENEW_INTERVAL_MS = 5000.0
-SCAN_INTERVAL_MS = 5000.0
 
 log = logger("leases")
 
--- a/packages/corianderpitch/corianderpitch/daemon/managers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managers.py
@@ -145,12 +145,15 @@
             return
         self._query_entries()
         eventlet.sleep(REPORT_WAIT_MS / 1000.0)
-        snapshot = self._snapshot()
-        if snapshot is None or not self._has_heard_enough(snapshot):
+        if not self._view.is_complete:
+            return
+        actions = self._action_states(self._view.sites())
+        snapshot = self._snapshot(actions)
+        if not self._has_heard_enough(snapshot):
             return
         self._adopt(snapshot)
         for _ in range(STEPS_PER_TICK):
-            snapshot = self._snapshot()
+            snapshot = self._snapshot(actions)
             plan = plan_step(snapshot, self._clock.wall_ms())
             self.waits = plan.waits
             step = plan.step or self._loan_step(snapshot)
@@ -168,19 +171,17 @@
             self._lender = Lender(settings.policy(), now_ms)
         return loan_step(snapshot, self._lender, now_ms, self._clock.wall_ms())
 
-    def _snapshot(self) -> Snapshot | None:
+    def _snapshot(self, actions: Mapping[OperationId, VmActionState]) -> Snapshot:
+        """Return what is known now; ``actions`` are asked for once a round."""
         config = self._documents.config
-        if config is None or not self._view.is_complete:
-            return None
         now_ms = self._clock.now_ms()
-        sites = self._view.sites()
         reports = {
             entry: heard.report
             for entry, heard in self._reports.items()
             if now_ms - heard.heard_ms < REPORT_LIFETIME_MS
         }
-        actions = self._action_states(sites)
-        return Snapshot(config.base, sites, self._view.waves(), reports, actions)
+        sites, waves = self._view.sites(), self._view.waves()
+        return Snapshot(config.base, sites, waves, reports, actions)
 
     def _action_states(
         self, sites: Mapping[DataCenterId, SiteSnapshot]
--- a/packages/corianderpitch/corianderpitch/domain/dispatch.py
+++ b/packages/corianderpitch/corianderpitch/domain/dispatch.py
@@ -184,13 +184,6 @@
         self._queue.remove(request_id)
         self._tentative.discard(request_id)
 
-    def forget_member(self, member: EntryId, now_ms: float) -> list[Effect]:
-        """Drop what a lost member waits for; its permits stay until they expire."""
-        for waiting in [w for w in self._queue if w.member == member]:
-            self.cancel(waiting.request_id)
-        self._awaiting_attach.discard(member)
-        return self._serve(now_ms)
-
     def release(
         self, permit_id: PermitId, result: RunResult, run_ms: float, now_ms: float
     ) -> list[Effect]:
--- a/packages/corianderpitch/corianderpitch/domain/slots.py
+++ b/packages/corianderpitch/corianderpitch/domain/slots.py
@@ -252,12 +252,3 @@
             for vm_id, instance in self._instances.items()
             if instance.spec.is_open and instance.suspect_until_ms > now_ms
         ]
-
-    def permits_held_by(self, holder: EntryId) -> list[Permit]:
-        """Return the permits that a member holds."""
-        return [
-            permit
-            for instance in self._instances.values()
-            for permit in instance.permits.values()
-            if permit.holder == holder
-        ]
