Reach platform and instances from the entry's own address

A log of each look at the role's rows showed the cut-off holder renewing its lease all the time: entries connected to the platform without a source address, so that the proxy saw 127.0.0.1 and no rule for a data centre ever matched. The cuts from the platform in the tests had therefore cut nothing but peers.

Ruled out: the takeover itself (the seeker looked once a second and saw the beat's version change); the lease's length; the operators' request.

A holder that could not renew for the lease's time is no longer shown as manager or scheduler, and its reasons for waiting are no longer shown; its fence was and is what keeps it from acting.

Before: the new test, which waits for the cut entry's own status to show the loss and for a new manager, fails at the cut. After: it passes; 45 integration tests and the unit tests pass with cuts that really cut the platform.

--- a/packages/corianderpitch/corianderpitch/adapters/endpointhttp.py
+++ b/packages/corianderpitch/corianderpitch/adapters/endpointhttp.py
@@ -54,10 +54,14 @@
 
 
 class HttpEndpoint(Endpoint):
-    """Runs requests on instances and keeps their connections."""
+    """Runs requests on instances and keeps their connections.
 
-    def __init__(self, clock: Clock):
+    Connections leave from ``source_host``, by default the system's choice.
+    """
+
+    def __init__(self, clock: Clock, source_host: str = ""):
         self._clock = clock
+        self._source = (source_host, 0)
         self._idle: dict[str, list[_Idle]] = defaultdict(list)
 
     def run(
@@ -108,7 +112,9 @@
     ) -> Result[HTTPConnection, InstanceError]:
         host, _, port = address.rpartition(":")
         timeout_s = CONNECT_TIMEOUT_MS / 1000.0
-        connection = HTTPConnection(host, int(port), timeout=timeout_s)
+        connection = HTTPConnection(
+            host, int(port), timeout=timeout_s, source_address=self._source
+        )
         try:
             connection.connect()
         except (*_CONNECT_ERRORS, OSError):
--- a/packages/corianderpitch/corianderpitch/adapters/platformhttp.py
+++ b/packages/corianderpitch/corianderpitch/adapters/platformhttp.py
@@ -54,12 +54,20 @@
 
 
 class HttpPlatform(TableService, VmList, VmActions, Workers):
-    """The platform's table, VM list, VM actions and workers."""
+    """The platform's table, VM list, VM actions and workers.
 
-    def __init__(self, base_url: str):
+    Connections leave from ``source_host``, by default the system's choice.
+    """
+
+    def __init__(self, base_url: str, source_host: str = ""):
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
         self._base_url = base_url
-        self._pool = urllib3.PoolManager(timeout=timeout, retries=False, maxsize=4)
+        self._pool = urllib3.PoolManager(
+            timeout=timeout,
+            retries=False,
+            maxsize=4,
+            source_address=(source_host, 0),
+        )
 
     def read(self, known: Mapping[str, int]) -> Result[dict[str, Row], PlatformError]:
         """Read the rows whose version differs from the known one."""
--- a/packages/corianderpitch/corianderpitch/daemon/entry.py
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -65,6 +65,7 @@
         self._caller_listener = _listen("listen", settings.listen)
         self._operator_listener = _listen("operator-listen", settings.operator_listen)
         self._peer_listener = _listen("peer-listen", settings.peer_listen)
+        self._source_host = Address.from_text("", settings.peer_listen).host
         own = MemberInfo(
             EntryId(settings.entry),
             secrets.token_hex(INCARNATION_BYTES),
@@ -83,8 +84,8 @@
 
     def _build_platform(self) -> None:
         if self._settings.platform:
-            services = HttpPlatform(self._settings.platform)
-            self._endpoint = HttpEndpoint(self._clock)
+            services = HttpPlatform(self._settings.platform, self._source_host)
+            self._endpoint = HttpEndpoint(self._clock, self._source_host)
         else:
             sample = SamplePlatform(DataCenterId(self._settings.data_center))
             services = sample
@@ -97,8 +98,7 @@
         clock = self._clock
         self._metrics = Metrics()
         self._membership = Membership(own, clock.now_ms())
-        source_host = Address.from_text("", self._settings.peer_listen).host
-        self._network = PeerNetwork(own, clock, source_host)
+        self._network = PeerNetwork(own, clock, self._source_host)
         self._members = MembershipTask(
             self._membership,
             self._network,
--- a/packages/corianderpitch/corianderpitch/daemon/jobs.py
+++ b/packages/corianderpitch/corianderpitch/daemon/jobs.py
@@ -101,7 +101,7 @@
     @property
     def is_holder(self) -> bool:
         """Tell whether this entry places the jobs of its data centre."""
-        return self._role.is_held
+        return self._role.is_renewed
 
     def quarantined(self) -> frozenset[WorkerId]:
         """Return the workers that fail whatever they start."""
--- a/packages/corianderpitch/corianderpitch/daemon/managers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managers.py
@@ -99,13 +99,18 @@
             MANAGER_LEASE_MS,
         )
         self._next_list_ms = 0.0
-        self.waits: Mapping[VmId, Wait] = {}
+        self._waits: Mapping[VmId, Wait] = {}
         network.handle(Report, self._on_report)
 
     @property
     def is_holder(self) -> bool:
-        """Tell whether this entry believes that it holds the role."""
-        return self._role.is_held
+        """Tell whether this entry holds the role by a lease that is valid."""
+        return self._role.is_renewed
+
+    @property
+    def waits(self) -> Mapping[VmId, Wait]:
+        """Return why operations wait; nothing while another entry may hold the role."""
+        return self._waits if self.is_holder else {}
 
     def run(self) -> None:
         """Seek the role and act while holding it, for ever."""
@@ -128,7 +133,7 @@
         """Forget what an earlier term has left."""
         self._view.clear()
         self._reports.clear()
-        self.waits = {}
+        self._waits = {}
 
     def _has_work(self) -> bool:
         """Tell whether an operation or a wave is under way."""
@@ -155,7 +160,7 @@
         for _ in range(STEPS_PER_TICK):
             snapshot = self._snapshot(actions)
             plan = plan_step(snapshot, self._clock.wall_ms())
-            self.waits = plan.waits
+            self._waits = plan.waits
             step = plan.step or self._loan_step(snapshot)
             if step is None or not self._commit(step):
                 return
--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -47,12 +47,23 @@
         self._beat_seen_ms = clock.now_ms()
         self._next_beat_ms = 0.0
         self._held_since_ms: float | None = None
+        self._renewed_ms = 0.0
 
     @property
     def is_held(self) -> bool:
         """Tell whether this entry believes that it holds the role."""
         return self._held_since_ms is not None
 
+    @property
+    def is_renewed(self) -> bool:
+        """Tell whether the role is held by a lease that cannot have lapsed yet.
+
+        A holder that is cut off from the table goes on trying, and its fence
+        keeps it from changing anything; to operators it is no holder.
+        """
+        age_ms = self._clock.now_ms() - self._renewed_ms
+        return self.is_held and age_ms < self._lease_ms
+
     @property
     def held_for_ms(self) -> float:
         """Return for how long this entry has held the role."""
@@ -82,6 +93,7 @@
         match self._table.commit((self.fence(),), (write,)):
             case Success(_):
                 self._next_beat_ms = now_ms + self._beat_interval_ms
+                self._renewed_ms = now_ms
                 return True
         self.verify()
         return False
@@ -114,6 +126,7 @@
                 self._epoch = epoch.epoch
                 self._epoch_version = versions[self._epoch_key]
                 self._held_since_ms = self._clock.now_ms()
+                self._renewed_ms = self._held_since_ms
                 self._next_beat_ms = 0.0
                 log.info("Taking the role {}, epoch {}.", self._name, epoch.epoch)
                 return True
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -44,6 +44,19 @@
     return fleet.entries[holders[0]] if holders else None
 
 
+def status_by(fleet, entry):
+    status = fleet.http.request("GET", f"{entry.operator_url}/v1/status").json()
+    return {e["entry"]: e for e in status["entries"]}
+
+
+def has_lost_the_platform(fleet, entry):
+    return status_by(fleet, entry)[entry.name]["platform_age_ms"] > 2500.0
+
+
+def managers_by(fleet, entry):
+    return [e for e in status_by(fleet, entry).values() if e["is_manager"]]
+
+
 class BudgetWatch:
     """Samples how many VMs of each pool are active, until stopped."""
 
@@ -170,6 +183,27 @@
     wait_until(lambda: state_of(fleet, "s1-b-0") == "active", 10.0, "active")
 
 
+def test_manager_of_a_cut_off_data_centre_is_replaced(fleet):
+    """The others go on; the old manager's VMs wait, and it wakes as nobody."""
+    old = manager_of(fleet)
+    other = "b" if old.data_center == "a" else "a"
+    fleet.set_rules(*fleet.cut_site(old.data_center))
+    wait_until(lambda: has_lost_the_platform(fleet, old), 10.0, "the cut")
+    ask_vm(fleet, f"s1-{old.data_center}-0", "reboot")
+    seen_there = fleet.entries[f"{other}0"]
+    wait_until(lambda: managers_by(fleet, seen_there), 15.0, "a new manager")
+    wait_until(lambda: not managers_by(fleet, old), 10.0, "the old one gives up")
+    wait_until(
+        lambda: fleet.vm_records()[f"s1-{old.data_center}-0"]["wait"] == "cut_off",
+        10.0,
+        "the reason is shown",
+    )
+    fleet.set_rules()
+    wait_until(lambda: fleet.platform_counts()["performed"], 30.0, "the reboot")
+    wait_until(lambda: len(managers_by(fleet, old)) == 1, 10.0, "one manager")
+    assert manager_of(fleet).data_center == other
+
+
 def test_failed_vm_holds_a_wave_until_it_is_back(fleet):
     fleet.list_vm("s1-a-1", "failed")
     wait_until(lambda: state_of(fleet, "s1-a-1") == "failed", 10.0, "failed")
