Close idle connections to instances that are never used again

Cause: reading for leaks.

Ruled out: the limit of idle connections (it holds for each instance).

Change: what has been idle for 5 s is closed at the next connection kept.

--- a/packages/corianderpitch/corianderpitch/adapters/endpointhttp.py
+++ b/packages/corianderpitch/corianderpitch/adapters/endpointhttp.py
@@ -64,6 +64,7 @@
         self._clock = clock
         self._source = (source_host, 0)
         self._idle: dict[str, list[_Idle]] = defaultdict(list)
+        self._next_sweep_ms = 0.0
 
     def start(
         self, vm_id: VmId, address: str, call: Call
@@ -124,12 +125,28 @@
 
     def keep(self, address: str, connection: HTTPConnection, idle_limit: int) -> None:
         """Keep a connection for reuse, if there is room for it."""
+        self._close_old()
         idle = self._idle[address]
         if connection.sock is None or len(idle) >= idle_limit:
             connection.close()
             return
         idle.append(_Idle(connection, self._clock.now_ms()))
 
+    def _close_old(self) -> None:
+        """Close what has been idle for long, also to VMs that are gone for good."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_sweep_ms:
+            return
+        self._next_sweep_ms = now_ms + MAX_IDLE_MS
+        for address, idle in list(self._idle.items()):
+            young = [i for i in idle if now_ms - i.since_ms <= MAX_IDLE_MS]
+            for old in idle[: len(idle) - len(young)]:
+                old.connection.close()
+            if young:
+                self._idle[address] = young
+            else:
+                del self._idle[address]
+
     def condemn_idle(self, address: str) -> None:
         """Close the idle connections to an instance."""
         for idle in self._idle.pop(address, []):
