Count an instance's connections in a test, under 96 callers

The promise of at most 64 connections had no test. The instance now counts the connections open at once. The bound is the configured limit.

--- a/packages/corianderpitch-standins/corianderpitch_standins/instance.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/instance.py
@@ -17,7 +17,13 @@
 
 import eventlet
 
-from corianderpitch_standins.jsonserver import RawReply, announce, listen, serve
+from corianderpitch_standins.jsonserver import (
+    RawReply,
+    announce,
+    connection_pool,
+    listen,
+    serve,
+)
 
 DEFAULT_SLOTS = 8
 DEFAULT_RUN_MS = 20.0
@@ -26,7 +32,9 @@
 class Instance:
     """Slots, faults and run log of one instance."""
 
-    def __init__(self, slots: int, seed: int):
+    def __init__(self, slots: int, seed: int, connections: eventlet.GreenPool):
+        self._connections = connections
+        self._max_connections = 0
         self._slots = slots
         self._rng = random.Random(seed)
         self._running = 0
@@ -43,8 +51,10 @@
         """Handle one HTTP request."""
         match (method, path):
             case ("POST", "/run"):
+                self._count_connections()
                 return self._run(body)
             case ("GET", "/load"):
+                self._count_connections()
                 self._hold_while_silent()
                 return {"running": self._running, "leaving": self._is_leaving}
             case ("GET", "/log"):
@@ -53,6 +63,10 @@
                 return self._control(json.loads(body))
         return RawReply("404 Not Found", b"")
 
+    def _count_connections(self) -> None:
+        is_open = self._connections.running()
+        self._max_connections = max(self._max_connections, is_open)
+
     def _run(self, body: bytes) -> Any:
         if self._is_leaving:
             self._refused_leaving += 1
@@ -87,6 +101,7 @@
             "log": self._log,
             "started": self._started,
             "max_running": self._max_running,
+            "max_connections": self._max_connections,
             "refused_busy": self._refused_busy,
             "refused_leaving": self._refused_leaving,
             "cut_off": self._cut_off,
@@ -125,7 +140,9 @@
     arguments = parser.parse_args()
     listener = listen(arguments.host)
     announce(http=listener)
-    serve(listener, Instance(arguments.slots, arguments.seed).handle)
+    connections = connection_pool()
+    instance = Instance(arguments.slots, arguments.seed, connections)
+    serve(listener, instance.handle, connections)
 
 
 if __name__ == "__main__":
--- a/tests/integration/test_entries.py
+++ b/tests/integration/test_entries.py
@@ -48,6 +48,20 @@
     assert refused_busy(fleet) == 0
 
 
+def test_connections_of_an_instance_stay_within_its_limit(fleet):
+    """Slots in use, idle connections of every entry and probes together."""
+    text = base_text("ab").replace(
+        "instance_connections = 64", "instance_connections = 24"
+    )
+    fleet.apply_config(text, 1, "fewer")
+    wait_until(lambda: set(fleet.revisions().values()) == {2}, 7.0, "in force")
+    callers = load(fleet, threads=96, run_ms=100.0, pause_ms=0.0)
+    time.sleep(3.0)
+    verdict(fleet, callers.stop())
+    most = {vm_id: fleet.vm_log(vm_id)["max_connections"] for vm_id in fleet.vms}
+    assert all(8 <= count <= 24 for count in most.values()), most
+
+
 def test_frozen_entry_breaks_no_promise_when_it_wakes(fleet):
     """Frozen for longer than others wait before they take over its services."""
     callers = load(fleet, threads=72, run_ms=200.0, pause_ms=0.0)
