--- a/packages/corianderpitch/corianderpitch/wire.py
+++ b/packages/corianderpitch/corianderpitch/wire.py
@@ -73,6 +73,11 @@
             raise WireError(f"undecodable stream: {error}") from error
 
 
+def message_types() -> frozenset[type]:
+    """Return every registered message."""
+    return frozenset(_type_of.values())
+
+
 def _plain(value: Any) -> Any:
     if isinstance(value, enum.Enum):
         return value.value
--- a/packages/corianderpitch/tests/test_wire.py
+++ b/packages/corianderpitch/tests/test_wire.py
@@ -1,3 +1,4 @@
+import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,7 +14,7 @@
     SlotOffers,
     TicketReply,
 )
-from corianderpitch.wire import Decoder, encode
+from corianderpitch.wire import Decoder, encode, message_types
 
 names = st.text(min_size=1, max_size=12)
 offers = st.builds(Offer, names, names, names, names)
@@ -60,6 +61,31 @@
     assert received == sent
 
 
+st.register_type_strategy(float, st.floats(allow_nan=False))
+st.register_type_strategy(int, st.integers(-(2**63), 2**63 - 1))
+any_message = st.sampled_from(sorted(message_types(), key=lambda cls: cls.__name__))
+
+
+@given(any_message.flatmap(st.from_type))
+def test_message_of_every_type_survives_the_wire(sent):
+    assert Decoder().feed(encode(sent)) == [sent]
+
+
+@given(any_message.flatmap(st.from_type), st.data())
+def test_message_with_a_field_that_was_tampered_with_is_refused_or_valid(sent, data):
+    """The field gets a value of any type, is left out, or comes twice."""
+    item = msgpack.unpackb(encode(sent))
+    index = data.draw(st.integers(0, len(item) - 1))
+    anything = st.none() | st.booleans() | st.integers(0, 9) | st.text() | st.binary()
+    values = anything | st.lists(anything, max_size=4)
+    item[index : index + 1] = data.draw(st.lists(values, max_size=2))
+    try:
+        received = Decoder().feed(msgpack.packb(item))
+    except WireError:
+        return
+    assert all(Decoder().feed(encode(found)) == [found] for found in received)
+
+
 @given(outcomes)
 def test_outcome_survives_its_record(outcome):
     assert OutcomeRecord.from_outcome(outcome).to_outcome() == outcome
