--- a/packages/corianderpitch-standins/corianderpitch_standins/bench.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/bench.py
@@ -5,6 +5,7 @@
 
 import argparse
 
+from corianderpitch_standins.benchacks import bench_acknowledgements
 from corianderpitch_standins.benchfleet import (
     bench_control_cost,
     bench_roll_out,
@@ -27,6 +28,7 @@
     "lending": bench_lending,
     "throughput": bench_throughput,
     "roll-out": bench_roll_out,
+    "acknowledgements": bench_acknowledgements,
     "control": bench_control_cost,
     "wave": bench_wave,
     "roles": bench_roles,
