Ask the membership who is in a data centre, and drop code that never ran

Ruled out: merging the two resets of the lender (they cover lending switched off while at rest and while at work); the import lists that adapters share.

Now: Membership.known_in, one call of _send_heartbeats, one return, ServiceView in views.py.

--- a/packages/corianderpitch/corianderpitch/daemon/managers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managers.py
@@ -256,9 +256,8 @@
         self, data_center: DataCenterId, message: VmChange | Document
     ) -> None:
         """Send what has changed to the entries that it concerns."""
-        for info in self._membership.known():
-            if info.data_center == data_center:
-                self._network.send(info.entry, message)
+        for entry in self._membership.known_in(data_center):
+            self._network.send(entry, message)
 
 
 def _wave_write(wave: Wave) -> Write:
--- a/packages/corianderpitch/corianderpitch/daemon/members.py
+++ b/packages/corianderpitch/corianderpitch/daemon/members.py
@@ -77,7 +77,7 @@
                 self._network.send_to_address(address, Members(own))
         now_ms = self._clock.now_ms()
         live = self._membership.live(now_ms)
-        neighbours = self._membership.known_here()
+        neighbours = self._membership.known_in(self._membership.own.data_center)
         for entry in live.intersection(neighbours):
             self._check_silence(entry)
         self._send_heartbeats(neighbours)
@@ -87,10 +87,9 @@
 
     def send_cross_site_heartbeats(self) -> None:
         """Send a heartbeat to a random entry of every other data centre."""
-        for data_center in self._membership.data_centers():
-            known = self._membership.known()
-            there = [i.entry for i in known if i.data_center == data_center]
-            self._send_heartbeat(self._rng.choice(there))
+        sites = self._membership.data_centers()
+        chosen = [self._rng.choice(self._membership.known_in(site)) for site in sites]
+        self._send_heartbeats(chosen)
 
     def is_representative(self) -> bool:
         """Tell whether this entry speaks for its data centre."""
--- a/packages/corianderpitch/corianderpitch/daemon/owners.py
+++ b/packages/corianderpitch/corianderpitch/daemon/owners.py
@@ -12,7 +12,8 @@
 from corianderpitch.daemon.logs import is_debugging, logger
 from corianderpitch.daemon.network import PeerNetwork
 from corianderpitch.daemon.permits import PermitClient
-from corianderpitch.domain.dispatch import DispatchPolicy, ServiceDispatcher
+from corianderpitch.daemon.views import ServiceView
+from corianderpitch.domain.dispatch import ServiceDispatcher
 from corianderpitch.domain.effects import (
     AskForSlots,
     Effect,
@@ -24,7 +25,7 @@
 )
 from corianderpitch.domain.fairqueue import Waiting
 from corianderpitch.domain.membership import Membership
-from corianderpitch.domain.slots import InstanceSpec, Permit, RunResult
+from corianderpitch.domain.slots import Permit, RunResult
 from corianderpitch.ids import DataCenterId, EntryId, ServiceName, VmId
 from corianderpitch.messages import (
     Attach,
@@ -46,15 +47,6 @@
 log = logger("owners")
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceView:
-    """A service as one data centre sees it now."""
-
-    service: ServiceName
-    policy: DispatchPolicy
-    instances: tuple[InstanceSpec, ...]
-
-
 @dataclass(frozen=True, slots=True)
 class _NewViews:
     views: tuple[ServiceView, ...]
--- a/packages/corianderpitch/corianderpitch/daemon/requests.py
+++ b/packages/corianderpitch/corianderpitch/daemon/requests.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from corianderpitch.clock import Clock
-from corianderpitch.daemon.attempts import RETRY_AFTER_FAILURE_MS, Attempt, race
+from corianderpitch.daemon.attempts import Attempt, race
 from corianderpitch.daemon.logs import is_debugging, logger
 from corianderpitch.daemon.metrics import Metrics
 from corianderpitch.daemon.permits import PermitClient, Wanted
@@ -14,7 +14,6 @@
     Answered,
     NotRun,
     Outcome,
-    Reason,
     Unknown,
     kind_of,
 )
@@ -109,8 +108,8 @@
             may_repeat = request.is_idempotent or isinstance(outcome, NotRun)
             is_last = attempt == MAX_ATTEMPTS
             if not may_repeat or is_last or not self._budget.try_spend():
-                return lost or outcome
-        return lost or NotRun(Reason.NO_INSTANCE, RETRY_AFTER_FAILURE_MS)
+                break
+        return lost or outcome
 
     def _acquire(
         self, request: Request, deadline_ms: float, tried: set[VmId]
--- a/packages/corianderpitch/corianderpitch/daemon/views.py
+++ b/packages/corianderpitch/corianderpitch/daemon/views.py
@@ -1,10 +1,21 @@
 """The services of a site, drawn up from its configuration and its fleet."""
 
-from corianderpitch.daemon.owners import ServiceView
+from dataclasses import dataclass
+
 from corianderpitch.domain.dispatch import DispatchPolicy
 from corianderpitch.domain.fleetfile import FleetFile, ServiceSettings
 from corianderpitch.domain.slots import InstanceSpec
 from corianderpitch.domain.vms import SiteFleet, VmState
+from corianderpitch.ids import ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceView:
+    """A service as one data centre sees it now."""
+
+    service: ServiceName
+    policy: DispatchPolicy
+    instances: tuple[InstanceSpec, ...]
 
 
 def service_views(config: FleetFile, fleet: SiteFleet) -> list[ServiceView]:
--- a/packages/corianderpitch/corianderpitch/domain/membership.py
+++ b/packages/corianderpitch/corianderpitch/domain/membership.py
@@ -112,10 +112,9 @@
         """Return every known entry but oneself."""
         return [m.info for m in self._members.values() if not m.has_left]
 
-    def known_here(self) -> list[EntryId]:
-        """Return the known entries of one's own data centre but oneself."""
-        own_site = self._own.data_center
-        return [info.entry for info in self.known() if info.data_center == own_site]
+    def known_in(self, data_center: DataCenterId) -> list[EntryId]:
+        """Return the known entries of a data centre, without oneself."""
+        return [i.entry for i in self.known() if i.data_center == data_center]
 
     def live(self, now_ms: float) -> frozenset[EntryId]:
         """Return the live entries of one's own data centre, oneself included."""
