Let tests and the bench share what stood twice

LossyTable stood in two test modules, the fleet of test_adoption was a copy of test_manager's, two tests of attempts and two of silent connections began with the same lines, and the bench of acknowledgements and test_fleet asked for the status by hand, which LocalFleet.ask_operator does.

Now each stands once; the bench fails with ConditionNotMet, not a bare RuntimeError.

--- a/packages/corianderpitch-standins/corianderpitch_standins/benchacks.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchacks.py
@@ -4,7 +4,6 @@
 that was asked. The bench looks for a pile-up there.
 """
 
-import json
 import statistics
 import time
 
@@ -16,7 +15,12 @@
     start_entries,
 )
 from corianderpitch_standins.benchreport import Report, fit_line
-from corianderpitch_standins.localfleet import EntryProcess, LocalFleet, wait_until
+from corianderpitch_standins.localfleet import (
+    ConditionNotMet,
+    EntryProcess,
+    LocalFleet,
+    wait_until,
+)
 
 ROUNDS = 20
 PAUSE_S = 0.5
@@ -58,9 +62,8 @@
     """Return how long it took until the last entry had acknowledged."""
     time.sleep(PAUSE_S)
     started_s = time.monotonic()
-    url = f"{collector.operator_url}/v1/status"
-    answer = json.loads(fleet.http.request("GET", url).data)
+    answer = fleet.ask_operator("/v1/status", entry=collector)
     took_ms = (time.monotonic() - started_s) * 1000.0
     if len(answer["entries"]) != len(fleet.entries):
-        raise RuntimeError(f"{len(answer['entries'])} entries have answered")
+        raise ConditionNotMet(f"{len(answer['entries'])} entries have answered")
     return took_ms
--- a/packages/corianderpitch/tests/fakes.py
+++ b/packages/corianderpitch/tests/fakes.py
@@ -1,5 +1,10 @@
 """Small fakes and a small fleet file, shared by the tests."""
 
+from returns.result import Failure
+
+from corianderpitch.adapters.memory import MemoryTable
+from corianderpitch.errors import OutcomeLost
+
 BASE = """
 name = "x"
 [sites.a]
@@ -15,6 +20,21 @@
 """
 
 
+class LossyTable(MemoryTable):
+    """Loses the answers of commits after their effect."""
+
+    def __init__(self):
+        super().__init__()
+        self.lose = 0
+
+    def commit(self, checks, writes):
+        result = super().commit(checks, writes)
+        if self.lose:
+            self.lose -= 1
+            return Failure(OutcomeLost("test"))
+        return result
+
+
 class FakeNetwork:
     """Delivers to oneself at once and records what goes to others."""
 
--- a/packages/corianderpitch/tests/test_adoption.py
+++ b/packages/corianderpitch/tests/test_adoption.py
@@ -1,9 +1,10 @@
 """Records follow the platform's lagging list."""
 
 import pytest
+from fakes import BASE
 
 from corianderpitch.domain.adoption import MISSING_MS, ListAdopter, adopt_listed
-from corianderpitch.domain.fleetfile import FleetFile
+from corianderpitch.domain.fleetfile import check_fleet
 from corianderpitch.domain.manager import SiteSnapshot, SiteStep, Snapshot
 from corianderpitch.domain.platform import ListedVm, VmStatus
 from corianderpitch.domain.vms import (
@@ -15,26 +16,13 @@
 )
 
 REBOOT = VmOperation("op", OperationKind.REBOOT)
-CONFIG = FleetFile.model_validate(
-    {
-        "name": "test",
-        "sites": {"a": {"region": "r"}},
-        "pools": {
-            "p": {"vm_processors": 1, "vm_memory_mb": 1},
-            "spare": {"vm_processors": 1, "vm_memory_mb": 1, "is_spare": True},
-        },
-        "services": {
-            "s": {
-                "pool": "p",
-                "instance_slots": 8,
-                "instance_connections": 64,
-                "budget": {"min_available": 1},
-            }
-        },
-    }
-)
-ENTRIES = {"a": ("a1", "a2"), "b": ("b1",)}
-OUT = (VmState.DRAINING, VmState.DRAINED, VmState.STOPPING)
+SPARE = """
+[pools.spare]
+vm_processors = 1
+vm_memory_mb = 1
+is_spare = true
+"""
+CONFIG = check_fleet(BASE + SPARE, {}).base
 
 
 def listed(vm_id, status, pool="p"):
--- a/packages/corianderpitch/tests/test_attempts.py
+++ b/packages/corianderpitch/tests/test_attempts.py
@@ -16,7 +16,7 @@
 from corianderpitch.domain.outcomes import Answered, NotRun, Reason, Unknown
 from corianderpitch.domain.slots import RunResult
 from corianderpitch.errors import InstanceBrokeOff, InstanceSilent
-from corianderpitch.ports import Endpoint, Exchange
+from corianderpitch.ports import Exchange
 
 ANSWER = Answered(200, "text/plain", b"whole")
 NOT_RUN = NotRun(Reason.OVERLOAD, 100)
@@ -34,28 +34,28 @@
         assert won == NOT_RUN
 
 
-def test_race_ends_the_slower_attempt():
-    ended = []
+@pytest.fixture
+def ended():
+    return []
 
-    def slow():
+
+@pytest.fixture
+def slow(ended):
+    def attempt():
         try:
             eventlet.sleep(60.0)
         finally:
             ended.append("slow")
 
-    assert race(slow, lambda: ANSWER) == ANSWER
-    assert ended == ["slow"]
+    return attempt
 
 
-def test_race_passes_a_fault_on_and_leaves_nothing_running():
-    ended = []
+def test_race_ends_the_slower_attempt(ended, slow):
+    assert race(slow, lambda: ANSWER) == ANSWER
+    assert ended == ["slow"]
 
-    def slow():
-        try:
-            eventlet.sleep(60.0)
-        finally:
-            ended.append("slow")
 
+def test_race_passes_a_fault_on_and_leaves_nothing_running(ended, slow):
     def broken():
         raise RuntimeError("fault")
 
@@ -80,7 +80,7 @@
         return self._end
 
 
-class ScriptedEndpoint(MemoryEndpoint, Endpoint):
+class ScriptedEndpoint(MemoryEndpoint):
     def __init__(self, *scripts):
         super().__init__()
         self.calls = []
--- a/packages/corianderpitch/tests/test_jobs.py
+++ b/packages/corianderpitch/tests/test_jobs.py
@@ -3,10 +3,10 @@
 from types import SimpleNamespace
 
 import pytest
-from fakes import BASE
+from fakes import BASE, LossyTable
 from returns.result import Failure, Success
 
-from corianderpitch.adapters.memory import MemoryTable, MemoryWorkers
+from corianderpitch.adapters.memory import MemoryWorkers
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.joboperations import JobOperations, JobRequest
 from corianderpitch.daemon.jobs import SCHEDULER_LEASE_MS, JobTask
@@ -24,19 +24,6 @@
 )
 
 
-class LossyTable(MemoryTable):
-    def __init__(self):
-        super().__init__()
-        self.lose = 0
-
-    def commit(self, checks, writes):
-        result = super().commit(checks, writes)
-        if self.lose:
-            self.lose -= 1
-            return Failure(OutcomeLost("test"))
-        return result
-
-
 class Site:
     def __init__(self):
         self.clock = ManualClock()
--- a/packages/corianderpitch/tests/test_operations.py
+++ b/packages/corianderpitch/tests/test_operations.py
@@ -3,10 +3,9 @@
 from types import SimpleNamespace
 
 import pytest
-from fakes import BASE
-from returns.result import Failure, Success
+from fakes import BASE, LossyTable
+from returns.result import Success
 
-from corianderpitch.adapters.memory import MemoryTable
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.configoperations import ConfigChange, ConfigOperations
 from corianderpitch.daemon.fleetoperations import FleetOperations, WaveRequest
@@ -41,21 +40,6 @@
 )
 
 
-class LossyTable(MemoryTable):
-    """Loses the answers of commits after their effect."""
-
-    def __init__(self):
-        super().__init__()
-        self.lose = 0
-
-    def commit(self, checks, writes):
-        result = super().commit(checks, writes)
-        if self.lose:
-            self.lose -= 1
-            return Failure(OutcomeLost("test"))
-        return result
-
-
 @pytest.fixture
 def table():
     table = LossyTable()
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -45,7 +45,7 @@
 
 
 def status_by(fleet, entry):
-    status = fleet.http.request("GET", f"{entry.operator_url}/v1/status").json()
+    status = fleet.ask_operator("/v1/status", entry=entry)
     return {e["entry"]: e for e in status["entries"]}
 
 
--- a/tests/integration/test_interface.py
+++ b/tests/integration/test_interface.py
@@ -172,14 +172,19 @@
     assert sum(log.count("broken-order") for log in fleet.run_logs()) == 1
 
 
+def freeze_open_connections(fleet):
+    """Let the connections to all instances go silent for good; new ones work."""
+    maps = [vm.map_number for vm in fleet.vms.values()]
+    fleet.set_rules({"source": "", "maps": maps, "mode": "freeze_old"})
+    fleet.set_rules()
+
+
 def test_silent_old_connections_are_condemned_and_new_ones_used(fleet, entry):
     """Connections that have lost their other end cost no caller its answer."""
     with ThreadPoolExecutor(16) as pool:
         body = '{"run_ms": 50}'
         list(pool.map(lambda _: post(fleet, entry, "s1", body), range(16)))
-    maps = [vm.map_number for vm in fleet.vms.values()]
-    fleet.set_rules({"source": "", "maps": maps, "mode": "freeze_old"})
-    fleet.set_rules()
+    freeze_open_connections(fleet)
     started_s = time.monotonic()
     outcomes = [post(fleet, entry, "s1", "{}").status for _ in range(30)]
     assert outcomes == [200] * 30
@@ -191,9 +196,7 @@
     with ThreadPoolExecutor(16) as pool:
         body = '{"run_ms": 400}'
         list(pool.map(lambda _: post(fleet, entry, "s2", body), range(16)))
-    maps = [vm.map_number for vm in fleet.vms.values()]
-    fleet.set_rules({"source": "", "maps": maps, "mode": "freeze_old"})
-    fleet.set_rules()
+    freeze_open_connections(fleet)
     outcomes = [post(fleet, entry, "s2", "{}").status for _ in range(10)]
     assert outcomes == [200] * 10
 
