Tell everyone who answers for the tickets of an entry that leaves

Representatives scan the table every 5 s; until then an entry of one data centre may know nobody of the other. The log of a failed run shows it: the handover was confirmed, a1 told three entries that it leaves, but a0, its successor, had learnt of none in b.

Ruled out: a handover that was not confirmed (the log has no warning), an entry that was taken for gone, the caller's deadline. Found on the way: a handover that is dropped with its connection was never sent again, and a successor that had been started anew was asked although its record was lost.

--- a/packages/corianderpitch/corianderpitch/daemon/entry.py
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -123,7 +123,7 @@
             self._permits, self._endpoint, self._metrics, clock, self._idle_limit
         )
         self._tickets = TicketService(
-            self._membership, self._network, self._runner, clock
+            self._membership, self._members, self._network, self._runner, clock
         )
         self._callers = CallerApp(
             own, self._runner, self._tickets, self._documents, self._metrics
--- a/packages/corianderpitch/corianderpitch/daemon/tickets.py
+++ b/packages/corianderpitch/corianderpitch/daemon/tickets.py
@@ -10,6 +10,7 @@
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.members import MembershipTask
 from corianderpitch.daemon.network import Lane, PeerNetwork
 from corianderpitch.daemon.requests import Request, RequestRunner
 from corianderpitch.domain.membership import MemberInfo, Membership
@@ -47,6 +48,8 @@
 ACCEPT_MS = 500.0
 MAX_CALLS = 4
 HANDOVER_TIMEOUT_MS = 2000.0
+HANDOVER_RETRY_MS = 200.0
+HANDOVER_CHECK_MS = 10.0
 
 log = logger("tickets")
 StoreKey = tuple[EntryId, str]
@@ -71,11 +74,13 @@
     def __init__(
         self,
         membership: Membership,
+        members: MembershipTask,
         network: PeerNetwork,
         runner: RequestRunner,
         clock: Clock,
     ):
         self._membership = membership
+        self._members = members
         self._network = network
         self._runner = runner
         self._clock = clock
@@ -85,7 +90,7 @@
         self._stores: dict[StoreKey, TicketStore] = {
             (own.entry, own.incarnation): self._store
         }
-        self._successors: dict[StoreKey, EntryId] = {}
+        self._successors: dict[StoreKey, MemberInfo] = {}
         self._running: dict[TicketId, Event] = {}
         self._calls: dict[str, _PendingCall] = {}
         self._call_numbers = itertools.count()
@@ -233,14 +238,14 @@
     def _holder(self, ticket: Ticket) -> EntryId | None:
         """Return the entry that answers for a ticket, if it can be reached."""
         key = (ticket.issuer, ticket.incarnation)
-        entry = self._successors.get(key, ticket.issuer)
+        successor = self._successors.get(key)
+        if successor is not None:
+            key = (successor.entry, successor.incarnation)
+        entry, incarnation = key
         info = self._membership.info(entry)
         if info is None or self._membership.is_gone(entry):
             return None
-        is_issuer = entry == ticket.issuer
-        if is_issuer and info.incarnation != ticket.incarnation:
-            return None
-        return entry
+        return entry if info.incarnation == incarnation else None
 
     def _on_call(self, sender: EntryId, call: TicketCall) -> None:
         self._network.send(sender, TicketAccepted(call.call_id), Lane.BULK)
@@ -275,9 +280,23 @@
     def hand_over(self, successor: EntryId) -> bool:
         """Give every store to another entry, when all tickets here have ended.
 
+        The stores are sent until the successor confirms them, and always to
+        the same one: two holders could run a ticket twice. The entries known
+        here are told too, for the successor need not know all of them yet.
+
         Returns whether the successor confirmed in time.
         """
         self._is_handing_over = True
+        deadline_ms = self._clock.now_ms() + HANDOVER_TIMEOUT_MS
+        is_confirmed = False
+        while not is_confirmed and self._clock.now_ms() < deadline_ms:
+            self._send_stores(successor)
+            is_confirmed = self._is_confirmed_within(HANDOVER_RETRY_MS)
+        if is_confirmed:
+            self._tell_successors()
+        return is_confirmed
+
+    def _send_stores(self, successor: EntryId) -> None:
         for (issuer, incarnation), store in self._stores.items():
             finished = tuple(
                 FinishedTicket(number, issued_ms, OutcomeRecord.from_outcome(outcome))
@@ -288,12 +307,22 @@
                 issuer, incarnation, store.secret, now_ms, finished
             )
             self._network.send(successor, handover, Lane.BULK)
-        deadline_ms = self._clock.now_ms() + HANDOVER_TIMEOUT_MS
-        while self._clock.now_ms() < deadline_ms:
-            if self._stores.keys() <= self._successors.keys():
-                return True
-            eventlet.sleep(0.01)
-        return False
+
+    def _is_confirmed_within(self, timeout_ms: float) -> bool:
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        while not self._stores.keys() <= self._successors.keys():
+            if self._clock.now_ms() >= deadline_ms:
+                return False
+            eventlet.sleep(HANDOVER_CHECK_MS / 1000.0)
+        return True
+
+    def _tell_successors(self) -> None:
+        for key in self._stores:
+            self._tell_everyone(TicketSuccessor(*key, self._successors[key]))
+
+    def _tell_everyone(self, message: TicketSuccessor) -> None:
+        for info in self._membership.known():
+            self._network.send(info.entry, message)
 
     def _on_handover(self, sender: EntryId, handover: TicketHandover) -> None:
         key = (handover.issuer, handover.incarnation)
@@ -308,18 +337,18 @@
             )
             self._stores[key] = store
             log.info("Answering for the tickets of {}.", handover.issuer)
-        successor = TicketSuccessor(*key, self._membership.own.entry)
-        for info in self._membership.known():
-            self._network.send(info.entry, successor)
+        self._tell_everyone(TicketSuccessor(*key, self._membership.own))
 
     def announce_successors(self, info: MemberInfo) -> None:
         """Tell a new entry which tickets have changed hands."""
-        own = self._membership.own.entry
+        own = self._membership.own
         for key in self._stores:
-            if key != (own, self._membership.own.incarnation):
+            if key != (own.entry, own.incarnation):
                 self._network.send(info.entry, TicketSuccessor(*key, own))
 
     def _on_successor(self, sender: EntryId, message: TicketSuccessor) -> None:
+        if self._membership.info(message.successor.entry) is None:
+            self._members.learn([message.successor])
         key = (message.issuer, message.incarnation)
         self._successors[key] = message.successor
 
--- a/packages/corianderpitch/corianderpitch/messages.py
+++ b/packages/corianderpitch/corianderpitch/messages.py
@@ -66,11 +66,17 @@
 @message(4)
 @dataclass(frozen=True, slots=True)
 class Members:
-    """The entries that the sender knows."""
+    """Entries that the sender knows."""
 
     members: tuple[MemberInfo, ...]
 
 
+@message(5)
+@dataclass(frozen=True, slots=True)
+class MembersQuery:
+    """Asks for all the entries that the receiver knows."""
+
+
 @message(10)
 @dataclass(frozen=True, slots=True)
 class PermitRequest:
@@ -271,7 +277,7 @@
 
     issuer: EntryId
     incarnation: str
-    successor: EntryId
+    successor: MemberInfo
 
 
 @message(30)
