Pass new entries on inside a data centre, and forget only who is gone

Cause: entries of other data centres were learnt by the representative's scan, and by others only from a greeting that happened to reach them. An entry that owns a service could thus go on asking for slots from entries replaced long ago. And a data centre cut off from the platform alone for a minute was forgotten: its rows had lapsed, and its heartbeats, over connections whose greeting was long past, were then ignored, so that it got no configuration from its peers.

Ruled out: full member lists with the heartbeats (8 KB each at 128 entries).

Now the representative passes on what is new, everyone else scans once a minute, rows are deleted by their own data centre or after 5 min of silence, entries without a row are forgotten with the links to them, and a forgotten entry that speaks is met anew.

--- a/packages/corianderpitch/corianderpitch/daemon/leases.py
+++ b/packages/corianderpitch/corianderpitch/daemon/leases.py
@@ -1,4 +1,9 @@
-"""Lease task: this entry's row in the table, and the rows of the others."""
+"""Lease task: this entry's row in the table, and the rows of the others.
+
+A representative scans the rows often and passes on what is new. Everyone else
+scans rarely, to drop what it no longer hears of and to make up for messages
+that were lost.
+"""
 
 import eventlet
 from returns.result import Failure, Success
@@ -6,9 +11,10 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.members import MembershipTask
-from corianderpitch.domain.leases import LeaseObserver
-from corianderpitch.domain.membership import Membership
+from corianderpitch.domain.leases import ABANDONED_MS, SILENT_SITE_MS, LeaseObserver
+from corianderpitch.domain.membership import MemberInfo, Membership
 from corianderpitch.errors import RowConflict
+from corianderpitch.ids import EntryId
 from corianderpitch.ports import Check, Row, TableService, Write
 from corianderpitch.records import (
     MEMBER_PREFIX,
@@ -19,6 +25,7 @@
 )
 
 RENEW_INTERVAL_MS = 5000.0
+FOLLOWER_SCAN_INTERVAL_MS = 60_000.0
 
 log = logger("leases")
 
@@ -51,14 +58,15 @@
         self._key = member_key(membership.own)
         self._version = 0
         self._sequence = 0
+        self._next_scan_ms = clock.now_ms()
+        self._absent_since_ms: dict[EntryId, float] = {}
         self.observer = LeaseObserver()
 
     def run(self) -> None:
         """Renew and scan for ever."""
         while True:
             self.renew()
-            if self._sequence == 1 or self._members.is_representative():
-                self.scan()
+            self.scan_if_due()
             eventlet.sleep(RENEW_INTERVAL_MS / 1000.0)
 
     def renew(self) -> None:
@@ -72,13 +80,22 @@
             case Failure(RowConflict()):
                 self._reread()
 
+    def scan_if_due(self) -> None:
+        """Scan at every call on a representative, and now and then elsewhere."""
+        now_ms = self._clock.now_ms()
+        if self._members.is_representative() or now_ms >= self._next_scan_ms:
+            self.scan()
+
     def scan(self) -> None:
-        """Read the rows of all entries and forget those that have lapsed."""
+        """Read the rows of all entries and forget those that are gone."""
         now_ms = self._clock.now_ms()
         match self._table.scan(MEMBER_PREFIX):
             case Success(rows):
+                self._next_scan_ms = now_ms + FOLLOWER_SCAN_INTERVAL_MS
                 take_in_members(rows, self._members, self.observer, now_ms)
-                self._delete_lapsed(rows, now_ms)
+                if self._members.is_representative():
+                    self._delete_lapsed(rows, now_ms)
+                self._forget_absent(now_ms)
 
     def give_up(self) -> None:
         """Delete one's own row before an orderly exit."""
@@ -98,8 +115,35 @@
             info = decode_row(MemberRecord, row.value).info
             if not self.observer.is_abandoned(info.entry, now_ms):
                 continue
-            if info.entry in self._membership.live(now_ms):
-                continue  # it is only cut off from the platform
+            if not self._may_delete(info, now_ms):
+                continue
             log.info("Lease of {} has lapsed.", info.entry)
             self._table.commit((Check(row.key, row.version),), (Write(row.key, None),))
-            self._membership.forget(info.entry)
+            self._members.forget(info.entry)
+
+    def _may_delete(self, info: MemberInfo, now_ms: float) -> bool:
+        """Tell whether an entry is gone, not only cut off from the platform.
+
+        The entries of another data centre are left to its own representative
+        while any of them is heard: they can be told of a configuration and
+        lend slots all through an outage of the platform there.
+        """
+        if info.data_center != self._membership.own.data_center:
+            return self._membership.is_silent_site(
+                info.data_center, now_ms, SILENT_SITE_MS
+            )
+        return info.entry not in self._membership.live(now_ms)
+
+    def _forget_absent(self, now_ms: float) -> None:
+        """Forget entries whose rows others have deleted, unless they are heard."""
+        absent = {
+            entry
+            for entry in self._membership.remembered()
+            if not self.observer.has_row(entry)
+            and not self._membership.is_heard(entry, now_ms, ABANDONED_MS)
+        }
+        since_ms = {e: self._absent_since_ms.get(e, now_ms) for e in absent}
+        self._absent_since_ms = since_ms
+        for entry in [e for e in absent if now_ms - since_ms[e] >= ABANDONED_MS]:
+            log.info("Forgetting {}, which has no lease.", entry)
+            self._members.forget(entry)
--- a/packages/corianderpitch/corianderpitch/daemon/members.py
+++ b/packages/corianderpitch/corianderpitch/daemon/members.py
@@ -7,7 +7,7 @@
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
-from corianderpitch.daemon.network import PeerNetwork
+from corianderpitch.daemon.network import Lane, PeerNetwork
 from corianderpitch.domain.lending import ServiceNeed
 from corianderpitch.domain.membership import (
     HEARTBEAT_INTERVAL_MS,
@@ -15,7 +15,7 @@
     Membership,
 )
 from corianderpitch.ids import EntryId, VmId
-from corianderpitch.messages import Heartbeat, Leaving, Members
+from corianderpitch.messages import Heartbeat, Leaving, Members, MembersQuery
 
 CROSS_SITE_INTERVAL_MS = 1000.0
 SILENT_HEARTBEATS = 4
@@ -62,6 +62,7 @@
         network.handle(Heartbeat, self._on_heartbeat)
         network.handle(Leaving, self._on_leaving)
         network.handle(Members, self._on_members)
+        network.handle(MembersQuery, self._on_query)
 
     def run(self) -> None:
         """Send heartbeats for ever."""
@@ -73,8 +74,7 @@
         """Send one round of heartbeats; an entry that knows nobody asks its peers."""
         if not self._membership.known():
             for address in self._peers:
-                own = (self._membership.own,)
-                self._network.send_to_address(address, Members(own))
+                self._network.send_to_address(address, MembersQuery())
         now_ms = self._clock.now_ms()
         live = self._membership.live(now_ms)
         neighbours = self._membership.known_in(self._membership.own.data_center)
@@ -114,13 +114,31 @@
         return max(live) == self._membership.own.entry
 
     def learn(self, infos: list[MemberInfo]) -> None:
-        """Take in entries found in the table or named by a peer."""
-        for info in self._membership.learn(infos):
+        """Take in entries found in the table or named by a peer.
+
+        The representative passes on what is new to its data centre, so that
+        any entry there that owns a service can borrow slots elsewhere.
+        """
+        fresh = self._membership.learn(infos)
+        for info in fresh:
             log.info("Learnt of {} in {}.", info.entry, info.data_center)
             self.on_new_member(info)
             self._reset_counters(info.entry)
             if info.data_center == self._membership.own.data_center:
                 self._send_heartbeat(info.entry)
+        if fresh and self.is_representative():
+            own = self._membership.own.entry
+            for entry in self._membership.live(self._clock.now_ms()) - {own}:
+                self._network.send(entry, Members(tuple(fresh)))
+
+    def forget(self, entry: EntryId) -> None:
+        """Drop an entry that is gone, and the links to it."""
+        self._membership.forget(entry)
+        self._reset_counters(entry)
+        self._unavailable.pop(entry, None)
+        self._needs.pop(entry, None)
+        for lane in Lane:
+            self._network.reset(entry, lane)
 
     def unavailable(self) -> tuple[VmId, ...]:
         """Return the VMs that do not answer some live entry of this site."""
@@ -202,8 +220,9 @@
 
     def _on_members(self, sender: EntryId, message: Members) -> None:
         self.learn(list(message.members))
-        if len(message.members) == 1:
-            self._network.send(sender, Members(self._everybody()))
+
+    def _on_query(self, sender: EntryId, message: MembersQuery) -> None:
+        self._network.send(sender, Members(self._everybody()))
 
     def _everybody(self) -> tuple[MemberInfo, ...]:
         return (*self._membership.known(), self._membership.own)
--- a/packages/corianderpitch/corianderpitch/daemon/network.py
+++ b/packages/corianderpitch/corianderpitch/daemon/network.py
@@ -118,18 +118,18 @@
     def _receive(self, connection: socket.socket) -> None:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         decoder = Decoder()
-        sender: EntryId | None = None
+        sender: MemberInfo | None = None
         try:
             while data := connection.recv(READ_BYTES):
                 self.received_bytes += len(data)
                 for message in decoder.feed(data):
                     if isinstance(message, Hello):
-                        sender = message.member.entry
-                        self.on_hello(message.member)
+                        sender = message.member
+                        self.on_hello(sender)
                     elif sender is None:
                         raise WireError("no Hello")
                     else:
-                        self._deliver(sender, message)
+                        self._deliver_from(sender, message)
         except WireError as error:
             log.warning("Closed a connection: {}.", error)
         except _CLOSED:
@@ -137,6 +137,12 @@
         finally:
             connection.close()
 
+    def _deliver_from(self, sender: MemberInfo, message: Any) -> None:
+        """Hand over a message; a sender that was forgotten is met anew."""
+        if self.find(sender.entry) is None:
+            self.on_hello(sender)
+        self._deliver(sender.entry, message)
+
     def _deliver(self, sender: EntryId, message: Any) -> None:
         handler = self._handlers.get(type(message))
         if handler is not None:
--- a/packages/corianderpitch/corianderpitch/domain/leases.py
+++ b/packages/corianderpitch/corianderpitch/domain/leases.py
@@ -11,6 +11,7 @@
 
 LEASE_MS = 15_000.0
 ABANDONED_MS = 60_000.0
+SILENT_SITE_MS = 300_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,10 @@
             if now_ms - seen.since_ms < LEASE_MS
         )
 
+    def has_row(self, entry: EntryId) -> bool:
+        """Tell whether the last scan found a row of an entry."""
+        return entry in self._seen
+
     def is_abandoned(self, entry: EntryId, now_ms: float) -> bool:
         """Tell whether a lease has lapsed so long ago that its row can go."""
         seen = self._seen.get(entry)
--- a/packages/corianderpitch/corianderpitch/domain/membership.py
+++ b/packages/corianderpitch/corianderpitch/domain/membership.py
@@ -39,6 +39,7 @@
 
     def __init__(self, own: MemberInfo, now_ms: float = 0.0):
         self._own = own
+        self._started_ms = now_ms
         self._settled_ms = now_ms + SETTLE_MS
         self._members: dict[EntryId, _Member] = {}
 
@@ -109,9 +110,28 @@
         return member is not None and (member.has_left or member.is_lost)
 
     def known(self) -> list[MemberInfo]:
-        """Return every known entry but oneself."""
+        """Return every known entry but oneself and those that have left."""
         return [m.info for m in self._members.values() if not m.has_left]
 
+    def remembered(self) -> list[EntryId]:
+        """Return every entry that has not been forgotten."""
+        return list(self._members)
+
+    def is_heard(self, entry: EntryId, now_ms: float, window_ms: float) -> bool:
+        """Tell whether an entry gave a sign of life within the last while."""
+        member = self._members.get(entry)
+        heard_ms = member.heard_ms if member else None
+        return heard_ms is not None and now_ms - heard_ms < window_ms
+
+    def is_silent_site(
+        self, data_center: DataCenterId, now_ms: float, window_ms: float
+    ) -> bool:
+        """Tell whether no entry of a data centre was heard for a while."""
+        if now_ms - self._started_ms < window_ms:
+            return False
+        entries = self.known_in(data_center)
+        return not any(self.is_heard(e, now_ms, window_ms) for e in entries)
+
     def known_in(self, data_center: DataCenterId) -> list[EntryId]:
         """Return the known entries of a data centre, without oneself."""
         return [i.entry for i in self.known() if i.data_center == data_center]
--- a/packages/corianderpitch/tests/fakes.py
+++ b/packages/corianderpitch/tests/fakes.py
@@ -42,10 +42,14 @@
         self.own = own
         self.handlers = {}
         self.sent = []
+        self.closed = []
 
     def handle(self, message_type, handler):
         self.handlers[message_type] = handler
 
+    def reset(self, entry, lane=None):
+        self.closed.append((entry, lane))
+
     def send(self, entry, message, lane=None):
         if entry != self.own:
             self.sent.append((entry, message))
