Start the maintenance waves that the fleet file plans

[waves.<wave>] names kind, pools, racks, concurrency and, for reboots, a period. The manager starts what is due in a transaction that checks the configuration and the VMs it chose from; the row names its plan, so that a new manager does not start it again, and old ended waves go in the same transaction. Ruled out: a date for each VM, which needs another rule for VMs that were down on theirs; waves of any size, because each step writes the wave's row anew.

--- a/packages/corianderpitch/corianderpitch/daemon/managers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managers.py
@@ -29,6 +29,7 @@
 )
 from corianderpitch.domain.membership import Membership
 from corianderpitch.domain.platform import VmAction, VmActionState
+from corianderpitch.domain.schedules import WaveStart, due_wave
 from corianderpitch.domain.vms import VmRecord, VmState
 from corianderpitch.domain.waves import Wave
 from corianderpitch.ids import DataCenterId, OperationId, VmId
@@ -46,6 +47,7 @@
 BEAT_INTERVAL_MS = 2000.0
 MANAGER_LEASE_MS = 6000.0
 LIST_INTERVAL_MS = 2000.0
+SCHEDULE_INTERVAL_MS = 10_000.0
 REPORT_WAIT_MS = 50.0
 STEPS_PER_TICK = 32
 
@@ -88,6 +90,7 @@
             MANAGER_LEASE_MS,
         )
         self._next_list_ms = 0.0
+        self._next_schedule_ms = 0.0
         self._waits: Mapping[VmId, Wait] = {}
 
     @property
@@ -136,6 +139,7 @@
         if not self._view.is_complete:
             return
         self._adopt()  # first, so that plans know what the platform has seen fail
+        self._start_due_wave()
         if self._must_decide():
             self._plan()
         else:
@@ -210,10 +214,23 @@
         match self._vm_list.list_vms():
             case Success(listed):
                 snapshot, versions = self._snapshot({}), self._view.versions()
-                for step in self._adopter.steps(snapshot, listed, versions, now_ms):
+                wall_ms = self._clock.wall_ms()
+                for step in self._adopter.steps(
+                    snapshot, listed, versions, now_ms, wall_ms
+                ):
                     self._commit(step)
 
-    def _commit(self, step: Step) -> bool:
+    def _start_due_wave(self) -> None:
+        """Start a wave that the fleet file plans, when its time has come."""
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_schedule_ms or not self._documents.config.base.waves:
+            return
+        self._next_schedule_ms = now_ms + SCHEDULE_INTERVAL_MS
+        start = due_wave(self._snapshot({}), self._clock.wall_ms())
+        if start is not None and self._commit(start):
+            log.info("Wave {} starts.", start.wave.name)
+
+    def _commit(self, step: Step | WaveStart) -> bool:
         """Commit a step on the condition that nothing it rests on has changed."""
         writes = self._writes(step)
         checks = (self._role.fence(), *self._view.checks(writes))
@@ -226,8 +243,11 @@
         self._role.verify()
         return False
 
-    def _writes(self, step: Step) -> tuple[Write, ...]:
+    def _writes(self, step: Step | WaveStart) -> tuple[Write, ...]:
         match step:
+            case WaveStart(wave, dropped):
+                outdated = tuple(Write(wave_key(name), None) for name in dropped)
+                return (_wave_write(wave), *outdated)
             case WaveStepDropped(wave):
                 return (_wave_write(wave),)
             case SiteStep(data_center, fleet):
@@ -237,7 +257,7 @@
                 fleet_write = Write(fleet_key(data_center), encode_row(fleet))
                 return (fleet_write, _wave_write(wave)) if wave else (fleet_write,)
 
-    def _after_commit(self, step: Step, before: Mapping[str, int]) -> None:
+    def _after_commit(self, step: Step | WaveStart, before: Mapping[str, int]) -> None:
         match step:
             case VmStep(data_center, vm_id, record, action, _):
                 log.info("{} of {} is {}.", vm_id, data_center, record.state.value)
--- a/packages/corianderpitch/corianderpitch/daemon/managerview.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managerview.py
@@ -196,6 +196,9 @@
 
     def take_in(self, writes: tuple[Write, ...], versions: Mapping[str, int]) -> None:
         """Keep the rows that a transaction has written, and put them in force."""
-        rows = {w.key: Row(w.key, versions[w.key], w.value) for w in writes}
+        kept = [write for write in writes if write.value is not None]
+        rows = {w.key: Row(w.key, versions[w.key], w.value) for w in kept}
+        for write in writes:
+            self._rows.pop(write.key, None)
         self._rows.update(rows)
         self._documents.offer(rows)
--- a/packages/corianderpitch/corianderpitch/domain/adoption.py
+++ b/packages/corianderpitch/corianderpitch/domain/adoption.py
@@ -36,6 +36,7 @@
         listed: list[ListedVm],
         versions: Mapping[str, int],
         now_ms: float,
+        wall_ms: int,
     ) -> list[SiteStep]:
         """Return what must change; ``versions`` are those of the records' rows.
 
@@ -53,7 +54,7 @@
         )
         if long_missing == self._settled_for:
             return []
-        steps = list(adopt_listed(snapshot, listed, long_missing))
+        steps = list(adopt_listed(snapshot, listed, long_missing, wall_ms))
         self._settled_for = None if steps else long_missing
         return steps
 
@@ -71,6 +72,7 @@
     snapshot: Snapshot,
     listed: Iterable[ListedVm],
     long_missing: frozenset[VmId] = frozenset(),
+    wall_ms: int = 0,
 ) -> Iterator[SiteStep]:
     """Return the sites whose records must change to match the platform's list.
 
@@ -86,7 +88,7 @@
         site = snapshot.sites.get(data_center)
         old = dict(site.fleet.vms) if site else {}
         found = by_site.get(data_center, {})
-        new = _adopted(snapshot.config, old, found, long_missing)
+        new = _adopted(snapshot.config, old, found, long_missing, wall_ms)
         if new != old:
             yield SiteStep(data_center, SiteFleet(new))
 
@@ -96,6 +98,7 @@
     old: dict[VmId, VmRecord],
     listed: dict[VmId, ListedVm],
     long_missing: frozenset[VmId],
+    wall_ms: int,
 ) -> dict[VmId, VmRecord]:
     new = dict(old)
     for vm_id, vm in listed.items():
@@ -103,7 +106,7 @@
         if record is None and vm.status is VmStatus.LIVE:
             pool = vm.pool if vm.pool in config.pools else config.spare_pool()
             if pool is not None:
-                new[vm_id] = VmRecord(pool, vm.rack, vm.address)
+                new[vm_id] = VmRecord(pool, vm.rack, vm.address, first_seen_ms=wall_ms)
         elif record is not None:
             new[vm_id] = _matched(record, vm)
     for vm_id in long_missing & old.keys() - listed.keys():
--- a/packages/corianderpitch/corianderpitch/domain/fleetfile.py
+++ b/packages/corianderpitch/corianderpitch/domain/fleetfile.py
@@ -16,13 +16,16 @@
 
 from corianderpitch.domain.lending import LendingPolicy
 from corianderpitch.domain.problems import Problem, ProblemKind
+from corianderpitch.domain.vms import OperationKind
 from corianderpitch.ids import (
     ClassName,
     DataCenterId,
     PoolName,
+    RackId,
     ServiceName,
     TeamName,
     TenantName,
+    WaveName,
 )
 
 BASE_FILE = "fleet.toml"
@@ -131,6 +134,22 @@
     weight: Weight = 1.0
 
 
+class WaveSettings(_Section):
+    """A maintenance wave that the manager starts by itself.
+
+    It takes in the VMs of the pools and racks named, or all. ``period_days``
+    is how long after its maintenance a VM is due again; without it the wave
+    runs once.
+    """
+
+    kind: OperationKind
+    pools: tuple[PoolName, ...] = ()
+    racks: tuple[RackId, ...] = ()
+    target_pool: PoolName | None = None
+    max_concurrent: Positive = 1
+    period_days: Positive | None = None
+
+
 class FleetFile(_Section):
     """The merged configuration of one site."""
 
@@ -143,6 +162,7 @@
     lending: LendingSettings = LendingSettings()
     teams: dict[TeamName, TeamSettings] = {}
     jobs: JobsSettings = JobsSettings()
+    waves: dict[WaveName, WaveSettings] = {}
 
     def quotas(self) -> dict[TeamName, float]:
         """Return the processors that each team may use in a data centre."""
@@ -279,6 +299,7 @@
     "lending": LendingSettings,
     "teams": TeamSettings,
     "jobs": JobsSettings,
+    "waves": WaveSettings,
 }
 
 
@@ -354,4 +375,25 @@
     if len(spares) > 1:
         detail = f"only one pool can be spare: {', '.join(spares)}"
         problems.append(Problem(BASE_FILE, "pools", ProblemKind.INCONSISTENT, detail))
+    for name, wave in base.waves.items():
+        problems += _wave_problems(f"waves.{name}", wave, base.pools)
     return problems
+
+
+def _wave_problems(
+    path: str, wave: WaveSettings, pools: Mapping[PoolName, PoolSettings]
+) -> list[Problem]:
+    details = []
+    named = [*wave.pools, *([wave.target_pool] if wave.target_pool else [])]
+    details += [f"no pool is named {pool}" for pool in named if pool not in pools]
+    is_move = wave.kind is OperationKind.MOVE
+    if is_move and wave.target_pool is None:
+        details.append("a wave that moves VMs needs a target_pool")
+    if not is_move and wave.target_pool is not None:
+        details.append("only a wave that moves VMs has a target_pool")
+    if wave.kind is OperationKind.DRAIN:
+        details.append("a wave cannot leave VMs drained")
+    if wave.period_days is not None and wave.kind is not OperationKind.REBOOT:
+        details.append("only a reboot can have period_days")
+    kind = ProblemKind.INCONSISTENT
+    return [Problem(BASE_FILE, path, kind, detail) for detail in details]
--- a/packages/corianderpitch/corianderpitch/domain/vms.py
+++ b/packages/corianderpitch/corianderpitch/domain/vms.py
@@ -54,7 +54,7 @@
     """A VM as the table knows it.
 
     ``address`` is its instance's ip:port; ``lent_from`` is the pool that it
-    will be returned to.
+    will be returned to. Times are Unix times, 0 for never or not known.
     """
 
     pool: PoolName
@@ -64,6 +64,7 @@
     operation: VmOperation | None = None
     last_maintained_ms: int = 0
     lent_from: PoolName | None = None
+    first_seen_ms: int = 0
 
     @property
     def is_open(self) -> bool:
--- a/packages/corianderpitch/corianderpitch/domain/waves.py
+++ b/packages/corianderpitch/corianderpitch/domain/waves.py
@@ -31,7 +31,8 @@
     """A planned operation on many VMs; one row of the table.
 
     ``max_concurrent`` bounds how many VMs are out at the same time, on top of
-    the availability budgets.
+    the availability budgets. ``plan`` names the fleet file's plan that the wave
+    was started by.
     """
 
     name: WaveName
@@ -41,6 +42,7 @@
     state: WaveState = WaveState.RUNNING
     target_pool: PoolName | None = None
     created_ms: int = 0
+    plan: WaveName | None = None
 
     def operation(self, vm_id: VmId) -> VmOperation:
         """Return the operation on one VM; its id is the same on every try."""
--- a/packages/corianderpitch/tests/test_adoption.py
+++ b/packages/corianderpitch/tests/test_adoption.py
@@ -92,7 +92,7 @@
         site = SiteSnapshot(SiteFleet(self.vms), self.version, frozenset())
         snapshot = Snapshot(CONFIG, {"a": site}, {}, {})
         versions = {"fleet/a": self.version}
-        steps = self.adopter.steps(snapshot, items, versions, now_ms)
+        steps = self.adopter.steps(snapshot, items, versions, now_ms, 0)
         if steps and is_committed:
             self.vms = dict(steps[0].fleet.vms)
             self.version += 1
--- a/packages/corianderpitch/tests/test_managers.py
+++ b/packages/corianderpitch/tests/test_managers.py
@@ -10,12 +10,17 @@
 from corianderpitch.daemon.configoperations import ConfigChange, ConfigOperations
 from corianderpitch.daemon.documents import DocumentTask
 from corianderpitch.daemon.fleetoperations import FleetOperations
-from corianderpitch.daemon.managers import MANAGER_LEASE_MS, ManagerTask
+from corianderpitch.daemon.managers import (
+    MANAGER_LEASE_MS,
+    SCHEDULE_INTERVAL_MS,
+    ManagerTask,
+)
 from corianderpitch.daemon.managerview import MEMBER_SCAN_INTERVAL_MS
 from corianderpitch.daemon.members import MembershipTask
 from corianderpitch.domain.manager import DrainReport, EntryReport
 from corianderpitch.domain.membership import SETTLE_MS, MemberInfo, Membership
 from corianderpitch.domain.platform import ListedVm, VmStatus
+from corianderpitch.domain.schedules import DAY_MS
 from corianderpitch.domain.vms import (
     OperationKind,
     SiteFleet,
@@ -198,3 +203,23 @@
 def asked_reports(world):
     sent = world.entry.network.sent
     return [entry for entry, message in sent if isinstance(message, ReportQuery)]
+
+
+def test_planned_wave_is_started_once_whoever_holds_the_role(world):
+    """One manager starts a wave, the next one does not start it again."""
+    world.act()
+    plan = '[waves.upkeep]\nkind = "reboot"\nperiod_days = 42\n'
+    world.apply(1, BASE + plan)
+    world.clock.wall = 50 * DAY_MS
+    world.act()
+    [wave] = world.entry.operations.waves().unwrap()
+    assert (wave.plan, len(wave.steps)) == ("upkeep", 3)
+    heir = world.new_entry("e2")
+    heir.documents.poll()
+    heir.manager.act_once()
+    world.clock.advance(MANAGER_LEASE_MS)
+    for _ in range(3):
+        world.clock.advance(SCHEDULE_INTERVAL_MS)
+        heir.manager.act_once()
+    assert heir.manager.is_holder
+    assert [w.name for w in heir.operations.waves().unwrap()] == [wave.name]
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -4,8 +4,9 @@
 import time
 
 import pytest
-from fleets import all_active, cut_off, load, start_fleet, verdict
+from fleets import all_active, base_text, cut_off, load, start_fleet, verdict
 
+from corianderpitch.daemon.managers import SCHEDULE_INTERVAL_MS
 from corianderpitch_standins.localfleet import wait_until
 
 SITES = ("a", "b")
@@ -135,6 +136,22 @@
     assert found.outcomes["answered"] > 0.95 * sum(found.outcomes.values())
 
 
+def test_wave_of_the_fleet_file_starts_by_itself_and_once(fleet):
+    callers = load(fleet, run_ms=50.0)
+    watch = BudgetWatch(fleet)
+    plan = '[waves.upkeep]\nkind = "reboot"\npools = ["s1"]\nmax_concurrent = 2\n'
+    fleet.apply_config(base_text("ab", 3) + plan, 1, "plan")
+    wait_until(lambda: wave_state(fleet, "upkeep") == "done", 60.0, "the wave's end")
+    fleet.apply_config(base_text("ab", 3, default_timeout_ms=700) + plan, 2, "again")
+    time.sleep(SCHEDULE_INTERVAL_MS / 1000.0)
+    verdict(fleet, callers.stop())
+    lowest = watch.stop()
+    performed = fleet.platform_counts()["performed"]
+    assert performed == {f"upkeep:{vm}": 1 for vm in fleet.vms if vm[:2] == "s1"}
+    assert all(count >= 3 for count in lowest.values()), lowest
+    assert cut_off(fleet) == 0
+
+
 def test_manager_frozen_past_its_lease_changes_nothing_when_it_wakes(fleet):
     start_wave(fleet, concurrent=1)
     wait_until(lambda: fleet.platform_counts()["performed"], 10.0, "a first reboot")
