Give teams quotas of memory and accelerators as well as processors

Cause: a team within its processors could fill every worker's memory or take all accelerators, and the order among teams looked at processors alone.

A quota now limits each of the three; memory and accelerators have no limit unless the fleet file names one, so that files keep their meaning. Queued jobs go by their team's dominant share, in the manner of dominant resource fairness (Ghodsi et al., 2011). Ruled out: shares of what the workers have, because a team's order would change with every worker that fails.

The quota part of the check that a job can ever run moved to a test of the quota itself.

--- a/packages/corianderpitch/corianderpitch/daemon/joboperations.py
+++ b/packages/corianderpitch/corianderpitch/daemon/joboperations.py
@@ -88,9 +88,9 @@
             return JobRefused(requests[0].job_id, JobRefusal.NO_SUCH_SITE)
         for request in requests:
             quota = config.for_site(site).quota(request.team)
-            if request.shape.processors > quota:
+            if not quota.admits(request.shape):
                 return JobRefused(request.job_id, JobRefusal.OVER_QUOTA)
-            if not can_ever_run(request.shape, workers, quota):
+            if not can_ever_run(request.shape, workers):
                 return JobRefused(request.job_id, JobRefusal.TOO_LARGE)
         return None
 
--- a/packages/corianderpitch/corianderpitch/daemon/jobs.py
+++ b/packages/corianderpitch/corianderpitch/daemon/jobs.py
@@ -153,7 +153,7 @@
             self._listed,
             self._tasks,
             site.quotas(),
-            site.jobs.default_max_processors,
+            site.jobs.default_quota(),
             self._marks.drained,
         )
 
--- a/packages/corianderpitch/corianderpitch/domain/fleetfile.py
+++ b/packages/corianderpitch/corianderpitch/domain/fleetfile.py
@@ -16,6 +16,7 @@
 
 from corianderpitch.domain.lending import LendingPolicy
 from corianderpitch.domain.problems import Problem, ProblemKind
+from corianderpitch.domain.quotas import UNLIMITED, Quota
 from corianderpitch.domain.vms import OperationKind
 from corianderpitch.ids import (
     ClassName,
@@ -107,9 +108,15 @@
 
 
 class TeamSettings(_Section):
-    """A team and the processors that its jobs may use in one data centre."""
+    """A team and what its jobs may use in one data centre."""
 
     max_processors: Weight
+    max_memory_mb: Positive | None = None
+    max_accelerators: NotNegative | None = None
+
+    def quota(self) -> Quota:
+        """Return the team's quota; what is not named has no limit."""
+        return _quota(self.max_processors, self.max_memory_mb, self.max_accelerators)
 
 
 class JobsSettings(_Section):
@@ -120,6 +127,24 @@
 
     lease_ms: Positive = 60_000
     default_max_processors: Weight = 16.0
+    default_max_memory_mb: Positive | None = None
+    default_max_accelerators: NotNegative | None = None
+
+    def default_quota(self) -> Quota:
+        """Return the quota of a team that is not named."""
+        return _quota(
+            self.default_max_processors,
+            self.default_max_memory_mb,
+            self.default_max_accelerators,
+        )
+
+
+def _quota(processors: float, memory_mb: int | None, accelerators: int | None) -> Quota:
+    return Quota(
+        processors,
+        UNLIMITED if memory_mb is None else memory_mb,
+        UNLIMITED if accelerators is None else accelerators,
+    )
 
 
 class TenantSettings(_Section):
@@ -164,13 +189,14 @@
     jobs: JobsSettings = JobsSettings()
     waves: dict[WaveName, WaveSettings] = {}
 
-    def quotas(self) -> dict[TeamName, float]:
-        """Return the processors that each team may use in a data centre."""
-        return {name: team.max_processors for name, team in self.teams.items()}
+    def quotas(self) -> dict[TeamName, Quota]:
+        """Return what each named team may use in a data centre."""
+        return {name: team.quota() for name, team in self.teams.items()}
 
-    def quota(self, team: TeamName) -> float:
-        """Return the processors that one team may use in a data centre."""
-        return self.quotas().get(team, self.jobs.default_max_processors)
+    def quota(self, team: TeamName) -> Quota:
+        """Return what one team may use in a data centre."""
+        settings = self.teams.get(team)
+        return settings.quota() if settings else self.jobs.default_quota()
 
     def same_region(self, site: DataCenterId) -> frozenset[DataCenterId]:
         """Return the other data centres of a site's region."""
--- a/packages/corianderpitch/corianderpitch/domain/placement.py
+++ b/packages/corianderpitch/corianderpitch/domain/placement.py
@@ -24,6 +24,7 @@
     requeue,
     start,
 )
+from corianderpitch.domain.quotas import Quota
 from corianderpitch.ids import JobId, JobKind, TaskId, TeamName, WorkerId
 
 MAX_FAILED_WORKERS = 3
@@ -104,17 +105,21 @@
 class JobsView:
     """The jobs, workers and tasks of one data centre at one moment.
 
-    ``quotas`` gives the processors that each team may use; a team without one
-    may use ``default_quota``.
+    ``quotas`` gives what each team may use; a team without one may use
+    ``default_quota``.
     """
 
     jobs: Mapping[JobId, Job]
     workers: Mapping[WorkerId, Worker]
     tasks: Mapping[TaskId, Task]
-    quotas: Mapping[TeamName, float]
-    default_quota: float
+    quotas: Mapping[TeamName, Quota]
+    default_quota: Quota
     drained: frozenset[WorkerId] = frozenset()
 
+    def quota(self, team: TeamName) -> Quota:
+        """Return what a team may use."""
+        return self.quotas.get(team, self.default_quota)
+
 
 @dataclass(frozen=True, slots=True)
 class JobChange:
@@ -139,10 +144,14 @@
     """What is left on each worker and what each team uses."""
 
     left: dict[WorkerId, Shape]
-    used_by_team: dict[TeamName, float] = field(
-        default_factory=lambda: defaultdict(float)
+    used_by_team: dict[TeamName, Shape] = field(
+        default_factory=lambda: defaultdict(lambda: NOTHING)
     )
 
+    def take(self, job: Job) -> None:
+        """Count a job's declared size against its team."""
+        self.used_by_team[job.team] = self.used_by_team[job.team].plus(job.shape)
+
 
 def settle_tasks(view: JobsView, record: WorkerRecord, wall_ms: int) -> list[JobStep]:
     """Return what follows from the tasks' reports: ends, failures, lapses."""
@@ -200,7 +209,7 @@
         if worker is not None:
             steps.append(JobChange(start(job, worker)))
             room.left[worker] = room.left[worker].minus(size)
-            room.used_by_team[job.team] += job.shape.processors
+            room.take(job)
         elif job.priority is Priority.URGENT and preemptions < MAX_PREEMPTIONS:
             stops = _preempt(view, sizes, room, size)
             preemptions += len(stops)
@@ -208,11 +217,9 @@
     return steps
 
 
-def can_ever_run(shape: Shape, workers: Iterable[Worker], quota: float) -> bool:
-    """Tell whether some worker and the team's quota are large enough at all."""
-    return shape.processors <= quota and any(
-        shape.fits_in(worker.capacity) for worker in workers
-    )
+def can_ever_run(shape: Shape, workers: Iterable[Worker]) -> bool:
+    """Tell whether some worker is large enough at all."""
+    return any(shape.fits_in(worker.capacity) for worker in workers)
 
 
 def _room(view: JobsView, sizes: UsageEstimator, usable: list[Worker]) -> _Room:
@@ -220,7 +227,7 @@
     for job in view.jobs.values():
         if job.state is not JobState.RUNNING:
             continue
-        room.used_by_team[job.team] += job.shape.processors
+        room.take(job)
         if job.worker in room.left:
             task = view.tasks.get(job.task_id)
             size = _larger(sizes.size(job), task.usage if task else NOTHING)
@@ -238,10 +245,13 @@
 
 def _queue_order(view: JobsView, room: _Room) -> list[Job]:
     """Return the queued jobs: urgent first, then by share of quota, then by age."""
+    teams = {job.team for job in view.jobs.values()}
+    shares = {
+        team: view.quota(team).dominant_share(room.used_by_team[team]) for team in teams
+    }
 
     def key(job: Job) -> tuple[bool, float, int, JobId]:
-        quota = view.quotas.get(job.team, view.default_quota)
-        share = room.used_by_team[job.team] / max(quota, 1e-9)
+        share = shares[job.team]
         is_ordinary = job.priority is Priority.ORDINARY
         return (is_ordinary, share, job.submitted_ms, job.job_id)
 
@@ -254,8 +264,8 @@
 
 
 def _is_over_quota(view: JobsView, room: _Room, job: Job) -> bool:
-    quota = view.quotas.get(job.team, view.default_quota)
-    return room.used_by_team[job.team] + job.shape.processors > quota
+    used = room.used_by_team[job.team].plus(job.shape)
+    return not view.quota(job.team).admits(used)
 
 
 def _best_fit(job: Job, size: Shape, room: _Room) -> WorkerId | None:
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/quotas.py
@@ -0,0 +1,47 @@
+"""Quotas: what the jobs of a team may use in one data centre."""
+
+import math
+from dataclasses import dataclass
+
+from corianderpitch.domain.jobs import Shape
+
+UNLIMITED = math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """Limits on the declared sizes of a team's running jobs, added up.
+
+    >>> Quota(8.0, max_accelerators=2).admits(Shape(8.0, 1024, 3))
+    False
+    """
+
+    max_processors: float
+    max_memory_mb: float = UNLIMITED
+    max_accelerators: float = UNLIMITED
+
+    def admits(self, used: Shape) -> bool:
+        """Tell whether a use is within all limits."""
+        return (
+            used.processors <= self.max_processors
+            and used.memory_mb <= self.max_memory_mb
+            and used.accelerators <= self.max_accelerators
+        )
+
+    def dominant_share(self, used: Shape) -> float:
+        """Return the share of the limit that a use is nearest to.
+
+        Teams are served by it in the manner of dominant resource fairness
+        (Ghodsi et al., 2011).
+        """
+        return max(
+            _share(used.processors, self.max_processors),
+            _share(used.memory_mb, self.max_memory_mb),
+            _share(used.accelerators, self.max_accelerators),
+        )
+
+
+def _share(used: float, limit: float) -> float:
+    if used == 0:
+        return 0.0
+    return used / limit if limit > 0 else math.inf
--- a/packages/corianderpitch/tests/test_placement.py
+++ b/packages/corianderpitch/tests/test_placement.py
@@ -1,5 +1,6 @@
 from dataclasses import replace
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -24,6 +25,7 @@
     place_jobs,
     settle_tasks,
 )
+from corianderpitch.domain.quotas import UNLIMITED, Quota
 
 URGENT, ORDINARY = Priority.URGENT, Priority.ORDINARY
 
@@ -48,7 +50,7 @@
         {item.worker: item for item in workers},
         {item.task_id: item for item in tasks},
         quotas or {},
-        100.0,
+        Quota(100.0),
         drained,
     )
 
@@ -67,7 +69,15 @@
 any_workers = st.lists(shapes, min_size=1, max_size=5)
 
 
-@given(any_jobs, any_workers, st.floats(0.5, 20.0))
+any_quota = st.builds(
+    Quota,
+    st.floats(0.5, 20.0),
+    st.integers(1, 5000) | st.just(UNLIMITED),
+    st.integers(0, 5) | st.just(UNLIMITED),
+)
+
+
+@given(any_jobs, any_workers, any_quota)
 def test_no_worker_is_overbooked_and_no_quota_exceeded(jobs, capacities, quota):
     workers = [Worker(f"w{n}", "r", c) for n, c in enumerate(capacities)]
     queued = [
@@ -86,15 +96,17 @@
         assert total.memory_mb <= item.capacity.memory_mb
         assert total.accelerators <= item.capacity.accelerators
     for team in "ab":
-        used = sum(one.shape.processors for one in started if one.team == team)
-        assert used <= quota + 1e-6
+        mine = [one.shape for one in started if one.team == team]
+        assert sum(s.processors for s in mine) <= quota.max_processors + 1e-6
+        assert sum(s.memory_mb for s in mine) <= quota.max_memory_mb
+        assert sum(s.accelerators for s in mine) <= quota.max_accelerators
 
 
 def test_quota_counts_what_runs_already():
     jobs = [running(1, "w1", processors=1.5), job(2, processors=1.0)]
-    found = view(jobs, [worker("w1")], quotas={"t": 2.0})
+    found = view(jobs, [worker("w1")], quotas={"t": Quota(2.0)})
     assert placed(found) == ({}, [])
-    enough = view(jobs, [worker("w1")], quotas={"t": 2.5})
+    enough = view(jobs, [worker("w1")], quotas={"t": Quota(2.5)})
     assert placed(enough) == ({"j2": "w1"}, [])
 
 
@@ -150,9 +162,33 @@
 
 def test_jobs_that_can_never_run_are_known():
     workers = [worker("w1"), worker("w2", 2.0, 1)]
-    assert can_ever_run(Shape(4.0, 1000), workers, 10.0)
-    assert not can_ever_run(Shape(4.0, 1000, 1), workers, 10.0)
-    assert not can_ever_run(Shape(4.0, 1000), workers, 3.0)
+    assert can_ever_run(Shape(4.0, 1000), workers)
+    assert not can_ever_run(Shape(4.0, 1000, 1), workers)
+
+
+@pytest.mark.parametrize(
+    ("quota", "is_admitted"),
+    [
+        (Quota(4.0), True),
+        (Quota(3.0), False),
+        (Quota(4.0, max_memory_mb=999), False),
+        (Quota(4.0, max_memory_mb=1000, max_accelerators=0), False),
+        (Quota(4.0, max_memory_mb=1000, max_accelerators=1), True),
+    ],
+)
+def test_quota_limits_each_resource(quota, is_admitted):
+    assert quota.admits(Shape(4.0, 1000, 1)) is is_admitted
+
+
+def test_team_that_uses_the_smaller_part_of_what_it_uses_most_goes_first():
+    """Team a has used most of its memory, team b half of its processors."""
+    quotas = {"a": Quota(100.0, max_memory_mb=100), "b": Quota(10.0)}
+    a = replace(running(1, "w1", processors=1.0), team="a", shape=Shape(1.0, 80))
+    b = replace(running(2, "w1", processors=5.0), team="b", shape=Shape(5.0, 10))
+    queued = [job(3, "a", processors=1.0), job(4, "b", processors=1.0)]
+    queued = [replace(item, shape=Shape(1.0, 10)) for item in queued]
+    found = view([a, b, *queued], [worker("w1", processors=7.0)], quotas=quotas)
+    assert placed(found) == ({"j4": "w1"}, [])
 
 
 def settle(record, item, state, workers):
