--- a/packages/corianderpitch/corianderpitch/domain/membership.py
+++ b/packages/corianderpitch/corianderpitch/domain/membership.py
@@ -42,6 +42,7 @@
         self._started_ms = now_ms
         self._settled_ms = now_ms + SETTLE_MS
         self._members: dict[EntryId, _Member] = {}
+        self._by_site: dict[DataCenterId, dict[EntryId, _Member]] = {}
 
     @property
     def own(self) -> MemberInfo:
@@ -68,13 +69,21 @@
             is_known = known is not None and known.info == info
             if info.entry == self._own.entry or is_known:
                 continue
-            self._members[info.entry] = _Member(info)
+            self.forget(info.entry)
+            self._add(_Member(info))
             fresh.append(info)
         return fresh
 
+    def _add(self, member: _Member) -> None:
+        info = member.info
+        self._members[info.entry] = member
+        self._by_site.setdefault(info.data_center, {})[info.entry] = member
+
     def forget(self, entry: EntryId) -> None:
         """Drop an entry whose lease has lapsed."""
-        self._members.pop(entry, None)
+        member = self._members.pop(entry, None)
+        if member is not None:
+            del self._by_site[member.info.data_center][entry]
 
     def heard(self, entry: EntryId, now_ms: float) -> None:
         """Record a sign of life."""
@@ -134,23 +143,29 @@
 
     def known_in(self, data_center: DataCenterId) -> list[EntryId]:
         """Return the known entries of a data centre, without oneself."""
-        return [i.entry for i in self.known() if i.data_center == data_center]
+        return [e for e, m in self._in_site(data_center).items() if not m.has_left]
+
+    def _in_site(self, data_center: DataCenterId) -> dict[EntryId, _Member]:
+        return self._by_site.get(data_center, {})
 
     def live(self, now_ms: float) -> frozenset[EntryId]:
         """Return the live entries of one's own data centre, oneself included."""
         alive = {
             entry
-            for entry, member in self._members.items()
-            if member.info.data_center == self._own.data_center
-            and member.heard_ms is not None
+            for entry, member in self._in_site(self._own.data_center).items()
+            if member.heard_ms is not None
             and now_ms - member.heard_ms < SUSPECT_AFTER_MS
         }
         return frozenset(alive | {self._own.entry})
 
     def data_centers(self) -> frozenset[DataCenterId]:
         """Return the other data centres with known entries."""
-        centers = {info.data_center for info in self.known()}
-        return frozenset(centers - {self._own.data_center})
+        return frozenset(
+            site
+            for site, members in self._by_site.items()
+            if site != self._own.data_center
+            and any(not member.has_left for member in members.values())
+        )
 
     def owner(self, service: ServiceName, now_ms: float) -> EntryId | None:
         """Return the live entry that owns a service in one's data centre.
@@ -168,11 +183,9 @@
     ) -> EntryId | None:
         """Return the entry most likely to own a service elsewhere."""
         entries = [
-            member.info.entry
-            for member in self._members.values()
-            if member.info.data_center == data_center
-            and not member.has_left
-            and not member.is_lost
+            entry
+            for entry, member in self._in_site(data_center).items()
+            if not member.has_left and not member.is_lost
         ]
         return choose_owner(owner_key(data_center, service), entries)
 
--- a/packages/corianderpitch/corianderpitch/wire.py
+++ b/packages/corianderpitch/corianderpitch/wire.py
@@ -18,6 +18,7 @@
 import typing
 from collections.abc import Callable
 from dataclasses import dataclass  # noqa: F401 - used by the example above
+from functools import cache
 from typing import Any
 
 import msgpack
@@ -28,6 +29,7 @@
 
 _kind_of: dict[type, int] = {}
 _type_of: dict[int, type] = {}
+_SCALARS = frozenset({int, float, str, bytes, bool, type(None)})
 _readers: dict[type, Callable[[Any], Any]] = {}
 
 
@@ -46,8 +48,7 @@
 
 def encode(value: Any) -> bytes:
     """Return the bytes of one message."""
-    fields = [_plain(getattr(value, f.name)) for f in dataclasses.fields(value)]
-    return msgpack.packb([_kind_of[type(value)], *fields])
+    return msgpack.packb([_kind_of[type(value)], *_plain_fields(value)])
 
 
 class Decoder:
@@ -78,13 +79,24 @@
     return frozenset(_type_of.values())
 
 
+def _plain_fields(value: Any) -> list[Any]:
+    return [_plain(getattr(value, name)) for name in _field_names(type(value))]
+
+
+@cache
+def _field_names(cls: type) -> tuple[str, ...]:
+    return tuple(field.name for field in dataclasses.fields(cls))
+
+
 def _plain(value: Any) -> Any:
+    if type(value) in _SCALARS:
+        return value
     if isinstance(value, enum.Enum):
         return value.value
     if isinstance(value, tuple | frozenset):
         return [_plain(item) for item in value]
     if dataclasses.is_dataclass(value):
-        return [_plain(getattr(value, f.name)) for f in dataclasses.fields(value)]
+        return _plain_fields(value)
     return value
 
 
