--- a/packages/corianderpitch-standins/corianderpitch_standins/benchfleet.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchfleet.py
@@ -16,6 +16,7 @@
 
 LOAD_GENERATOR = "corianderpitch_standins.loadgenerator"
 CONNECTIONS = 32
+THROUGHPUT_ROUNDS = 5
 IDLE_S = 10.0
 SETTLE_S = 20.0
 NS = 1e9
@@ -84,16 +85,22 @@
         direct_address = fleet.vms["vm0"].address
         entry_address = fleet.entries["a-0"].url.removeprefix("http://")
         path = "/v1/services/s0/requests"
-        direct = generate_load(direct_address, "/run")
-        entry = generate_load(entry_address, path)
+        rates = [
+            (
+                generate_load(entry_address, path)["rate_per_s"],
+                generate_load(direct_address, "/run")["rate_per_s"],
+            )
+            for _ in range(THROUGHPUT_ROUNDS)
+        ]
+        pairs = ", ".join(f"{entry:.0f}/{direct:.0f}" for entry, direct in rates)
         report.at_least(
-            "throughput over direct",
-            entry["rate_per_s"] / direct["rate_per_s"],
+            "throughput over direct, median of rounds in turn",
+            statistics.median(entry / direct for entry, direct in rates),
             0.35,
             "times",
-            f"{entry['rate_per_s']:.0f}/s against {direct['rate_per_s']:.0f}/s",
+            f"requests/s {pairs}",
         )
-        half = entry["rate_per_s"] / 2
+        half = min(entry for entry, _ in rates) / 2
         direct_half = generate_load(direct_address, "/run", half)
         entry_half = generate_load(entry_address, path, half)
         report.at_most(
