Do not take an entry that was started anew for its earlier incarnation

Cause, found while reading the membership changes of today: an entry that starts under a name that has a row finds a conflict at its first renewal, learnt the row's version and wrote its own only 5 s later. Whoever scanned the table meanwhile replaced the new incarnation by the old one, so that its tickets were "issuer lost" elsewhere and its links were reopened. With the passing on of new entries the old one would have spread further.

Three new tests in test_leases.py and test_members.py failed before and pass now. Ruled out: incarnations that can be compared, because clocks are not.

--- a/packages/corianderpitch/corianderpitch/daemon/leases.py
+++ b/packages/corianderpitch/corianderpitch/daemon/leases.py
@@ -70,7 +70,12 @@
             eventlet.sleep(RENEW_INTERVAL_MS / 1000.0)
 
     def renew(self) -> None:
-        """Write one's own row again."""
+        """Write one's own row again, also over one of an earlier incarnation."""
+        if not self._write_row():
+            self._write_row()
+
+    def _write_row(self) -> bool:
+        """Write the row; after a conflict its version is known for another try."""
         self._sequence += 1
         value = encode_row(MemberRecord(self._membership.own, self._sequence))
         check = Check(self._key, self._version)
@@ -79,6 +84,8 @@
                 self._version = versions[self._key]
             case Failure(RowConflict()):
                 self._reread()
+                return False
+        return True
 
     def scan_if_due(self) -> None:
         """Scan at every call on a representative, and now and then elsewhere."""
--- a/packages/corianderpitch/corianderpitch/daemon/members.py
+++ b/packages/corianderpitch/corianderpitch/daemon/members.py
@@ -114,12 +114,15 @@
         return max(live) == self._membership.own.entry
 
     def learn(self, infos: list[MemberInfo]) -> None:
-        """Take in entries found in the table or named by a peer.
+        """Take in entries found in the table or named by a peer."""
+        self._welcome(self._membership.hear_of(infos, self._clock.now_ms()))
+
+    def _welcome(self, fresh: list[MemberInfo]) -> None:
+        """Get in touch with new entries.
 
         The representative passes on what is new to its data centre, so that
         any entry there that owns a service can borrow slots elsewhere.
         """
-        fresh = self._membership.learn(infos)
         for info in fresh:
             log.info("Learnt of {} in {}.", info.entry, info.data_center)
             self.on_new_member(info)
@@ -193,7 +196,7 @@
 
     def _on_hello(self, info: MemberInfo) -> None:
         is_new = self._membership.info(info.entry) != info
-        self.learn([info])
+        self._welcome(self._membership.learn([info]))
         self._membership.heard(info.entry, self._clock.now_ms())
         if is_new:
             self._network.send(info.entry, Members(self._everybody()))
--- a/packages/corianderpitch/corianderpitch/domain/membership.py
+++ b/packages/corianderpitch/corianderpitch/domain/membership.py
@@ -61,8 +61,19 @@
         """Tell whether this entry has had time to hear from the others."""
         return now_ms >= self._settled_ms
 
+    def hear_of(self, infos: Iterable[MemberInfo], now_ms: float) -> list[MemberInfo]:
+        """Add entries that others name; returns those that are new or changed.
+
+        What others say of an entry that has just spoken itself may be older.
+        """
+        return self.learn(
+            info
+            for info in infos
+            if not self.is_heard(info.entry, now_ms, SUSPECT_AFTER_MS)
+        )
+
     def learn(self, infos: Iterable[MemberInfo]) -> list[MemberInfo]:
-        """Add entries; returns those that are new or have a new incarnation."""
+        """Add entries that introduce themselves; returns the new or changed."""
         fresh = []
         for info in infos:
             known = self._members.get(info.entry)
--- a/packages/corianderpitch/tests/test_leases.py
+++ b/packages/corianderpitch/tests/test_leases.py
@@ -137,3 +137,21 @@
     membership.heard("e1", clock.now_ms())
     task.scan_if_due()
     assert membership.info("f1") == FAR
+
+
+def test_entry_started_anew_replaces_its_old_row_at_once():
+    """Others would otherwise read the old incarnation until the next renewal."""
+    table, clock = MemoryTable(), ManualClock()
+    old, _ = lease_task(PEER, table, clock)
+    old.renew()
+    anew = MemberInfo("e2", "later", "a", "x:9")
+    task, _ = lease_task(anew, table, clock)
+    task.renew()
+    _, membership = scanned(table, clock)
+    assert membership.info("e2") == anew
+
+
+def scanned(table, clock):
+    own, membership = lease_task(OWN, table, clock)
+    own.scan()
+    return own, membership
--- a/packages/corianderpitch/tests/test_members.py
+++ b/packages/corianderpitch/tests/test_members.py
@@ -8,7 +8,11 @@
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.members import MembershipTask
 from corianderpitch.daemon.network import Lane
-from corianderpitch.domain.membership import MemberInfo, Membership
+from corianderpitch.domain.membership import (
+    SUSPECT_AFTER_MS,
+    MemberInfo,
+    Membership,
+)
 from corianderpitch.messages import Members, MembersQuery
 
 FIRST = MemberInfo("e1", "i", "a", "x:1")
@@ -16,8 +20,8 @@
 FAR = MemberInfo("f1", "i", "b", "x:3")
 
 
-def members_of(own, neighbour):
-    network, clock = FakeNetwork(own.entry), ManualClock()
+def members_of(own, neighbour, clock=None):
+    network, clock = FakeNetwork(own.entry), clock or ManualClock()
     membership = Membership(own)
     task = MembershipTask(membership, network, clock, random.Random(1))
     task.learn([neighbour])
@@ -51,3 +55,23 @@
     task.forget("e2")
     assert membership.info("e2") is None
     assert network.closed == [("e2", Lane.CONTROL), ("e2", Lane.BULK)]
+
+
+def test_hearsay_does_not_replace_an_entry_that_has_just_spoken():
+    """A row of its last incarnation may be read after its greeting."""
+    task, network, membership = members_of(FIRST, SECOND)
+    anew = MemberInfo("e2", "later", "a", "x:9")
+    network.on_hello(anew)
+    task.learn([SECOND])
+    assert membership.info("e2") == anew
+
+
+def test_hearsay_replaces_an_entry_that_is_silent():
+    clock = ManualClock()
+    task, _, membership = members_of(FIRST, SECOND, clock)
+    anew = MemberInfo("e2", "later", "a", "x:9")
+    task.learn([anew])
+    assert membership.info("e2") == SECOND
+    clock.advance(SUSPECT_AFTER_MS)
+    task.learn([anew])
+    assert membership.info("e2") == anew
