Let an aborted wave end its plan, and keep the fleet file's sections apart

An aborted wave now ends the plan, as a paused one holds it. The test of earlier waves takes in the aborted state, which failed before.

What a section may say is in fleetsections.py, reading and checking files stays.

--- a/packages/corianderpitch-standins/corianderpitch_standins/benchroles.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchroles.py
@@ -8,7 +8,7 @@
 from corianderpitch.domain.dispatch import DispatchPolicy, ServiceDispatcher
 from corianderpitch.domain.effects import Offer, SendGrant
 from corianderpitch.domain.fairqueue import Waiting
-from corianderpitch.domain.fleetfile import FleetFile
+from corianderpitch.domain.fleetsections import FleetFile
 from corianderpitch.domain.jobs import Job, Priority, Shape, Task, TaskState, Worker
 from corianderpitch.domain.jobs import start as start_job
 from corianderpitch.domain.lending import ServiceNeed
--- a/packages/corianderpitch/corianderpitch/daemon/callers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/callers.py
@@ -14,7 +14,7 @@
 from corianderpitch.daemon.metrics import Metrics
 from corianderpitch.daemon.requests import Request, RequestRunner
 from corianderpitch.daemon.tickets import TicketService
-from corianderpitch.domain.fleetfile import ServiceSettings
+from corianderpitch.domain.fleetsections import ServiceSettings
 from corianderpitch.domain.membership import MemberInfo
 from corianderpitch.domain.outcomes import (
     Answered,
--- a/packages/corianderpitch/corianderpitch/daemon/configoperations.py
+++ b/packages/corianderpitch/corianderpitch/daemon/configoperations.py
@@ -18,10 +18,10 @@
 from corianderpitch.domain.fleetfile import (
     BASE_FILE,
     FleetConfig,
-    FleetFile,
     check_fleet,
     overlay_file,
 )
+from corianderpitch.domain.fleetsections import FleetFile
 from corianderpitch.domain.problems import Problem, ProblemKind
 from corianderpitch.domain.vms import VmState
 from corianderpitch.errors import (
--- a/packages/corianderpitch/corianderpitch/daemon/jobs.py
+++ b/packages/corianderpitch/corianderpitch/daemon/jobs.py
@@ -17,7 +17,7 @@
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.members import MembershipTask
 from corianderpitch.daemon.roles import RoleLease
-from corianderpitch.domain.fleetfile import FleetFile
+from corianderpitch.domain.fleetsections import FleetFile
 from corianderpitch.domain.jobs import Job, JobState, Task, TaskState, Worker
 from corianderpitch.domain.membership import MemberInfo
 from corianderpitch.domain.placement import (
--- a/packages/corianderpitch/corianderpitch/daemon/views.py
+++ b/packages/corianderpitch/corianderpitch/daemon/views.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from corianderpitch.domain.dispatch import DispatchPolicy
-from corianderpitch.domain.fleetfile import FleetFile, ServiceSettings
+from corianderpitch.domain.fleetsections import FleetFile, ServiceSettings
 from corianderpitch.domain.slots import InstanceSpec
 from corianderpitch.domain.vms import SiteFleet, VmState
 from corianderpitch.ids import ServiceName
--- a/packages/corianderpitch/corianderpitch/domain/adoption.py
+++ b/packages/corianderpitch/corianderpitch/domain/adoption.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, replace
 
-from corianderpitch.domain.fleetfile import FleetFile
+from corianderpitch.domain.fleetsections import FleetFile
 from corianderpitch.domain.manager import SiteStep, Snapshot
 from corianderpitch.domain.platform import ListedVm, VmStatus
 from corianderpitch.domain.vms import SiteFleet, VmRecord, VmState
--- a/packages/corianderpitch/corianderpitch/domain/fleetfile.py
+++ b/packages/corianderpitch/corianderpitch/domain/fleetfile.py
@@ -9,221 +9,23 @@
 import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Annotated, Any
+from typing import Any
 
 import pydantic
-from pydantic import BaseModel, ConfigDict, Field
 
-from corianderpitch.domain.lending import LendingPolicy
+from corianderpitch.domain.fleetsections import (
+    SECTIONS,
+    BudgetSettings,
+    FleetFile,
+    PoolSettings,
+    Section,
+    WaveSettings,
+)
 from corianderpitch.domain.problems import Problem, ProblemKind
-from corianderpitch.domain.quotas import UNLIMITED, Quota
 from corianderpitch.domain.vms import OperationKind
-from corianderpitch.ids import (
-    ClassName,
-    DataCenterId,
-    PoolName,
-    RackId,
-    ServiceName,
-    TeamName,
-    TenantName,
-    WaveName,
-)
+from corianderpitch.ids import DataCenterId, PoolName, ServiceName
 
 BASE_FILE = "fleet.toml"
-MAX_ENTRIES = 8  # that can send to one instance
-Positive = Annotated[int, Field(gt=0, strict=True)]
-Fraction = Annotated[float, Field(gt=0, lt=1)]
-Weight = Annotated[float, Field(gt=0)]
-NotNegative = Annotated[int, Field(ge=0, strict=True)]
-
-
-class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class SiteSettings(_Section):
-    """A data centre and its region."""
-
-    region: str
-
-
-class PoolSettings(_Section):
-    """A pool of VMs; at most one pool is the spare one."""
-
-    vm_processors: Positive
-    vm_memory_mb: Positive
-    is_spare: bool = False
-
-
-class BudgetSettings(_Section):
-    """Availability that planned disruptions must leave."""
-
-    min_available: NotNegative
-
-
-class ServiceSettings(_Section):
-    """A service, the pool that its instances run on, and its limits."""
-
-    pool: PoolName
-    instance_slots: Positive
-    instance_connections: Positive
-    budget: BudgetSettings
-    default_timeout_ms: Positive = 2000
-    run_quantile: Fraction = 0.95
-    spill_wait_ms: NotNegative = 0
-    max_body_bytes: Positive = 1_048_576
-
-    @property
-    def idle_connections_per_entry(self) -> int:
-        """Return how many idle connections an entry may keep to an instance.
-
-        Beside the slots in use, one connection per entry is left for probes.
-        """
-        spare = self.instance_connections - self.instance_slots
-        return max(0, spare // MAX_ENTRIES - 1)
-
-
-class LendingSettings(_Section):
-    """When VMs of the spare pool are lent to pools under pressure.
-
-    Shares compare the slots needed with the slots there are.
-    """
-
-    is_enabled: bool = False
-    pressure_share: Weight = 1.0
-    slack_share: Weight = 0.5
-    pressure_hold_ms: NotNegative = 1_000
-    slack_hold_ms: NotNegative = 120_000
-    max_moves_per_hour: Weight = 300.0
-
-    def policy(self) -> LendingPolicy:
-        """Return the thresholds for the lender."""
-        return LendingPolicy(
-            self.pressure_share,
-            self.slack_share,
-            float(self.pressure_hold_ms),
-            float(self.slack_hold_ms),
-            self.max_moves_per_hour,
-        )
-
-
-class TeamSettings(_Section):
-    """A team and what its jobs may use in one data centre."""
-
-    max_processors: Weight
-    max_memory_mb: Positive | None = None
-    max_accelerators: NotNegative | None = None
-
-    def quota(self) -> Quota:
-        """Return the team's quota; what is not named has no limit."""
-        return _quota(self.max_processors, self.max_memory_mb, self.max_accelerators)
-
-
-class JobsSettings(_Section):
-    """Limits of jobs.
-
-    A task whose lease of ``lease_ms`` is not renewed stops by itself.
-    """
-
-    lease_ms: Positive = 60_000
-    default_max_processors: Weight = 16.0
-    default_max_memory_mb: Positive | None = None
-    default_max_accelerators: NotNegative | None = None
-
-    def default_quota(self) -> Quota:
-        """Return the quota of a team that is not named."""
-        return _quota(
-            self.default_max_processors,
-            self.default_max_memory_mb,
-            self.default_max_accelerators,
-        )
-
-
-def _quota(processors: float, memory_mb: int | None, accelerators: int | None) -> Quota:
-    return Quota(
-        processors,
-        UNLIMITED if memory_mb is None else memory_mb,
-        UNLIMITED if accelerators is None else accelerators,
-    )
-
-
-class TenantSettings(_Section):
-    """A tenant and its share of each service's slots."""
-
-    weight: Weight = 1.0
-
-
-class ClassSettings(_Section):
-    """A class of requests and its share within a tenant."""
-
-    weight: Weight = 1.0
-
-
-class WaveSettings(_Section):
-    """A maintenance wave that the manager starts by itself.
-
-    It takes in the VMs of the pools and racks named, or all. ``period_days``
-    is how long after its maintenance a VM is due again; without it the wave
-    runs once.
-    """
-
-    kind: OperationKind
-    pools: tuple[PoolName, ...] = ()
-    racks: tuple[RackId, ...] = ()
-    target_pool: PoolName | None = None
-    max_concurrent: Positive = 1
-    period_days: Positive | None = None
-
-
-class FleetFile(_Section):
-    """The merged configuration of one site."""
-
-    name: str
-    sites: dict[DataCenterId, SiteSettings]
-    pools: dict[PoolName, PoolSettings]
-    services: dict[ServiceName, ServiceSettings]
-    tenants: dict[TenantName, TenantSettings] = {}
-    classes: dict[ClassName, ClassSettings] = {}
-    lending: LendingSettings = LendingSettings()
-    teams: dict[TeamName, TeamSettings] = {}
-    jobs: JobsSettings = JobsSettings()
-    waves: dict[WaveName, WaveSettings] = {}
-
-    def quotas(self) -> dict[TeamName, Quota]:
-        """Return what each named team may use in a data centre."""
-        return {name: team.quota() for name, team in self.teams.items()}
-
-    def quota(self, team: TeamName) -> Quota:
-        """Return what one team may use in a data centre."""
-        settings = self.teams.get(team)
-        return settings.quota() if settings else self.jobs.default_quota()
-
-    def same_region(self, site: DataCenterId) -> frozenset[DataCenterId]:
-        """Return the other data centres of a site's region."""
-        if site not in self.sites:
-            return frozenset()
-        region = self.sites[site].region
-        return frozenset(
-            other
-            for other, settings in self.sites.items()
-            if settings.region == region and other != site
-        )
-
-    def service_of_pool(self, pool: PoolName) -> ServiceName | None:
-        """Return the service whose instances run on a pool's VMs."""
-        for name, service in self.services.items():
-            if service.pool == pool:
-                return name
-        return None
-
-    def spare_pool(self) -> PoolName | None:
-        """Return the pool that lends VMs to the others."""
-        for name, pool in self.pools.items():
-            if pool.is_spare:
-                return name
-        return None
-
-
 OVERLAY_KEYS = {
     "services": frozenset(
         {"default_timeout_ms", "run_quantile", "spill_wait_ms", "max_body_bytes"}
@@ -316,23 +118,10 @@
             return Problem(file, path, ProblemKind.BAD_VALUE, item["msg"])
 
 
-_SECTIONS: dict[str, type[_Section]] = {
-    "sites": SiteSettings,
-    "pools": PoolSettings,
-    "services": ServiceSettings,
-    "tenants": TenantSettings,
-    "classes": ClassSettings,
-    "lending": LendingSettings,
-    "teams": TeamSettings,
-    "jobs": JobsSettings,
-    "waves": WaveSettings,
-}
-
-
 def _nearest_hint(path: tuple[str | int, ...]) -> str:
-    model: type[_Section] = FleetFile
+    model: type[Section] = FleetFile
     if len(path) > 1:
-        model = _SECTIONS.get(str(path[0]), FleetFile)
+        model = SECTIONS.get(str(path[0]), FleetFile)
     if len(path) > 3:
         model = BudgetSettings
     close = difflib.get_close_matches(str(path[-1]), list(model.model_fields), n=1)
--- a/packages/corianderpitch/corianderpitch/domain/manager.py
+++ b/packages/corianderpitch/corianderpitch/domain/manager.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from corianderpitch.domain.fleetfile import FleetFile
+from corianderpitch.domain.fleetsections import FleetFile
 from corianderpitch.domain.lending import ServiceNeed
 from corianderpitch.domain.platform import VmAction, VmActionState
 from corianderpitch.domain.vms import (
--- a/packages/corianderpitch/corianderpitch/domain/schedules.py
+++ b/packages/corianderpitch/corianderpitch/domain/schedules.py
@@ -2,13 +2,14 @@
 
 A plan with a period takes a VM in again that long after its last maintenance,
 or after it was first seen. A plan without one leads to a single wave, which
-stays in the table so that it is never started twice.
+stays in the table so that it is never started twice. A wave that an operator
+has aborted ends its plan as well.
 """
 
 from dataclasses import dataclass
 from datetime import UTC, datetime
 
-from corianderpitch.domain.fleetfile import WaveSettings
+from corianderpitch.domain.fleetsections import WaveSettings
 from corianderpitch.domain.manager import Snapshot
 from corianderpitch.domain.vms import VmRecord, VmState
 from corianderpitch.domain.waves import Wave, WaveState, WaveStep
@@ -56,7 +57,7 @@
     """Tell whether a plan's earlier waves let it start another."""
     if settings.period_days is None:
         return not earlier
-    return not any(w.state in (WaveState.RUNNING, WaveState.PAUSED) for w in earlier)
+    return all(wave.state is WaveState.DONE for wave in earlier)
 
 
 def _due_vms(snapshot: Snapshot, settings: WaveSettings, wall_ms: int) -> list[VmId]:
--- a/packages/corianderpitch/tests/test_lending.py
+++ b/packages/corianderpitch/tests/test_lending.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from corianderpitch.domain.fleetfile import FleetFile
+from corianderpitch.domain.fleetsections import FleetFile
 from corianderpitch.domain.lending import (
     HOUR_MS,
     Lend,
--- a/packages/corianderpitch/tests/test_manager.py
+++ b/packages/corianderpitch/tests/test_manager.py
@@ -7,7 +7,7 @@
 from returns.result import Success
 
 from corianderpitch.adapters.memory import MemoryTable
-from corianderpitch.domain.fleetfile import FleetFile
+from corianderpitch.domain.fleetsections import FleetFile
 from corianderpitch.domain.manager import (
     DrainReport,
     EntryReport,
--- a/packages/corianderpitch/tests/test_schedules.py
+++ b/packages/corianderpitch/tests/test_schedules.py
@@ -53,8 +53,8 @@
     assert due_wave(snapshot(UPKEEP, vms), early_ms) is None
 
 
-@pytest.mark.parametrize("state", [WaveState.RUNNING, WaveState.PAUSED])
-def test_plan_waits_for_its_earlier_wave(state):
+@pytest.mark.parametrize("state", [s for s in WaveState if s is not WaveState.DONE])
+def test_plan_waits_for_its_earlier_wave_and_ends_with_an_aborted_one(state):
     fleet = {"vm": RECORD}
     start = due_wave(snapshot(UPKEEP, fleet), NOW_MS)
     earlier = ended(start, state)
