Hand a record of tickets over in parts, so that a full one arrives

Cause, found while reading the handover again: an entry keeps up to 16 MiB of answers, and a message may have 16 MiB as well. A record near its limit made a message that the successor refused as undecodable; its connection was closed, the handover was lost, and every ticket of that entry became unknown.

Ruled out: keeping fewer answers, because the number of small ones is not bounded by their bytes.

A record now travels in parts of 4 MiB, and the successor answers for nothing before it has them all, for a part could lack a ticket that has run. The parts are in a module of their own.

--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/handovers.py
@@ -0,0 +1,71 @@
+"""Ticket records on their way to a successor: in messages, and back."""
+
+from corianderpitch.domain.tickets import TicketStore
+from corianderpitch.ids import EntryId
+from corianderpitch.messages import FinishedTicket, OutcomeRecord, TicketHandover
+
+PART_BYTES = 4 * 1024 * 1024
+FINISHED_TICKET_BYTES = 100  # beside the answer's body
+
+
+def handover_messages(store: TicketStore, now_ms: float) -> list[TicketHandover]:
+    """Return the messages that hand a store over, each within a message's size.
+
+    ``now_ms`` is the time of the sender, which need not be the issuer.
+    """
+    parts = _parts(store)
+    return [
+        TicketHandover(
+            store.issuer,
+            store.incarnation,
+            store.secret,
+            now_ms - store.clock_offset_ms,
+            number,
+            len(parts),
+            finished,
+        )
+        for number, finished in enumerate(parts)
+    ]
+
+
+def _parts(store: TicketStore) -> list[tuple[FinishedTicket, ...]]:
+    parts: list[list[FinishedTicket]] = [[]]
+    part_bytes = 0
+    for number, issued_ms, outcome in store.finished():
+        record = OutcomeRecord.from_outcome(outcome)
+        ticket_bytes = FINISHED_TICKET_BYTES + len(record.body)
+        if parts[-1] and part_bytes + ticket_bytes > PART_BYTES:
+            parts.append([])
+            part_bytes = 0
+        parts[-1].append(FinishedTicket(number, issued_ms, record))
+        part_bytes += ticket_bytes
+    return [tuple(part) for part in parts]
+
+
+class HandoverCollector:
+    """Parts of records that are being handed over to this entry."""
+
+    def __init__(self):
+        self._parts: dict[tuple[EntryId, str], dict[int, TicketHandover]] = {}
+
+    def add(self, handover: TicketHandover, now_ms: float) -> TicketStore | None:
+        """Take in a part; returns the whole store with the last one.
+
+        A store that lacks a part must not be used: it could start a ticket that
+        has run already.
+        """
+        key = (handover.issuer, handover.incarnation)
+        parts = self._parts.setdefault(key, {})
+        parts[handover.part] = handover
+        if len(parts) < handover.part_count:
+            return None
+        del self._parts[key]
+        store = TicketStore(*key, handover.secret, now_ms - handover.now_ms)
+        for _, part in sorted(parts.items()):
+            store.adopt(
+                [
+                    (item.number, item.issued_ms, item.outcome.to_outcome())
+                    for item in part.finished
+                ]
+            )
+        return store
--- a/packages/corianderpitch/corianderpitch/daemon/tickets.py
+++ b/packages/corianderpitch/corianderpitch/daemon/tickets.py
@@ -9,6 +9,7 @@
 from eventlet.event import Event
 
 from corianderpitch.clock import Clock
+from corianderpitch.daemon.handovers import HandoverCollector, handover_messages
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.members import MembershipTask
 from corianderpitch.daemon.network import Lane, PeerNetwork
@@ -35,7 +36,6 @@
     TicketId,
 )
 from corianderpitch.messages import (
-    FinishedTicket,
     OutcomeRecord,
     TicketAccepted,
     TicketCall,
@@ -48,7 +48,7 @@
 ACCEPT_MS = 500.0
 MAX_CALLS = 4
 HANDOVER_TIMEOUT_MS = 2000.0
-HANDOVER_RETRY_MS = 200.0
+HANDOVER_RETRY_MS = 500.0
 HANDOVER_CHECK_MS = 10.0
 
 log = logger("tickets")
@@ -91,6 +91,7 @@
             (own.entry, own.incarnation): self._store
         }
         self._successors: dict[StoreKey, MemberInfo] = {}
+        self._handovers = HandoverCollector()
         self._running: dict[TicketId, Event] = {}
         self._calls: dict[str, _PendingCall] = {}
         self._call_numbers = itertools.count()
@@ -297,16 +298,10 @@
         return is_confirmed
 
     def _send_stores(self, successor: EntryId) -> None:
-        for (issuer, incarnation), store in self._stores.items():
-            finished = tuple(
-                FinishedTicket(number, issued_ms, OutcomeRecord.from_outcome(outcome))
-                for number, issued_ms, outcome in store.finished()
-            )
-            now_ms = self._clock.now_ms() - store.clock_offset_ms
-            handover = TicketHandover(
-                issuer, incarnation, store.secret, now_ms, finished
-            )
-            self._network.send(successor, handover, Lane.BULK)
+        now_ms = self._clock.now_ms()
+        for store in self._stores.values():
+            for part in handover_messages(store, now_ms):
+                self._network.send(successor, part, Lane.BULK)
 
     def _is_confirmed_within(self, timeout_ms: float) -> bool:
         deadline_ms = self._clock.now_ms() + timeout_ms
@@ -325,16 +320,12 @@
             self._network.send(info.entry, message)
 
     def _on_handover(self, sender: EntryId, handover: TicketHandover) -> None:
+        """Take a record over once all of its parts are there."""
         key = (handover.issuer, handover.incarnation)
         if key not in self._stores:
-            offset_ms = self._clock.now_ms() - handover.now_ms
-            store = TicketStore(*key, handover.secret, offset_ms)
-            store.adopt(
-                [
-                    (item.number, item.issued_ms, item.outcome.to_outcome())
-                    for item in handover.finished
-                ]
-            )
+            store = self._handovers.add(handover, self._clock.now_ms())
+            if store is None:
+                return
             self._stores[key] = store
             log.info("Answering for the tickets of {}.", handover.issuer)
         self._tell_everyone(TicketSuccessor(*key, self._membership.own))
--- a/packages/corianderpitch/corianderpitch/messages.py
+++ b/packages/corianderpitch/corianderpitch/messages.py
@@ -260,13 +260,16 @@
 class TicketHandover:
     """Hands the tickets of an entry that exits in order to the receiver.
 
-    ``now_ms`` is the issuer's clock at the time of sending.
+    ``now_ms`` is the issuer's clock at the time of sending. A long record comes
+    in ``part_count`` parts; ``part`` counts from 0.
     """
 
     issuer: EntryId
     incarnation: str
     secret: bytes
     now_ms: float
+    part: int
+    part_count: int
     finished: tuple[FinishedTicket, ...]
 
 
--- a/packages/corianderpitch/tests/test_handover.py
+++ b/packages/corianderpitch/tests/test_handover.py
@@ -9,8 +9,10 @@
 from corianderpitch.daemon.members import MembershipTask
 from corianderpitch.daemon.tickets import TicketService
 from corianderpitch.domain.membership import MemberInfo, Membership
-from corianderpitch.domain.outcomes import Reason, Unknown
+from corianderpitch.domain.outcomes import Answered, Reason, Unknown
+from corianderpitch.domain.tickets import MAX_KEPT_ANSWER_BYTES
 from corianderpitch.messages import TicketCall, TicketHandover, TicketSuccessor
+from corianderpitch.wire import Decoder, encode
 
 LEAVING = MemberInfo("a1", "i", "a", "x:1")
 SUCCESSOR = MemberInfo("a0", "i", "a", "x:2")
@@ -35,11 +37,11 @@
         eventlet.spawn_n(self.handlers[TicketSuccessor], entry, answer)
 
 
-def ticket_service(own, network, known, clock):
+def ticket_service(own, network, known, clock, runner=None):
     membership = Membership(own)
     membership.learn(known)
     members = MembershipTask(membership, network, clock, random.Random(1))
-    return TicketService(membership, members, network, None, clock), membership
+    return TicketService(membership, members, network, runner, clock), membership
 
 
 def handed_over(lose):
@@ -98,3 +100,34 @@
     membership.learn([anew])
     network.handlers[TicketSuccessor]("a1", TicketSuccessor("a1", "i", SUCCESSOR))
     assert membership.info("a0") == anew
+
+
+class AnsweringRunner:
+    """Answers with as many bytes as the request names."""
+
+    def run(self, request):
+        return Answered(200, "text/plain", b"x" * int(request.body))
+
+
+def test_record_larger_than_a_message_is_handed_over_in_parts():
+    """The successor answers for nothing before it has every part."""
+    network = SuccessorNetwork("a1", 0)
+    service, _ = ticket_service(
+        LEAVING, network, [SUCCESSOR], SystemClock(), AnsweringRunner()
+    )
+    sizes = [MAX_KEPT_ANSWER_BYTES // 16] * 16 + [0] * 1000
+    tickets = [service.issue("s", "t", "c") for _ in sizes]
+    for ticket, size in zip(tickets, sizes, strict=True):
+        service.use(ticket, 1000.0, "", str(size).encode())
+    service.hand_over("a0")
+    parts = [m for _, m in network.sent if isinstance(m, TicketHandover)]
+    heir_network = FakeNetwork("a0")
+    heir, _ = ticket_service(SUCCESSOR, heir_network, [LEAVING], SystemClock())
+    decoder = Decoder()
+    for part in parts:
+        assert heir_network.sent == []
+        [received] = decoder.feed(encode(part))
+        heir_network.handlers[TicketHandover]("a1", received)
+    assert [type(m) for _, m in heir_network.sent] == [TicketSuccessor]
+    kept = [heir.use(ticket, 1000.0, "", None) for ticket in tickets]
+    assert [len(outcome.body) for outcome in kept] == sizes
