Let one piece of code serve where the same logic stood twice

Read again as a whole, the changes of late had written some things anew. Ruled out: joining the loops of manager and scheduler, which differ in what they do on taking the role, and the operators' commands, whose signatures are their help.

- Membership.everybody() and live_others() for sums and differences with oneself;
- Wave.over() and selects() for waves by hand and of the fleet file;
- a scan decodes each entry's row once and not twice on representatives;
- the set-ups of test_leases.py; the assertions stay.

Behaviour stays as it was.

--- a/packages/corianderpitch-standins/corianderpitch_standins/benchreport.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchreport.py
@@ -36,29 +36,15 @@
         self, name: str, value: float, limit: float, unit: str, baseline: str = ""
     ) -> None:
         """Add a figure with an upper bound."""
-        self.add(
-            Figure(
-                name,
-                f"{value:.3g} {unit}",
-                f"<= {limit:g}",
-                value <= limit,
-                baseline,
-            )
-        )
+        target, is_met = f"<= {limit:g}", value <= limit
+        self.add(Figure(name, f"{value:.3g} {unit}", target, is_met, baseline))
 
     def at_least(
         self, name: str, value: float, limit: float, unit: str, baseline: str = ""
     ) -> None:
         """Add a figure with a lower bound."""
-        self.add(
-            Figure(
-                name,
-                f"{value:.3g} {unit}",
-                f">= {limit:g}",
-                value >= limit,
-                baseline,
-            )
-        )
+        target, is_met = f">= {limit:g}", value >= limit
+        self.add(Figure(name, f"{value:.3g} {unit}", target, is_met, baseline))
 
     def note(self, name: str, value: str) -> None:
         """Add a figure without a target."""
--- a/packages/corianderpitch/corianderpitch/adapters/memory.py
+++ b/packages/corianderpitch/corianderpitch/adapters/memory.py
@@ -30,6 +30,7 @@
     VmList,
     Workers,
     Write,
+    version_of,
 )
 
 
@@ -77,7 +78,7 @@
         return Success(versions)
 
     def _version(self, key: str) -> int:
-        return self._rows[key].version if key in self._rows else 0
+        return version_of(self._rows.get(key))
 
 
 class MemoryVmList(VmList):
--- a/packages/corianderpitch/corianderpitch/daemon/collectors.py
+++ b/packages/corianderpitch/corianderpitch/daemon/collectors.py
@@ -9,7 +9,7 @@
 from corianderpitch.domain.manager import EntryReport
 from corianderpitch.domain.membership import Membership
 from corianderpitch.domain.vms import SiteFleet, VmState
-from corianderpitch.ids import DataCenterId, EntryId, VmId
+from corianderpitch.ids import DataCenterId, EntryId
 from corianderpitch.messages import Report, ReportQuery
 
 SITE_QUERY_INTERVAL_MS = 1000.0
@@ -62,7 +62,8 @@
         if is_due:
             self._next_site_query_ms = now_ms + SITE_QUERY_INTERVAL_MS
         for site, entries in self._entries_by_site().items():
-            vm_ids = _draining(fleets.get(site, SiteFleet({})))
+            fleet = fleets.get(site, SiteFleet({}))
+            vm_ids = tuple(v for v, _ in fleet.in_state(VmState.DRAINING))
             if vm_ids:
                 for entry in entries:
                     self._network.send(entry, ReportQuery(vm_ids))
@@ -92,15 +93,9 @@
 
     def _entries_by_site(self) -> dict[DataCenterId, list[EntryId]]:
         by_site: dict[DataCenterId, list[EntryId]] = {}
-        for info in [*self._membership.known(), self._membership.own]:
+        for info in self._membership.everybody():
             by_site.setdefault(info.data_center, []).append(info.entry)
         return by_site
 
     def _on_report(self, sender: EntryId, message: Report) -> None:
         self._heard[sender] = _Heard(message.report, self._clock.now_ms())
-
-
-def _draining(fleet: SiteFleet) -> tuple[VmId, ...]:
-    return tuple(
-        vm_id for vm_id, record in fleet.vms.items() if record.state is VmState.DRAINING
-    )
--- a/packages/corianderpitch/corianderpitch/daemon/configoperations.py
+++ b/packages/corianderpitch/corianderpitch/daemon/configoperations.py
@@ -32,7 +32,7 @@
     RowConflict,
 )
 from corianderpitch.ids import DataCenterId, OperationId, Revision
-from corianderpitch.ports import Check, Row, TableService, Write
+from corianderpitch.ports import Check, Row, TableService, Write, version_of
 from corianderpitch.records import (
     CONFIG_HEAD_KEY,
     AcceptedOperation,
@@ -129,7 +129,7 @@
     def _commit_config(
         self, change: ConfigChange, record: ConfigRecord, head_row: Row | None
     ) -> Result[Revision, OperationError]:
-        check = Check(CONFIG_HEAD_KEY, head_row.version if head_row else 0)
+        check = Check(CONFIG_HEAD_KEY, version_of(head_row))
         head_value = encode_row(record)
         kept = encode_row(replace(record, recent=()))
         writes = [
--- a/packages/corianderpitch/corianderpitch/daemon/documents.py
+++ b/packages/corianderpitch/corianderpitch/daemon/documents.py
@@ -20,7 +20,7 @@
 from corianderpitch.domain.vms import SiteFleet
 from corianderpitch.ids import EntryId
 from corianderpitch.messages import Document, DocumentQuery, VmChange
-from corianderpitch.ports import Row, TableService
+from corianderpitch.ports import Row, TableService, version_of
 from corianderpitch.records import (
     CONFIG_HEAD_KEY,
     ConfigRecord,
@@ -101,7 +101,7 @@
             self._members.send_cross_site_heartbeats()
 
     def _version(self, key: str) -> int:
-        return self._rows[key].version if key in self._rows else 0
+        return version_of(self._rows.get(key))
 
     def _accept(self, row: Row) -> bool:
         if row.version <= self._version(row.key):
--- a/packages/corianderpitch/corianderpitch/daemon/entry.py
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -237,8 +237,7 @@
 
     def _successor(self) -> EntryId | None:
         """Return the entry that takes the tickets: a live one of this site first."""
-        own = self._membership.own.entry
-        live = self._membership.live(self._clock.now_ms()) - {own}
+        live = self._membership.live_others(self._clock.now_ms())
         elsewhere = {
             info.entry
             for info in self._membership.known()
--- a/packages/corianderpitch/corianderpitch/daemon/fleetoperations.py
+++ b/packages/corianderpitch/corianderpitch/daemon/fleetoperations.py
@@ -21,7 +21,7 @@
     request_operation,
     request_return,
 )
-from corianderpitch.domain.waves import Wave, WaveState, WaveStep
+from corianderpitch.domain.waves import Wave, WaveState, selects
 from corianderpitch.errors import (
     CommitError,
     OperationError,
@@ -67,9 +67,9 @@
         return (
             age_ms >= self.not_maintained_for_ms
             and record.state is not VmState.RETIRED
-            and (not self.pools or record.pool in self.pools)
-            and (not self.racks or record.rack in self.racks)
-            and (not self.vm_ids or vm_id in self.vm_ids)
+            and selects(self.pools, record.pool)
+            and selects(self.racks, record.rack)
+            and selects(self.vm_ids, vm_id)
         )
 
 
@@ -167,13 +167,13 @@
                 return Failure(error)
         if not chosen:
             return Failure(WaveRefused(request.name, WaveRefusal.NO_VMS))
-        wave = Wave(
+        wave = Wave.over(
             request.name,
             request.kind,
             request.max_concurrent,
-            dict.fromkeys(chosen, WaveStep.PENDING),
-            target_pool=request.target_pool,
-            created_ms=self._clock.wall_ms(),
+            chosen,
+            request.target_pool,
+            wall_ms,
         )
         return self._commit_wave(wave, 0, WaveRefusal.EXISTS)
 
--- a/packages/corianderpitch/corianderpitch/daemon/joboperations.py
+++ b/packages/corianderpitch/corianderpitch/daemon/joboperations.py
@@ -16,7 +16,7 @@
     RowConflict,
 )
 from corianderpitch.ids import DataCenterId, JobId, JobKind, TeamName, WorkerId
-from corianderpitch.ports import Check, Row, TableService, Workers, Write
+from corianderpitch.ports import Check, Row, TableService, Workers, Write, version_of
 from corianderpitch.records import (
     JobInbox,
     WorkerMarks,
@@ -151,7 +151,7 @@
         marks = decode_row(WorkerMarks, row.value) if row else WorkerMarks()
         drained = marks.drained | {worker} if is_drained else marks.drained - {worker}
         changed = WorkerMarks(drained)
-        check = Check(key, row.version if row else 0)
+        check = Check(key, version_of(row))
         committed = self._table.commit((check,), (Write(key, encode_row(changed)),))
         return committed.map(lambda _: changed)
 
@@ -182,7 +182,7 @@
                 pass
             case Failure(error):
                 return Failure(error)
-        checks = [Check(inbox_key, _version(rows, inbox_key))]
+        checks = [Check(inbox_key, version_of(rows.get(inbox_key)))]
         writes = []
         changed_jobs = []
         for key, job in keys.items():
@@ -190,7 +190,7 @@
             changed = change(job, old)
             changed_jobs.append(changed)
             if changed != old:
-                checks.append(Check(key, _version(rows, key)))
+                checks.append(Check(key, version_of(rows.get(key))))
                 writes.append(Write(key, encode_row(changed)))
         if not writes:
             return Success(changed_jobs)
@@ -205,10 +205,6 @@
     return current if current.state.has_ended else replace(current, is_cancelled=True)
 
 
-def _version(rows: dict[str, Row], key: str) -> int:
-    return rows[key].version if key in rows else 0
-
-
 def _announce(row: Row | None, job_ids: list[JobId]) -> JobInbox:
     inbox = decode_row(JobInbox, row.value) if row else JobInbox()
     announced = tuple(dict.fromkeys((*inbox.job_ids, *job_ids)))
--- a/packages/corianderpitch/corianderpitch/daemon/leases.py
+++ b/packages/corianderpitch/corianderpitch/daemon/leases.py
@@ -15,7 +15,7 @@
 from corianderpitch.domain.membership import MemberInfo, Membership
 from corianderpitch.errors import RowConflict
 from corianderpitch.ids import EntryId
-from corianderpitch.ports import Check, Row, TableService, Write
+from corianderpitch.ports import Check, Row, TableService, Write, version_of
 from corianderpitch.records import (
     MEMBER_PREFIX,
     MemberRecord,
@@ -32,13 +32,16 @@
 
 def take_in_members(
     rows: list[Row], members: MembershipTask, observer: LeaseObserver, now_ms: float
-) -> None:
-    """Learn of the entries in the table and note which leases were renewed."""
-    records = [decode_row(MemberRecord, row.value) for row in rows]
-    members.learn([record.info for record in records])
-    pairs = zip(records, rows, strict=True)
-    versions = {record.info.entry: row.version for record, row in pairs}
-    observer.observe(versions, now_ms)
+) -> list[MemberInfo]:
+    """Learn of the entries in the table and note which leases were renewed.
+
+    Returns the entries in the order of the rows.
+    """
+    infos = [decode_row(MemberRecord, row.value).info for row in rows]
+    members.learn(infos)
+    pairs = zip(infos, rows, strict=True)
+    observer.observe({info.entry: row.version for info, row in pairs}, now_ms)
+    return infos
 
 
 class LeaseTask:
@@ -99,9 +102,9 @@
         match self._table.scan(MEMBER_PREFIX):
             case Success(rows):
                 self._next_scan_ms = now_ms + FOLLOWER_SCAN_INTERVAL_MS
-                take_in_members(rows, self._members, self.observer, now_ms)
+                infos = take_in_members(rows, self._members, self.observer, now_ms)
                 if self._members.is_representative():
-                    self._delete_lapsed(rows, now_ms)
+                    self._delete_lapsed(infos, rows, now_ms)
                 self._forget_absent(now_ms)
 
     def give_up(self) -> None:
@@ -113,13 +116,13 @@
         """Learn the version of a row whose last write has an unknown outcome."""
         match self._table.read({self._key: 0}):
             case Success(rows):
-                row = rows.get(self._key)
-                self._version = row.version if row else 0
+                self._version = version_of(rows.get(self._key))
 
-    def _delete_lapsed(self, rows: list[Row], now_ms: float) -> None:
+    def _delete_lapsed(
+        self, infos: list[MemberInfo], rows: list[Row], now_ms: float
+    ) -> None:
         """Remove rows that nobody has renewed for long, and forget the entries."""
-        for row in rows:
-            info = decode_row(MemberRecord, row.value).info
+        for info, row in zip(infos, rows, strict=True):
             if not self.observer.is_abandoned(info.entry, now_ms):
                 continue
             if not self._may_delete(info, now_ms):
--- a/packages/corianderpitch/corianderpitch/daemon/managers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managers.py
@@ -30,7 +30,7 @@
 from corianderpitch.domain.membership import Membership
 from corianderpitch.domain.platform import VmAction, VmActionState
 from corianderpitch.domain.schedules import WaveStart, due_wave
-from corianderpitch.domain.vms import VmRecord, VmState
+from corianderpitch.domain.vms import VmState
 from corianderpitch.domain.waves import Wave
 from corianderpitch.ids import DataCenterId, OperationId, VmId
 from corianderpitch.messages import Document, VmChange
@@ -186,7 +186,12 @@
     ) -> dict[OperationId, VmActionState]:
         """Ask the platform about running actions; start those it has not seen."""
         states = {}
-        for vm_id, record in _records_in(sites, VmState.STOPPING):
+        stopping = [
+            pair
+            for site in sites.values()
+            for pair in site.fleet.in_state(VmState.STOPPING)
+        ]
+        for vm_id, record in stopping:
             if record.operation is None:
                 continue
             operation_id = record.operation.operation_id
@@ -282,14 +287,3 @@
 
 def _wave_write(wave: Wave) -> Write:
     return Write(wave_key(wave.name), encode_row(wave))
-
-
-def _records_in(
-    sites: Mapping[DataCenterId, SiteSnapshot], state: VmState
-) -> list[tuple[VmId, VmRecord]]:
-    return [
-        (vm_id, record)
-        for site in sites.values()
-        for vm_id, record in site.fleet.vms.items()
-        if record.state is state
-    ]
--- a/packages/corianderpitch/corianderpitch/daemon/managerview.py
+++ b/packages/corianderpitch/corianderpitch/daemon/managerview.py
@@ -16,7 +16,7 @@
 from corianderpitch.domain.vms import SiteFleet
 from corianderpitch.domain.waves import Wave, WaveState
 from corianderpitch.ids import DataCenterId, EntryId, WaveName
-from corianderpitch.ports import Check, Row, TableService, Write
+from corianderpitch.ports import Check, Row, TableService, Write, version_of
 from corianderpitch.records import (
     CONFIG_HEAD_KEY,
     FLEET_PREFIX,
@@ -80,7 +80,7 @@
             return False
         keys = [CONFIG_HEAD_KEY, *(fleet_key(site) for site in config.base.sites)]
         keys += [key for key in self._rows if key.startswith(WAVE_PREFIX)]
-        known = {k: self._rows[k].version if k in self._rows else 0 for k in keys}
+        known = {key: self._version(key) for key in keys}
         match self._table.read(known):
             case Success(rows):
                 self._rows.update(rows)
@@ -163,10 +163,9 @@
     def _site_snapshot(
         self, site: DataCenterId, valid: frozenset[EntryId]
     ) -> SiteSnapshot:
-        row = self._rows.get(fleet_key(site))
-        infos = [*self._membership.known(), self._membership.own]
+        infos = self._membership.everybody()
         members = {i.entry for i in infos if i.data_center == site}
-        version = row.version if row else 0
+        version = self._version(fleet_key(site))
         return SiteSnapshot(self.fleet(site), version, frozenset(members & valid))
 
     def fleet(self, site: DataCenterId) -> SiteFleet:
@@ -192,7 +191,7 @@
         return tuple(Check(key, version) for key, version in rested_on.items())
 
     def _version(self, key: str) -> int:
-        return self._rows[key].version if key in self._rows else 0
+        return version_of(self._rows.get(key))
 
     def take_in(self, writes: tuple[Write, ...], versions: Mapping[str, int]) -> None:
         """Keep the rows that a transaction has written, and put them in force."""
--- a/packages/corianderpitch/corianderpitch/daemon/members.py
+++ b/packages/corianderpitch/corianderpitch/daemon/members.py
@@ -76,9 +76,8 @@
             for address in self._peers:
                 self._network.send_to_address(address, MembersQuery())
         now_ms = self._clock.now_ms()
-        live = self._membership.live(now_ms)
         neighbours = self._membership.known_in(self._membership.own.data_center)
-        for entry in live.intersection(neighbours):
+        for entry in self._membership.live_others(now_ms):
             self._check_silence(entry)
         self._send_heartbeats(neighbours)
         if now_ms >= self._next_cross_site_ms and self.is_representative():
@@ -130,8 +129,7 @@
             if info.data_center == self._membership.own.data_center:
                 self._send_heartbeat(info.entry)
         if fresh and self.is_representative():
-            own = self._membership.own.entry
-            for entry in self._membership.live(self._clock.now_ms()) - {own}:
+            for entry in self._membership.live_others(self._clock.now_ms()):
                 self._network.send(entry, Members(tuple(fresh)))
 
     def forget(self, entry: EntryId) -> None:
@@ -151,9 +149,7 @@
 
     def needs(self) -> tuple[ServiceNeed, ...]:
         """Return what the services of this site run and keep waiting."""
-        others = self._membership.live(self._clock.now_ms()) - {
-            self._membership.own.entry
-        }
+        others = self._membership.live_others(self._clock.now_ms())
         heard = (need for e in sorted(others) for need in self._needs.get(e, ()))
         return (*self.own_needs(), *heard)
 
@@ -228,7 +224,7 @@
         self._network.send(sender, Members(self._everybody()))
 
     def _everybody(self) -> tuple[MemberInfo, ...]:
-        return (*self._membership.known(), self._membership.own)
+        return tuple(self._membership.everybody())
 
     def _on_refused(self, entry: EntryId) -> None:
         self._membership.lost(entry)
--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -14,7 +14,7 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.ids import EntryId
-from corianderpitch.ports import Check, Row, TableService, Write
+from corianderpitch.ports import Check, Row, TableService, Write, version_of
 from corianderpitch.records import RoleBeat, RoleEpoch, decode_row, encode_row
 
 log = logger("roles")
@@ -101,8 +101,7 @@
 
     def _has_lapsed(self, rows: Mapping[str, Row]) -> bool:
         now_ms = self._clock.now_ms()
-        beat = rows.get(self._beat_key)
-        version = beat.version if beat else 0
+        version = version_of(rows.get(self._beat_key))
         if version != self._beat_version:
             self._beat_version = version
             self._beat_seen_ms = now_ms
@@ -112,7 +111,7 @@
     def _take(self, epoch_row: Row | None) -> bool:
         old = decode_row(RoleEpoch, epoch_row.value) if epoch_row else None
         epoch = RoleEpoch(self._entry, old.epoch + 1 if old else 1)
-        check = Check(self._epoch_key, epoch_row.version if epoch_row else 0)
+        check = Check(self._epoch_key, version_of(epoch_row))
         write = Write(self._epoch_key, encode_row(epoch))
         match self._table.commit((check,), (write,)):
             case Success(versions):
--- a/packages/corianderpitch/corianderpitch/domain/adoption.py
+++ b/packages/corianderpitch/corianderpitch/domain/adoption.py
@@ -62,7 +62,7 @@
         self, snapshot: Snapshot, listed: list[ListedVm], now_ms: float
     ) -> None:
         here = {vm.vm_id for vm in listed}
-        known = {v for site in snapshot.sites.values() for v in site.fleet.vms}
+        known = {vm_id for _, vm_id, _ in snapshot.records()}
         self._missing_since_ms = {
             vm_id: self._missing_since_ms.get(vm_id, now_ms) for vm_id in known - here
         }
--- a/packages/corianderpitch/corianderpitch/domain/loans.py
+++ b/packages/corianderpitch/corianderpitch/domain/loans.py
@@ -24,7 +24,7 @@
     request_operation,
     start_drain,
 )
-from corianderpitch.ids import DataCenterId, OperationId, PoolName, ServiceName, VmId
+from corianderpitch.ids import DataCenterId, OperationId, PoolName, ServiceName
 
 
 def loan_step(
@@ -49,7 +49,7 @@
     """Return what a pool has, VMs on their way to it included, and needs."""
     service = snapshot.config.service_of_pool(pool)
     slots = snapshot.config.services[service].instance_slots if service else 0
-    mine = [r for _, _, r in _all_records(snapshot) if _will_serve(r, pool)]
+    mine = [r for _, _, r in snapshot.records() if _will_serve(r, pool)]
     lent = sum(1 for record in mine if record.lent_from is not None)
     needed = sum(need.slots for _, need in _needs_of(snapshot, service))
     return PoolDemand(pool, len(mine), slots, needed, lent)
@@ -90,7 +90,7 @@
     needs = {site: need.slots for site, need in _needs_of(snapshot, service)}
     candidates = [
         (needs.get(site, 0), vm_id, site, record)
-        for site, vm_id, record in _all_records(snapshot)
+        for site, vm_id, record in snapshot.records()
         if record.pool == source
         and record.state is VmState.ACTIVE
         and record.operation is None
@@ -104,9 +104,3 @@
     operation = VmOperation(operation_id, OperationKind.MOVE, target, is_loan=True)
     requested = request_operation(record, operation)
     return VmStep(site, vm_id, start_drain(requested))
-
-
-def _all_records(snapshot: Snapshot) -> Iterator[tuple[DataCenterId, VmId, VmRecord]]:
-    for site, found in snapshot.sites.items():
-        for vm_id, record in found.fleet.vms.items():
-            yield site, vm_id, record
--- a/packages/corianderpitch/corianderpitch/domain/manager.py
+++ b/packages/corianderpitch/corianderpitch/domain/manager.py
@@ -7,7 +7,7 @@
 """
 
 import enum
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from corianderpitch.domain.fleetsections import FleetFile
@@ -86,6 +86,12 @@
     reports: Mapping[EntryId, EntryReport]
     actions: Mapping[OperationId, VmActionState] = field(default_factory=dict)
 
+    def records(self) -> Iterator[tuple[DataCenterId, VmId, VmRecord]]:
+        """Yield every VM with its data centre."""
+        for data_center, site in self.sites.items():
+            for vm_id, record in site.fleet.vms.items():
+                yield data_center, vm_id, record
+
 
 class Wait(enum.Enum):
     """Why a VM's operation does not go on."""
@@ -161,8 +167,7 @@
     reporting = {report.data_center for report in snapshot.reports.values()}
     return sum(
         1
-        for data_center, site in snapshot.sites.items()
-        for vm_id, record in site.fleet.vms.items()
+        for data_center, vm_id, record in snapshot.records()
         if record.pool == pool
         and record.is_open
         and data_center in reporting
@@ -193,11 +198,10 @@
 
 def _records(
     snapshot: Snapshot, *states: VmState
-) -> Iterable[tuple[DataCenterId, VmId, VmRecord]]:
-    for data_center, site in sorted(snapshot.sites.items()):
-        for vm_id, record in sorted(site.fleet.vms.items()):
-            if record.state in states:
-                yield data_center, vm_id, record
+) -> list[tuple[DataCenterId, VmId, VmRecord]]:
+    """Return the VMs that stand at one of the states, in the same order always."""
+    found = (item for item in snapshot.records() if item[2].state in states)
+    return sorted(found, key=lambda item: item[:2])
 
 
 def _finish_step(
--- a/packages/corianderpitch/corianderpitch/domain/membership.py
+++ b/packages/corianderpitch/corianderpitch/domain/membership.py
@@ -133,6 +133,10 @@
         """Return every known entry but oneself and those that have left."""
         return [m.info for m in self._members.values() if not m.has_left]
 
+    def everybody(self) -> list[MemberInfo]:
+        """Return every known entry and oneself."""
+        return [*self.known(), self._own]
+
     def remembered(self) -> list[EntryId]:
         """Return every entry that has not been forgotten."""
         return list(self._members)
@@ -161,13 +165,16 @@
 
     def live(self, now_ms: float) -> frozenset[EntryId]:
         """Return the live entries of one's own data centre, oneself included."""
-        alive = {
+        return self.live_others(now_ms) | {self._own.entry}
+
+    def live_others(self, now_ms: float) -> frozenset[EntryId]:
+        """Return the live entries of one's own data centre but oneself."""
+        return frozenset(
             entry
             for entry, member in self._in_site(self._own.data_center).items()
             if member.heard_ms is not None
             and now_ms - member.heard_ms < SUSPECT_AFTER_MS
-        }
-        return frozenset(alive | {self._own.entry})
+        )
 
     def data_centers(self) -> frozenset[DataCenterId]:
         """Return the other data centres with known entries."""
--- a/packages/corianderpitch/corianderpitch/domain/schedules.py
+++ b/packages/corianderpitch/corianderpitch/domain/schedules.py
@@ -12,7 +12,7 @@
 from corianderpitch.domain.fleetsections import WaveSettings
 from corianderpitch.domain.manager import Snapshot
 from corianderpitch.domain.vms import VmRecord, VmState
-from corianderpitch.domain.waves import Wave, WaveState, WaveStep
+from corianderpitch.domain.waves import Wave, WaveState, selects
 from corianderpitch.ids import VmId, WaveName
 
 DAY_MS = 86_400_000
@@ -47,7 +47,7 @@
     return None
 
 
-def due_ms(record: VmRecord, period_days: int) -> int:
+def _due_ms(record: VmRecord, period_days: int) -> int:
     """Return the Unix time at which a VM's next maintenance is due."""
     since_ms = max(record.last_maintained_ms, record.first_seen_ms)
     return since_ms + period_days * DAY_MS
@@ -64,13 +64,12 @@
     """Return the VMs that a plan wants now, the longest due first."""
     period_days = settings.period_days
     found: list[tuple[int, VmId]] = []
-    for site in snapshot.sites.values():
-        for vm_id, record in site.fleet.vms.items():
-            if not _is_selected(settings, record):
-                continue
-            vm_due_ms = due_ms(record, period_days) if period_days else 0
-            if vm_due_ms <= wall_ms + BATCH_MS:
-                found.append((vm_due_ms, vm_id))
+    for _, vm_id, record in snapshot.records():
+        if not _is_selected(settings, record):
+            continue
+        due_ms = _due_ms(record, period_days) if period_days else 0
+        if due_ms <= wall_ms + BATCH_MS:
+            found.append((due_ms, vm_id))
     limit = MAX_WAVE_VMS if period_days else len(found)
     return [vm_id for _, vm_id in sorted(found)[:limit]]
 
@@ -80,16 +79,11 @@
     return (
         record.state in (_TAKEN_AGAIN if is_repeated else _TAKEN_ONCE)
         and record.pool != settings.target_pool
-        and _names(settings.pools, record.pool)
-        and _names(settings.racks, record.rack)
+        and selects(settings.pools, record.pool)
+        and selects(settings.racks, record.rack)
     )
 
 
-def _names(selector: tuple[str, ...], name: str) -> bool:
-    """Tell whether a selector names something; an empty one names everything."""
-    return not selector or name in selector
-
-
 def _new_wave(
     plan: WaveName, settings: WaveSettings, chosen: list[VmId], wall_ms: int
 ) -> Wave:
@@ -97,14 +91,14 @@
     if settings.period_days is not None:
         started = datetime.fromtimestamp(wall_ms / 1000.0, UTC)
         name = WaveName(f"{plan}-{started:%Y%m%d-%H%M%S}")
-    return Wave(
+    return Wave.over(
         name,
         settings.kind,
         settings.max_concurrent,
-        dict.fromkeys(chosen, WaveStep.PENDING),
-        target_pool=settings.target_pool,
-        created_ms=wall_ms,
-        plan=plan,
+        chosen,
+        settings.target_pool,
+        wall_ms,
+        plan,
     )
 
 
--- a/packages/corianderpitch/corianderpitch/domain/vms.py
+++ b/packages/corianderpitch/corianderpitch/domain/vms.py
@@ -115,6 +115,10 @@
 
     vms: Mapping[VmId, VmRecord]
 
+    def in_state(self, state: VmState) -> list[tuple[VmId, VmRecord]]:
+        """Return the VMs that stand at a state."""
+        return [(v, r) for v, r in self.vms.items() if r.state is state]
+
     def with_vm(self, vm_id: VmId, record: VmRecord) -> "SiteFleet":
         """Return the fleet with one VM replaced or added."""
         return SiteFleet({**self.vms, vm_id: record})
--- a/packages/corianderpitch/corianderpitch/domain/waves.py
+++ b/packages/corianderpitch/corianderpitch/domain/waves.py
@@ -1,7 +1,7 @@
 """Maintenance waves: which VM of a wave goes next."""
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from corianderpitch.domain.vms import OperationKind, VmOperation
@@ -26,6 +26,11 @@
     SKIPPED = "skipped"
 
 
+def selects(names: tuple[str, ...], name: str) -> bool:
+    """Tell whether a selector names something; an empty one names everything."""
+    return not names or name in names
+
+
 @dataclass(frozen=True, slots=True)
 class Wave:
     """A planned operation on many VMs; one row of the table.
@@ -44,6 +49,29 @@
     created_ms: int = 0
     plan: WaveName | None = None
 
+    @classmethod
+    def over(
+        cls,
+        name: WaveName,
+        kind: OperationKind,
+        max_concurrent: int,
+        vm_ids: Iterable[VmId],
+        target_pool: PoolName | None,
+        created_ms: int,
+        plan: WaveName | None = None,
+    ) -> "Wave":
+        """Return a wave over VMs of which none has been started."""
+        steps = dict.fromkeys(vm_ids, WaveStep.PENDING)
+        return cls(
+            name,
+            kind,
+            max_concurrent,
+            steps,
+            target_pool=target_pool,
+            created_ms=created_ms,
+            plan=plan,
+        )
+
     def operation(self, vm_id: VmId) -> VmOperation:
         """Return the operation on one VM; its id is the same on every try."""
         operation_id = OperationId(f"{self.name}:{vm_id}")
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -32,6 +32,11 @@
     value: bytes
 
 
+def version_of(row: Row | None) -> int:
+    """Return a row's version, 0 for an absent row."""
+    return row.version if row is not None else 0
+
+
 @dataclass(frozen=True, slots=True)
 class Check:
     """Condition of a transaction: the row has this version (0: is absent)."""
--- a/packages/corianderpitch/tests/test_leases.py
+++ b/packages/corianderpitch/tests/test_leases.py
@@ -26,13 +26,23 @@
     return LeaseTask(membership, members, table, clock), membership
 
 
+def renewed(info, table, clock):
+    task, _ = lease_task(info, table, clock)
+    task.renew()
+    return task
+
+
+def scanned(table, clock):
+    own, membership = lease_task(OWN, table, clock)
+    own.scan()
+    return own, membership
+
+
 def abandoned_peer(hears_it):
     """Let a peer's lease lapse while its heartbeats arrive, or not."""
     table, clock = MemoryTable(), ManualClock()
-    peer, _ = lease_task(PEER, table, clock)
-    peer.renew()
-    own, membership = lease_task(OWN, table, clock)
-    own.scan()
+    peer = renewed(PEER, table, clock)
+    own, membership = scanned(table, clock)
     clock.advance(ABANDONED_MS)
     if hears_it:
         membership.heard("e2", clock.now_ms())
@@ -69,10 +79,8 @@
 def lapsed_far_entry(silent_ms):
     """Let the lease of another data centre's entry lapse, heard of for a while."""
     table, clock = MemoryTable(), ManualClock()
-    far, _ = lease_task(FAR, table, clock)
-    far.renew()
-    own, membership = lease_task(OWN, table, clock)
-    own.scan()
+    renewed(FAR, table, clock)
+    own, membership = scanned(table, clock)
     membership.heard("f1", clock.now_ms())
     clock.advance(silent_ms)
     own.scan()
@@ -94,10 +102,8 @@
 
 def test_entry_without_a_row_is_forgotten_by_those_that_did_not_delete_it():
     table, clock = MemoryTable(), ManualClock()
-    far, _ = lease_task(FAR, table, clock)
-    far.renew()
-    own, membership = lease_task(OWN, table, clock)
-    own.scan()
+    far = renewed(FAR, table, clock)
+    own, membership = scanned(table, clock)
     far.give_up()
     own.scan()
     clock.advance(ABANDONED_MS - 1)
@@ -127,8 +133,7 @@
     task.scan_if_due()
     membership.learn([OWN])
     membership.heard("e1", clock.now_ms())
-    far, _ = lease_task(FAR, table, clock)
-    far.renew()
+    renewed(FAR, table, clock)
     clock.advance(RENEW_INTERVAL_MS)
     membership.heard("e1", clock.now_ms())
     task.scan_if_due()
@@ -142,16 +147,8 @@
 def test_entry_started_anew_replaces_its_old_row_at_once():
     """Others would otherwise read the old incarnation until the next renewal."""
     table, clock = MemoryTable(), ManualClock()
-    old, _ = lease_task(PEER, table, clock)
-    old.renew()
+    renewed(PEER, table, clock)
     anew = MemberInfo("e2", "later", "a", "x:9")
-    task, _ = lease_task(anew, table, clock)
-    task.renew()
+    renewed(anew, table, clock)
     _, membership = scanned(table, clock)
     assert membership.info("e2") == anew
-
-
-def scanned(table, clock):
-    own, membership = lease_task(OWN, table, clock)
-    own.scan()
-    return own, membership
