Run jobs of several steps on the users' platform, the thin path

The users' platform has no machine for control, so what lasts is in its store. Any entry accepts jobs by a conditional write; one entry holds the scheduler's role, follows the new jobs, places their tasks on the workers and commits ends before workers may forget them.

--- a/packages/corianderpitch/corianderpitch/clock.py
+++ b/packages/corianderpitch/corianderpitch/clock.py
@@ -32,6 +32,18 @@
         return int(time.time() * 1000)
 
 
+class BootClock(SystemClock):
+    """Clock that also counts the time for which the machine was suspended.
+
+    A lease goes on running while its holder is suspended, so leases are
+    measured with this clock.
+    """
+
+    def now_ms(self) -> float:
+        """Return time since boot in milliseconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+
+
 class ManualClock(Clock):
     """Clock that moves only when told to.
 
--- a/packages/corianderpitch/corianderpitch/daemon/logs.py
+++ b/packages/corianderpitch/corianderpitch/daemon/logs.py
@@ -1,13 +1,19 @@
 """Logging: short sentences behind the name of the part that speaks."""
 
 import json
+import os
 import sys
+from collections import deque
 from typing import Literal
 
+import eventlet
 import logbook
 
 LogFormat = Literal["text", "json"]
 
+MAX_QUEUED_LINES = 2000
+FLUSH_INTERVAL_S = 0.05
+
 _TEXT_FORMAT = (
     "{record.time:%H:%M:%S.%f} {record.level_name:<7} "
     "{record.channel}: {record.message}"
@@ -42,6 +48,57 @@
     handler.push_application()
 
 
+class StructuredHandler(logbook.Handler):
+    """Queues each record as a JSON line for standard output.
+
+    Logging never waits: lines beyond the bound are counted, and the count is
+    logged when there is room again.
+    """
+
+    def __init__(self, level: str):
+        super().__init__(level=level)
+        self._lines: deque[str] = deque()
+        self._dropped = 0
+        os.set_blocking(sys.stdout.fileno(), False)
+        self._rest = b""
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue a line, or count it as dropped."""
+        if len(self._lines) >= MAX_QUEUED_LINES:
+            self._dropped += 1
+            return
+        self._lines.append(_json_line(record, self))
+
+    def run(self) -> None:
+        """Write queued lines until killed."""
+        while True:
+            self.flush()
+            eventlet.sleep(FLUSH_INTERVAL_S)
+
+    def flush(self) -> None:
+        """Write as much as standard output takes now."""
+        if self._dropped and len(self._lines) < MAX_QUEUED_LINES:
+            self._lines.append(json.dumps({"part": "logs", "dropped": self._dropped}))
+            self._dropped = 0
+        if self._lines and not self._rest:
+            self._rest = ("\n".join(self._lines) + "\n").encode()
+            self._lines.clear()
+        while self._rest:
+            try:
+                written = os.write(sys.stdout.fileno(), self._rest)
+            except BlockingIOError:
+                return
+            self._rest = self._rest[written:]
+
+
+def install_structured(level: str = "info") -> StructuredHandler:
+    """Send all log records to standard output as JSON lines, without waiting."""
+    _verbosity.is_debugging = level == "debug"
+    handler = StructuredHandler(level.upper())
+    handler.push_application()
+    return handler
+
+
 def _json_line(record: logbook.LogRecord, handler: logbook.Handler) -> str:
     fields = {
         "time": record.time.isoformat(),
@@ -50,4 +107,6 @@
         "message": record.message,
     }
     fields.update(record.kwargs)
+    if record.exc_info:
+        fields["cause"] = record.formatted_exception
     return json.dumps(fields, default=str)
--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -17,6 +17,8 @@
 from corianderpitch.ports import Check, Row, TableService, Write, version_of
 from corianderpitch.records import RoleBeat, RoleEpoch, decode_row, encode_row
 
+RELEASED = -1  # sequence of the last beat of a holder that gave its role up
+
 log = logger("roles")
 
 
@@ -54,6 +56,16 @@
         """Tell whether this entry believes that it holds the role."""
         return self._is_held
 
+    @property
+    def epoch(self) -> int:
+        """Return the number of the tenure that began last."""
+        return self._epoch
+
+    @property
+    def renewed_age_ms(self) -> float:
+        """Return how long ago the last successful renewal was sent."""
+        return self._clock.now_ms() - self._renewed_ms
+
     @property
     def is_renewed(self) -> bool:
         """Tell whether the role is held by a lease that cannot have lapsed yet.
@@ -91,6 +103,17 @@
         self.verify()
         return False
 
+    def release(self) -> None:
+        """Give the role up, so that another entry can take it at once."""
+        beat = encode_row(RoleBeat(self._epoch, RELEASED))
+        write = Write(self._beat_key, beat)
+        match self._table.commit((self.fence(),), (write,)):
+            case Success(_):
+                log.info("Gave up the role {}, epoch {}.", self._name, self._epoch)
+            case failure:
+                log.warning("Could not give up the role: {!r}.", failure)
+        self._lose()
+
     def verify(self) -> None:
         """Give the role up if it has changed hands, after a failed transaction."""
         match self._table.read({self._epoch_key: 0}):
@@ -106,7 +129,10 @@
             self._beat_version = version
             self._beat_seen_ms = now_ms
         is_new = self._epoch_key not in rows
-        return is_new or now_ms - self._beat_seen_ms >= self._lease_ms
+        beat_row = rows.get(self._beat_key)
+        beat = decode_row(RoleBeat, beat_row.value) if beat_row else None
+        is_released = beat is not None and beat.sequence == RELEASED
+        return is_new or is_released or now_ms - self._beat_seen_ms >= self._lease_ms
 
     def _take(self, epoch_row: Row | None) -> bool:
         old = decode_row(RoleEpoch, epoch_row.value) if epoch_row else None
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -0,0 +1,151 @@
+"""Commits of progress: one under way, everything that came meanwhile in the next."""
+
+from collections.abc import Callable, Sequence
+
+import eventlet
+from eventlet.event import Event
+from returns.result import Failure, Success
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.rows import (
+    JOBS_TABLE,
+    cancel_key,
+    job_key,
+    pack_progress,
+    progress_key,
+)
+from corianderpitch.domain.jobs import JobState
+from corianderpitch.domain.scheduling.scheduler import JobChange, Scheduler
+from corianderpitch.errors import CommitError, RowConflict
+from corianderpitch.ports import Check, RowStore, Write, parted_key
+
+MAX_CHANGES = 30  # of up to three rows each, within a transaction's hundred
+PROGRESS_INTERVAL_MS = 50.0
+RETRY_MS = 100.0
+IDLE_WAIT_S = 1.0
+
+log = logger("commits")
+
+
+class CommitTask:
+    """Writes a tenure's changes to the store, and tells which ends are settled.
+
+    Each progress row is written on the condition that it has the version seen
+    last, and that the role has not changed hands. A write whose answer was lost
+    can therefore not be carried out late, over a newer one.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        role: RoleLease,
+        scheduler: Scheduler,
+        clock: Clock,
+        on_settled: Callable[[], None],
+    ):
+        self._store = store
+        self._role = role
+        self._scheduler = scheduler
+        self._clock = clock
+        self._on_settled = on_settled
+        self._event = Event()
+        self._settled = Event()
+        self.ended: dict[str, float] = {}
+
+    def wake(self) -> None:
+        """Note that something may have to be committed."""
+        if not self._event.ready():
+            self._event.send()
+
+    def wait_settled(self, within_ms: float) -> None:
+        """Wait until the next commit is through, for a bounded time."""
+        with eventlet.Timeout(within_ms / 1000.0, False):
+            self._settled.wait()
+
+    def run(self) -> None:
+        """Commit until killed."""
+        while True:
+            with eventlet.Timeout(IDLE_WAIT_S, False):
+                self._event.wait()
+            self._event = Event()
+            if not self._scheduler.has_final_changes:
+                eventlet.sleep(PROGRESS_INTERVAL_MS / 1000.0)
+            if not self._commit_all():
+                eventlet.sleep(RETRY_MS / 1000.0)
+                self.wake()
+
+    def _commit_all(self) -> bool:
+        changes, ends = self._scheduler.take_changes()
+        for start in range(0, len(changes), MAX_CHANGES):
+            if not self._commit(changes[start : start + MAX_CHANGES]):
+                self._scheduler.keep_changes(changes[start:])
+                return False
+        self._scheduler.settle_ends(ends)
+        settled, self._settled = self._settled, Event()
+        settled.send()
+        if changes or ends:
+            self._on_settled()
+        return True
+
+    def _commit(self, changes: Sequence[JobChange]) -> bool:
+        fence = self._role.fence()
+        checks = [Check(parted_key(fence.key), fence.version)]
+        writes: list[Write] = []
+        for change in changes:
+            workload = change.job.workload
+            key = progress_key(workload.queue, workload.job_id)
+            checks.append(Check(key, change.job.progress_version))
+            writes += self._writes(change, key)
+        match self._store.commit(tuple(checks), tuple(writes)):
+            case Success(version):
+                self._note_written(changes, version)
+                return True
+            case Failure(error):
+                self._explain(changes, error)
+        return False
+
+    def _writes(self, change: JobChange, key) -> list[Write]:
+        workload = change.job.workload
+        record = change.record
+        if not change.is_final:
+            return [Write(key, pack_progress(record))]
+        final = type(record)(record.state, record.finished, {}, self._store.time_ms())
+        writes = [
+            Write(key, pack_progress(final)),
+            Write(job_key(workload.queue, workload.job_id), None),
+        ]
+        if record.state is JobState.CANCELLED:
+            writes.append(Write(cancel_key(workload.queue, workload.job_id), None))
+        return writes
+
+    def _note_written(self, changes: Sequence[JobChange], version: int) -> None:
+        for change in changes:
+            change.job.progress_version = version
+            if change.is_final:
+                self.ended[change.job.job_id] = self._store.time_ms()
+                log.info(
+                    "Ended.",
+                    job=change.job.job_id,
+                    state=change.record.state.value,
+                    at=version,
+                )
+
+    def _explain(self, changes: Sequence[JobChange], error: CommitError) -> None:
+        """Find out why a commit failed; versions are read anew after a conflict."""
+        log.warning("Commit failed.", changes=len(changes), cause=repr(error))
+        if not isinstance(error, RowConflict):
+            return
+        self._role.verify()
+        if not self._role.is_held:
+            return
+        for change in changes:
+            workload = change.job.workload
+            key = progress_key(workload.queue, workload.job_id)
+            rows = self._store.read(
+                JOBS_TABLE, workload.queue, key.name, key.name + "/"
+            )
+            if isinstance(rows, Success):
+                found = rows.unwrap().rows
+                change.job.progress_version = found[0].version if found else 0
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -0,0 +1,178 @@
+"""Intake: jobs are accepted, shown and cancelled by any entry, through the store."""
+
+import enum
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+
+from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.scheduling.rows import (
+    CANCEL_SUFFIX,
+    JOBS_TABLE,
+    PROGRESS_SUFFIX,
+    RANGE_END,
+    cancel_key,
+    job_key,
+    pack_workload,
+    progress_key,
+    unpack_progress,
+)
+from corianderpitch.domain.jobs import JobState
+from corianderpitch.domain.scheduling.workloads import Workload
+from corianderpitch.errors import OutcomeLost, PlatformError, RowConflict
+from corianderpitch.ids import JobId, QueueName
+from corianderpitch.ports import Check, Row, RowStore, Write
+
+STORE_AWAY_RETRY_MS = 1000
+
+log = logger("intake")
+
+
+class IntakeKind(enum.Enum):
+    """What became of a call.
+
+    ``NOT_DONE`` is certain; after ``UNKNOWN`` the call may have had its effect.
+    """
+
+    DONE = "done"
+    NO_SUCH_JOB = "no_such_job"
+    NOT_DONE = "not_done"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class IntakeResult:
+    """Outcome of a call, with the state or count that was asked for."""
+
+    kind: IntakeKind
+    state: JobState | None = None
+    waiting: int = 0
+    retry_after_ms: int = 0
+
+
+class Intake:
+    """Calls of callers, each answered from the store."""
+
+    def __init__(self, store: RowStore):
+        self._store = store
+
+    def submit(self, workload: Workload) -> IntakeResult:
+        """Accept a job: it is stored before the caller is told so.
+
+        A job that is there already is the same job handed in again. After a
+        lost answer the store is asked whether the job is there; where it is
+        not, a write still under way may bring it, so that the outcome is unknown.
+        """
+        key = job_key(workload.queue, workload.job_id)
+        ended = progress_key(workload.queue, workload.job_id)
+        value = pack_workload(workload, self._store.time_ms())
+        checks = (Check(key, 0), Check(ended, 0))
+        match self._store.commit(checks, (Write(key, value),)):
+            case Success(version):
+                log.info(
+                    "Accepted.", job=workload.job_id, queue=workload.queue, at=version
+                )
+                return IntakeResult(IntakeKind.DONE)
+            case Failure(RowConflict()):
+                log.info("Accepted before.", job=workload.job_id, queue=workload.queue)
+                return IntakeResult(IntakeKind.DONE)
+            case Failure(OutcomeLost() as error):
+                return self._look_after_loss(workload, error)
+            case Failure(error):
+                return self._not_done("submit", workload.job_id, error)
+
+    def _look_after_loss(self, workload: Workload, error: OutcomeLost) -> IntakeResult:
+        rows = self._rows(workload.queue, workload.job_id)
+        is_there = isinstance(rows, Success) and bool(rows.unwrap())
+        log.warning(
+            "Answer of a write lost.",
+            job=workload.job_id,
+            found=is_there,
+            detail=error.detail,
+        )
+        return IntakeResult(IntakeKind.DONE if is_there else IntakeKind.UNKNOWN)
+
+    def show(self, queue: QueueName, job_id: JobId) -> IntakeResult:
+        """Return a job's state."""
+        match self._rows(queue, job_id):
+            case Success(rows) if not rows:
+                return IntakeResult(IntakeKind.NO_SUCH_JOB)
+            case Success(rows):
+                return IntakeResult(IntakeKind.DONE, _state(rows))
+            case Failure(error):
+                return self._not_done("show", job_id, error)
+
+    def cancel(self, queue: QueueName, job_id: JobId) -> IntakeResult:
+        """Cancel a job; one that has ended stays as it is.
+
+        The write is conditional on the job's row, so that no cancelling is
+        left behind for a job that ends at the same moment.
+        """
+        match self._rows(queue, job_id):
+            case Success(rows):
+                return self._cancel_found(queue, job_id, rows)
+            case Failure(error):
+                return self._not_done("cancel", job_id, error)
+
+    def _cancel_found(
+        self, queue: QueueName, job_id: JobId, rows: dict[str, Row]
+    ) -> IntakeResult:
+        if not rows:
+            return IntakeResult(IntakeKind.NO_SUCH_JOB)
+        if "" not in rows or CANCEL_SUFFIX in rows:
+            return IntakeResult(IntakeKind.DONE, _state(rows))
+        checks = (Check(job_key(queue, job_id), rows[""].version),)
+        writes = (Write(cancel_key(queue, job_id), b""),)
+        match self._store.commit(checks, writes):
+            case Success(version):
+                log.info("Cancelled.", job=job_id, queue=queue, at=version)
+                return IntakeResult(IntakeKind.DONE, JobState.CANCELLED)
+            case Failure(RowConflict()):
+                return self.show(queue, job_id)
+            case Failure(OutcomeLost()):
+                return IntakeResult(IntakeKind.UNKNOWN)
+            case Failure(error):
+                return self._not_done("cancel", job_id, error)
+
+    def count_waiting(self, queue: QueueName) -> IntakeResult:
+        """Return how many accepted jobs of a queue have not begun."""
+        match self._store.read(JOBS_TABLE, queue):
+            case Success(snapshot):
+                names = {row.key.name for row in snapshot.rows}
+                waiting = sum(
+                    1
+                    for name in names
+                    if "." not in name
+                    and name + PROGRESS_SUFFIX not in names
+                    and name + CANCEL_SUFFIX not in names
+                )
+                return IntakeResult(IntakeKind.DONE, waiting=waiting)
+            case Failure(error):
+                return self._not_done("count", JobId(""), error)
+
+    def _rows(self, queue: QueueName, job_id: JobId):
+        """Read all rows of a job, by their suffix."""
+        found = self._store.read(JOBS_TABLE, queue, job_id, job_id + RANGE_END)
+        return found.map(
+            lambda snapshot: {
+                row.key.name.removeprefix(job_id): row for row in snapshot.rows
+            }
+        )
+
+    def _not_done(self, call: str, job_id: JobId, error: PlatformError) -> IntakeResult:
+        log.warning("Not done.", call=call, job=job_id, cause=repr(error))
+        kind = IntakeKind.NOT_DONE
+        if call == "show" or call == "count":
+            kind = IntakeKind.UNKNOWN
+        return IntakeResult(kind, retry_after_ms=STORE_AWAY_RETRY_MS)
+
+
+def _state(rows: dict[str, Row]) -> JobState:
+    """Return the state that a job's rows stand for."""
+    progress = rows.get(PROGRESS_SUFFIX)
+    record = unpack_progress(progress.value) if progress is not None else None
+    if record is not None and record.state.has_ended:
+        return record.state
+    if CANCEL_SUFFIX in rows:
+        return JobState.CANCELLED
+    return record.state if record is not None else JobState.QUEUED
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -0,0 +1,167 @@
+"""Tasks that watch one worker and carry orders to it."""
+
+import eventlet
+from eventlet.queue import LightQueue
+from returns.result import Failure, Success
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.commits import CommitTask
+from corianderpitch.domain.scheduling.orders import (
+    Order,
+    OrderResult,
+    PaceRun,
+    SettleWorker,
+    StartRun,
+    StopRun,
+)
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.errors import WorkerError, WorkerProblem
+from corianderpitch.ids import WorkerId
+from corianderpitch.ports import WorkerLink
+
+LIST_WAIT_MS = 1000  # bounds how long a dead connection stays unnoticed
+START_LEASE_MS = 2000.0  # a start carried out later than this is refused
+SETTLE_WAIT_MS = 150.0
+SILENT_RETRY_MS = 300.0
+LEASE_SLACK_MS = 500.0
+
+log = logger("links")
+
+
+class WorkerTask:
+    """Watches one worker during a tenure, and carries its orders out in turn."""
+
+    def __init__(
+        self,
+        worker_id: WorkerId,
+        scheduler: Scheduler,
+        link: WorkerLink,
+        role: RoleLease,
+        commits: CommitTask,
+        clock: Clock,
+        lease_ms: float,
+        role_lease_ms: float,
+        on_change,
+    ):
+        self._worker_id = worker_id
+        self._scheduler = scheduler
+        self._link = link
+        self._role = role
+        self._commits = commits
+        self._clock = clock
+        self._lease_ms = lease_ms
+        self._role_lease_ms = role_lease_ms
+        self._on_change = on_change
+        self._orders: LightQueue = LightQueue()
+
+    def give(self, order: Order) -> None:
+        """Queue an order."""
+        if isinstance(order, SettleWorker):
+            eventlet.spawn(self._look, 0)
+        else:
+            self._orders.put(order)
+
+    def watch(self) -> None:
+        """Take the worker's list again and again, and renew its lease."""
+        while self._worker_id in self._scheduler.workers:
+            worker = self._scheduler.workers[self._worker_id]
+            wait_ms = LIST_WAIT_MS if worker.clock_ms is not None else 0
+            if worker.seen != worker.settled:
+                wait_ms = 0
+            if not self._look(wait_ms):
+                eventlet.sleep(SILENT_RETRY_MS / 1000.0)
+            elif worker.seen != worker.settled:
+                self._commits.wait_settled(SETTLE_WAIT_MS)
+        self._orders.put(None)
+
+    def carry_out(self) -> None:
+        """Carry orders out, one after the other."""
+        while (order := self._orders.get()) is not None:
+            if self._worker_id in self._scheduler.workers:
+                self._carry(order)
+
+    def _allowed_lease_ms(self, wanted_ms: float) -> float:
+        """Bound a lease by when a successor may take the worker for free.
+
+        A holder that cannot renew its role goes on with what it has, but never
+        leases a worker beyond the time that a successor waits.
+        """
+        end_ms = self._role_lease_ms + self._lease_ms - LEASE_SLACK_MS
+        return min(wanted_ms, end_ms - self._role.renewed_age_ms)
+
+    def _look(self, wait_ms: int) -> bool:
+        worker = self._scheduler.workers.get(self._worker_id)
+        if worker is None:
+            return True
+        now_ms = self._clock.now_ms()
+        length_ms = self._allowed_lease_ms(self._lease_ms)
+        until_ms = None
+        if length_ms > 0 and worker.runs:
+            until_ms = self._scheduler.lease(self._worker_id, length_ms, now_ms)
+        fence = self._scheduler.fence_of(self._worker_id)
+        result = self._link.report(
+            worker.info, fence, worker.settled, until_ms, wait_ms
+        )
+        match result:
+            case Success(report):
+                self._scheduler.take_report(
+                    self._worker_id, report, now_ms, self._clock.now_ms()
+                )
+                self._on_change()
+                return True
+            case Failure(WorkerError(problem)):
+                self._take_problem(problem, fence)
+        return False
+
+    def _take_problem(self, problem: WorkerProblem, fence: int) -> None:
+        worker = self._scheduler.workers.get(self._worker_id)
+        if worker is None:
+            return
+        if problem is WorkerProblem.SUPERSEDED:
+            if fence == self._scheduler.fence_of(self._worker_id):
+                self._scheduler.is_superseded = True
+            return
+        if not worker.is_silent:
+            log.warning("Silent.", worker=self._worker_id, problem=problem.value)
+        self._scheduler.take_silence(self._worker_id)
+
+    def _carry(self, order: Order) -> None:
+        worker = self._scheduler.workers[self._worker_id]
+        sent_ms = self._clock.now_ms()
+        match order:
+            case StartRun():
+                result = self._start(order, sent_ms)
+            case StopRun():
+                result = self._link.stop(worker.info, order)
+            case PaceRun():
+                result = self._link.pace(worker.info, order)
+        now_ms = self._clock.now_ms()
+        log.info(
+            type(order).__name__,
+            job=order.task.job_id,
+            task=_text(order.task),
+            run=order.number,
+            worker=self._worker_id,
+            fence=order.fence,
+            result=result.value,
+            took_ms=round(now_ms - sent_ms, 1),
+        )
+        self._scheduler.take_result(order, result, now_ms)
+        if result is not OrderResult.DONE:
+            self._on_change()
+
+    def _start(self, order: StartRun, now_ms: float) -> OrderResult:
+        worker = self._scheduler.workers[self._worker_id]
+        length_ms = self._allowed_lease_ms(START_LEASE_MS)
+        if length_ms <= 0 or worker.runs.get(order.task) is None:
+            return OrderResult.NOT_SENT
+        until_ms = self._scheduler.lease(self._worker_id, length_ms, now_ms)
+        if until_ms is None:
+            return OrderResult.NOT_SENT
+        return self._link.start(worker.info, order, until_ms)
+
+
+def _text(task) -> str:
+    return f"{task.occurrence}.{task.step}.{task.index}"
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -0,0 +1,110 @@
+"""Rows of jobs in the store: their keys, contents and encoding.
+
+A job has a row with what was handed in, at most one row that asks for its
+cancelling, and, once it has begun, one with its progress. When it has ended
+only the progress row is left, as its final state.
+"""
+
+from dataclasses import fields
+from typing import Any
+
+import msgpack
+
+from corianderpitch.domain.jobs import JobState, Shape
+from corianderpitch.domain.scheduling.progress import ProgressRecord, StepRecord
+from corianderpitch.domain.scheduling.workloads import Schedule, Step, Workload
+from corianderpitch.ids import JobId, QueueName
+from corianderpitch.ports import PartedKey
+
+JOBS_TABLE = "jobs"
+CANCEL_SUFFIX = ".cancel"
+PROGRESS_SUFFIX = ".progress"
+RANGE_END = "/"  # sorts behind the dot of every suffix
+
+_STEP_DEFAULTS = {
+    field.name: field.default for field in fields(Step) if field.name != "shape"
+}
+
+
+def job_key(queue: QueueName, job_id: JobId) -> PartedKey:
+    """Return the key of what was handed in."""
+    return PartedKey(JOBS_TABLE, queue, job_id)
+
+
+def cancel_key(queue: QueueName, job_id: JobId) -> PartedKey:
+    """Return the key of a job's cancelling."""
+    return PartedKey(JOBS_TABLE, queue, job_id + CANCEL_SUFFIX)
+
+
+def progress_key(queue: QueueName, job_id: JobId) -> PartedKey:
+    """Return the key of a job's progress."""
+    return PartedKey(JOBS_TABLE, queue, job_id + PROGRESS_SUFFIX)
+
+
+def pack_workload(workload: Workload, accepted_ms: float) -> bytes:
+    """Encode a job with the store's time of its acceptance."""
+    schedule = workload.schedule
+    return msgpack.packb(
+        [
+            workload.text,
+            [_pack_step(step) for step in workload.steps],
+            [schedule.repeats, schedule.start_ms, schedule.period_ms],
+            accepted_ms,
+        ]
+    )
+
+
+def unpack_workload(key: PartedKey, value: bytes) -> tuple[Workload, float]:
+    """Decode a job and the store's time of its acceptance."""
+    text, steps, schedule, accepted_ms = msgpack.unpackb(value)
+    workload = Workload(
+        JobId(key.name),
+        QueueName(key.part),
+        text,
+        tuple(_unpack_step(step) for step in steps),
+        Schedule(*schedule),
+    )
+    return workload, accepted_ms
+
+
+def _pack_step(step: Step) -> dict[str, Any]:
+    """Encode what differs from the defaults."""
+    shape = step.shape
+    packed: dict[str, Any] = {
+        "shape": [shape.processors, shape.memory_mb, shape.accelerators]
+    }
+    for name, default in _STEP_DEFAULTS.items():
+        value = getattr(step, name)
+        if value != default:
+            packed[name] = value
+    return packed
+
+
+def _unpack_step(packed: dict[str, Any]) -> Step:
+    packed["shape"] = Shape(*packed["shape"])
+    packed["after"] = tuple(packed.get("after", ()))
+    return Step(**packed)
+
+
+def pack_progress(record: ProgressRecord) -> bytes:
+    """Encode a job's progress."""
+    steps = [
+        [*place, list(s.done), s.failed, s.checkpoints, s.placed]
+        for place, s in record.steps.items()
+    ]
+    return msgpack.packb([record.state.value, record.finished, steps, record.ended_ms])
+
+
+def unpack_progress(value: bytes) -> ProgressRecord:
+    """Decode a job's progress."""
+    state, finished, packed, ended_ms = msgpack.unpackb(value, strict_map_key=False)
+    steps = {
+        (occurrence, number): StepRecord(
+            tuple(done),
+            {index: tuple(numbers) for index, numbers in failed.items()},
+            checkpoints,
+            {index: tuple(workers) for index, workers in placed.items()},
+        )
+        for occurrence, number, done, failed, checkpoints, placed in packed
+    }
+    return ProgressRecord(JobState(state), finished, steps, ended_ms)
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -0,0 +1,267 @@
+"""One tenure of the scheduler's role: what it reads, follows and keeps running."""
+
+from collections.abc import Callable, Mapping
+
+import eventlet
+from eventlet.event import Event
+from returns.result import Failure, Success
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.commits import CommitTask
+from corianderpitch.daemon.scheduling.links import WorkerTask
+from corianderpitch.daemon.scheduling.rows import (
+    CANCEL_SUFFIX,
+    JOBS_TABLE,
+    PROGRESS_SUFFIX,
+    unpack_progress,
+    unpack_workload,
+)
+from corianderpitch.domain.scheduling.planning import plan
+from corianderpitch.domain.scheduling.progress import ActiveJob
+from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.workers import WorkerInfo
+from corianderpitch.domain.scheduling.workloads import Queue
+from corianderpitch.errors import HistoryLost
+from corianderpitch.ids import JobId, QueueName, WorkerId
+from corianderpitch.ports import Row, RowStore, WorkerChanges, WorkerLink, WorkerList
+
+FOLLOW_WAIT_MS = 1000
+FOLLOW_RETRY_S = 0.1
+WORKERS_INTERVAL_S = 0.2  # workers renew their entries often; takes them in batches
+PLAN_IDLE_S = 0.1
+PLAN_GATHER_S = 0.002
+RENEW_CHECK_S = 0.1
+
+log = logger("scheduler")
+
+
+class SchedulerTerm:
+    """Runs the scheduler while this entry holds the role."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        workers: WorkerList,
+        link: WorkerLink,
+        role: RoleLease,
+        clock: Clock,
+        queues: Callable[[], Mapping[QueueName, Queue]],
+        lease_ms: float,
+        role_lease_ms: float,
+    ):
+        self._store = store
+        self._workers = workers
+        self._link = link
+        self._role = role
+        self._clock = clock
+        self._queues = queues
+        self._lease_ms = lease_ms
+        self._role_lease_ms = role_lease_ms
+        began_ms = clock.now_ms()
+        wait_ms = lease_ms * 1.05
+        term = Term(role.epoch, role.fence().version, began_ms + wait_ms)
+        self.scheduler = Scheduler(term)
+        self._commits = CommitTask(store, role, self.scheduler, clock, lambda: None)
+        self._tasks: dict[WorkerId, WorkerTask] = {}
+        self._threads: list[eventlet.greenthread.GreenThread] = []
+        self._wake_event = Event()
+        self._is_stopped = False
+        self._jobs_version = 0
+        self._workers_version = 0
+
+    def run(self) -> None:
+        """Serve until the role is lost."""
+        try:
+            if not self._load():
+                log.warning("Could not read the store; the role is not served yet.")
+                return
+            loops = (self._follow_jobs, self._follow_workers, self._plan_loop)
+            for loop in (*loops, self._commits.run):
+                self._threads.append(eventlet.spawn(_guarded, loop))
+            self._hold()
+        finally:
+            for thread in self._threads:
+                thread.kill()
+
+    def _hold(self) -> None:
+        while self._is_serving():
+            self._role.renew()
+            eventlet.sleep(RENEW_CHECK_S)
+        log.info(
+            "Tenure ends.",
+            term=self.scheduler.term.number,
+            superseded=self.scheduler.is_superseded,
+        )
+
+    def _is_serving(self) -> bool:
+        is_valid = self._role.is_held and not self.scheduler.is_superseded
+        return is_valid and not self._is_stopped
+
+    def stop(self) -> None:
+        """End the tenure: nothing is ordered any more."""
+        self._is_stopped = True
+        for thread in self._threads:
+            thread.kill()
+
+    def wake(self) -> None:
+        """Plan soon."""
+        if not self._wake_event.ready():
+            self._wake_event.send()
+        self._commits.wake()
+
+    # Reading and following the store.
+
+    def _load(self) -> bool:
+        self.scheduler.set_queues(self._queues())
+        return self._load_jobs() and self._load_workers()
+
+    def _load_jobs(self) -> bool:
+        parts = self._store.list_parts(JOBS_TABLE)
+        if not isinstance(parts, Success):
+            return False
+        versions = []
+        for part in parts.unwrap():
+            snapshot = self._store.read(JOBS_TABLE, part)
+            if not isinstance(snapshot, Success):
+                return False
+            self._take_snapshot(snapshot.unwrap().rows)
+            versions.append(snapshot.unwrap().version)
+        self._jobs_version = min(versions, default=self._jobs_version)
+        log.info(
+            "Jobs read.", jobs=len(self.scheduler.jobs), version=self._jobs_version
+        )
+        return True
+
+    def _take_snapshot(self, rows: tuple[Row, ...]) -> None:
+        by_name = {row.key.name: row for row in rows}
+        for name, row in by_name.items():
+            if "." in name:
+                continue
+            job = self._make_job(row)
+            progress = by_name.get(name + PROGRESS_SUFFIX)
+            if progress is not None and job.job_id not in self.scheduler.jobs:
+                job.restore(unpack_progress(progress.value))
+                job.progress_version = progress.version
+            self._add(job)
+            if name + CANCEL_SUFFIX in by_name:
+                self.scheduler.cancel_job(job.job_id)
+
+    def _make_job(self, row: Row) -> ActiveJob:
+        workload, accepted_ms = unpack_workload(row.key, row.value)
+        age_ms = max(0.0, self._store.time_ms() - accepted_ms)
+        return ActiveJob(workload, self._clock.now_ms() - age_ms, row.version)
+
+    def _add(self, job: ActiveJob) -> None:
+        if job.job_id not in self._commits.ended:
+            self.scheduler.add_job(job)
+
+    def _follow_jobs(self) -> None:
+        while True:
+            match self._store.follow(JOBS_TABLE, self._jobs_version, FOLLOW_WAIT_MS):
+                case Success(changes):
+                    for row in changes.rows:
+                        self._take_job_row(row)
+                    self._jobs_version = max(self._jobs_version, changes.version)
+                    if changes.rows:
+                        self.wake()
+                case Failure(HistoryLost()):
+                    log.warning("History of jobs lost; reading them anew.")
+                    self._load_jobs()
+                    self.wake()
+                case Failure(error):
+                    log.debug("Jobs not followed.", cause=repr(error))
+                    eventlet.sleep(FOLLOW_RETRY_S)
+
+    def _take_job_row(self, row: Row) -> None:
+        name = row.key.name
+        if name.endswith(CANCEL_SUFFIX):
+            self.scheduler.cancel_job(JobId(name.removesuffix(CANCEL_SUFFIX)))
+        elif "." not in name and name not in self.scheduler.jobs:
+            self._add(self._make_job(row))
+
+    def _load_workers(self) -> bool:
+        match self._workers.read():
+            case Success(changes):
+                listed = {info.worker for info in changes.listed}
+                for worker_id in set(self.scheduler.workers) - listed:
+                    self.scheduler.unlist_worker(worker_id)
+                self._take_workers(changes)
+                return True
+        return False
+
+    def _follow_workers(self) -> None:
+        while True:
+            match self._workers.follow(self._workers_version, FOLLOW_WAIT_MS):
+                case Success(changes):
+                    self._take_workers(changes)
+                    eventlet.sleep(WORKERS_INTERVAL_S)
+                case Failure(HistoryLost()):
+                    log.warning("History of workers lost; reading them anew.")
+                    self._load_workers()
+                case Failure(error):
+                    log.debug("Workers not followed.", cause=repr(error))
+                    eventlet.sleep(FOLLOW_RETRY_S)
+
+    def _take_workers(self, changes: WorkerChanges) -> None:
+        now_ms = self._clock.now_ms()
+        for info in changes.listed:
+            if self.scheduler.set_worker(info, now_ms):
+                self._begin_worker(info)
+        for worker_id in changes.gone:
+            self.scheduler.unlist_worker(worker_id)
+        self._workers_version = max(self._workers_version, changes.version)
+
+    def _begin_worker(self, info: WorkerInfo) -> None:
+        if self._clock.now_ms() < self.scheduler.term.leases_end_ms:
+            self.scheduler.unheard.add(info.worker)
+        task = WorkerTask(
+            info.worker,
+            self.scheduler,
+            self._link,
+            self._role,
+            self._commits,
+            self._clock,
+            self._lease_ms,
+            self._role_lease_ms,
+            self.wake,
+        )
+        self._tasks[info.worker] = task
+        for loop in (task.watch, task.carry_out):
+            self._threads.append(eventlet.spawn(_guarded, loop))
+        log.info("Worker.", worker=info.worker, service=info.service, vm=info.vm)
+
+    # Planning.
+
+    def _plan_loop(self) -> None:
+        while True:
+            with eventlet.Timeout(PLAN_IDLE_S, False):
+                self._wake_event.wait()
+            self._wake_event = Event()
+            eventlet.sleep(PLAN_GATHER_S)
+            now_ms = self._clock.now_ms()
+            self.scheduler.set_queues(self._queues())
+            self.scheduler.expire(now_ms)
+            plan(self.scheduler, now_ms, self._clock.wall_ms())
+            self._hand_out()
+
+    def _hand_out(self) -> None:
+        orders = self.scheduler.take_orders()
+        for order in orders:
+            task = self._tasks.get(order.worker)
+            if task is not None:
+                task.give(order)
+        if orders:
+            self._commits.wake()
+
+
+def _guarded(loop: Callable[[], None]) -> None:
+    """Run a loop for the whole tenure; a failure is logged and it goes on."""
+    while True:
+        try:
+            loop()
+            return
+        except Exception:
+            log.exception("A task of the tenure failed; starting it again.")
+            eventlet.sleep(0.2)
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on jobs of several steps: order, placement, ends and recovery."""
--- a/packages/corianderpitch/corianderpitch/errors.py
+++ b/packages/corianderpitch/corianderpitch/errors.py
@@ -64,6 +64,29 @@
     retry_after_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The store no longer has the changes asked for; all must be read anew."""
+
+
+class WorkerProblem(enum.Enum):
+    """Why a worker gave no list."""
+
+    UNREACHABLE = "unreachable"
+    SILENT = "silent"
+    SUPERSEDED = "superseded"
+    OTHER_LIFE = "other_life"
+    UNHEALTHY = "unhealthy"
+    MALFORMED = "malformed"
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerError:
+    """A worker gave no list that can be used."""
+
+    problem: WorkerProblem
+
+
 PlatformError = PlatformUnavailable | OutcomeLost | RateLimited
 CommitError = PlatformError | RowConflict
 
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -6,13 +6,28 @@
 import abc
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from returns.result import Result
 
 from corianderpitch.domain.jobs import Shape, Task, Worker
 from corianderpitch.domain.outcomes import Answered
 from corianderpitch.domain.platform import ListedVm, VmAction, VmActionState
-from corianderpitch.errors import CommitError, InstanceError, PlatformError
+from corianderpitch.domain.scheduling.catalog import OperatorChanges
+from corianderpitch.domain.scheduling.orders import (
+    OrderResult,
+    PaceRun,
+    StartRun,
+    StopRun,
+)
+from corianderpitch.domain.scheduling.workers import WorkerInfo, WorkerReport
+from corianderpitch.errors import (
+    CommitError,
+    HistoryLost,
+    InstanceError,
+    PlatformError,
+    WorkerError,
+)
 from corianderpitch.ids import (
     DataCenterId,
     JobId,
@@ -23,11 +38,34 @@
 )
 
 
+class PartedKey(NamedTuple):
+    """Key of a row in a store that has tables, each in partitions."""
+
+    table: str
+    part: str
+    name: str
+
+
+RowKey = str | PartedKey
+
+
+def parted_key(key: RowKey) -> PartedKey:
+    """Return a flat key as one in a store with tables, in the empty partition.
+
+    >>> parted_key("role/manager/epoch")
+    PartedKey(table='role', part='', name='manager/epoch')
+    """
+    if isinstance(key, PartedKey):
+        return key
+    table, _, name = key.partition("/")
+    return PartedKey(table, "", name)
+
+
 @dataclass(frozen=True, slots=True)
 class Row:
     """One row of the table service; ``version`` grows with every write."""
 
-    key: str
+    key: RowKey
     version: int
     value: bytes
 
@@ -41,7 +79,7 @@
 class Check:
     """Condition of a transaction: the row has this version (0: is absent)."""
 
-    key: str
+    key: RowKey
     version: int
 
 
@@ -49,7 +87,7 @@
 class Write:
     """Write of a transaction; a value of ``None`` deletes the row."""
 
-    key: str
+    key: RowKey
     value: bytes | None
 
 
@@ -202,3 +240,140 @@
         self, task_id: TaskId, has_checkpoint: bool
     ) -> Result[None, PlatformError]:
         """Stop a task; with a checkpoint its job can go on later."""
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Rows as of ``version`` of the whole store."""
+
+    rows: tuple[Row, ...]
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Rows that have changed, in order; a deleted one is in ``deleted``.
+
+    The next call follows from ``version``.
+    """
+
+    rows: tuple[Row, ...]
+    deleted: tuple[PartedKey, ...]
+    version: int
+
+
+class RowStore(abc.ABC):
+    """A store of rows in tables and partitions, whose changes can be followed.
+
+    Versions come from one counter over the whole store, so that a later write
+    of any row has the higher version.
+    """
+
+    @abc.abstractmethod
+    def read(
+        self, table: str, part: str, first: str = "", end: str = ""
+    ) -> Result[Snapshot, PlatformError]:
+        """Read the rows of a partition, from ``first`` up to ``end`` (excluded).
+
+        Empty bounds stand for the whole partition.
+        """
+
+    @abc.abstractmethod
+    def list_parts(self, table: str) -> Result[tuple[str, ...], PlatformError]:
+        """Return the partitions of a table."""
+
+    @abc.abstractmethod
+    def follow(
+        self, table: str, after: int, wait_ms: int
+    ) -> Result[Changes, PlatformError | HistoryLost]:
+        """Return what has changed in a table, waiting for the first change."""
+
+    @abc.abstractmethod
+    def commit(
+        self, checks: tuple[Check, ...], writes: tuple[Write, ...]
+    ) -> Result[int, CommitError]:
+        """Write all rows if every check holds; returns the new version."""
+
+    @abc.abstractmethod
+    def time_ms(self) -> float:
+        """Return the store's steady clock, which all entries share, as estimated."""
+
+    @property
+    @abc.abstractmethod
+    def answered_ms(self) -> float | None:
+        """Return this entry's time of the store's last answer."""
+
+
+class WorkerLink(abc.ABC):
+    """Orders to workers, and their lists."""
+
+    @abc.abstractmethod
+    def report(
+        self,
+        info: WorkerInfo,
+        fence: int,
+        settled: int,
+        until_ms: int | None,
+        wait_ms: int,
+    ) -> Result[WorkerReport, WorkerError]:
+        """Ask a worker for its list, and extend its lease to ``until_ms``.
+
+        Ends up to ``settled`` are forgotten there. With ``wait_ms`` the answer
+        waits for an end.
+        """
+
+    @abc.abstractmethod
+    def start(self, info: WorkerInfo, order: StartRun, until_ms: int) -> OrderResult:
+        """Start a run under a lease."""
+
+    @abc.abstractmethod
+    def stop(self, info: WorkerInfo, order: StopRun) -> OrderResult:
+        """Stop a run."""
+
+    @abc.abstractmethod
+    def pace(self, info: WorkerInfo, order: PaceRun) -> OrderResult:
+        """Slow a run down, or let it go on at full speed."""
+
+    @abc.abstractmethod
+    def forget(self, info: WorkerInfo) -> None:
+        """Close the connections to a worker."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerChanges:
+    """Workers whose entry has changed, and those whose entry is gone.
+
+    An entry that cannot be read names no worker, so it counts as gone.
+    """
+
+    listed: tuple[WorkerInfo, ...]
+    gone: tuple[WorkerId, ...]
+    version: int
+
+
+class WorkerList(abc.ABC):
+    """The platform's list of workers, which they write themselves."""
+
+    @abc.abstractmethod
+    def read(self) -> Result[WorkerChanges, PlatformError]:
+        """Return every worker that is listed."""
+
+    @abc.abstractmethod
+    def follow(
+        self, after: int, wait_ms: int
+    ) -> Result[WorkerChanges, PlatformError | HistoryLost]:
+        """Return what has changed since ``after``."""
+
+
+class OperatorRows(abc.ABC):
+    """What operators have written: the configuration and maintenance waves."""
+
+    @abc.abstractmethod
+    def read(self) -> Result[OperatorChanges, PlatformError]:
+        """Return all that is in force."""
+
+    @abc.abstractmethod
+    def follow(
+        self, after: int, wait_ms: int
+    ) -> Result[OperatorChanges, PlatformError | HistoryLost]:
+        """Return what has changed since ``after``."""
