Carry maintenance waves out and empty workers before them

VMs are emptied one a pool at a time; a lasting task moves only while all others of its step are at work.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -11,6 +11,7 @@
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.links import WorkerTask
+from corianderpitch.daemon.scheduling.maintainers import MaintenanceTask
 from corianderpitch.daemon.scheduling.rows import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
@@ -18,6 +19,7 @@
     unpack_progress,
     unpack_workload,
 )
+from corianderpitch.domain.scheduling.evacuation import evacuate
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
@@ -50,6 +52,7 @@
         queues: Callable[[], Mapping[QueueName, Queue]],
         lease_ms: float,
         role_lease_ms: float,
+        new_maintenance: Callable[[Scheduler, Callable[[], None]], MaintenanceTask],
     ):
         self._store = store
         self._workers = workers
@@ -64,6 +67,7 @@
         term = Term(role.epoch, role.fence().version, began_ms + wait_ms)
         self.scheduler = Scheduler(term)
         self._commits = CommitTask(store, role, self.scheduler, clock, lambda: None)
+        self._maintenance = new_maintenance(self.scheduler, self.wake)
         self._tasks: dict[WorkerId, WorkerTask] = {}
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._wake_event = Event()
@@ -78,7 +82,7 @@
                 log.warning("Could not read the store; the role is not served yet.")
                 return
             loops = (self._follow_jobs, self._follow_workers, self._plan_loop)
-            for loop in (*loops, self._commits.run):
+            for loop in (*loops, self._commits.run, self._maintenance.run):
                 self._threads.append(eventlet.spawn(_guarded, loop))
             self._hold()
         finally:
@@ -243,6 +247,7 @@
             now_ms = self._clock.now_ms()
             self.scheduler.set_queues(self._queues())
             self.scheduler.expire(now_ms)
+            evacuate(self.scheduler, now_ms)
             plan(self.scheduler, now_ms, self._clock.wall_ms())
             self._hand_out()
 
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
@@ -0,0 +1,127 @@
+"""Maintenance waves: which VM is emptied and maintained next.
+
+Pure: given the VMs, the workers and what has been ordered, ``next_steps`` says
+what to do now. Standby and idle VMs come first, because they cost nothing to
+empty; VMs of pools with the least work follow.
+"""
+
+import enum
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from corianderpitch.domain.scheduling.catalog import WaveOrder
+from corianderpitch.domain.scheduling.workers import WorkerView
+from corianderpitch.ids import ServiceName, VmId, WorkerId
+
+MAX_EMPTYING_PER_POOL = 1  # a pool gives up little capacity at a time
+REPEAT_MS = 1000.0
+
+
+class VmCondition(enum.Enum):
+    """What the platform says of a VM."""
+
+    UP = "up"
+    MOVING = "moving"
+    IN_MAINTENANCE = "in_maintenance"
+    DOWN = "down"
+
+
+@dataclass(frozen=True, slots=True)
+class PoolVm:
+    """A VM of a pool, and the worker that runs on it."""
+
+    vm: VmId
+    pool: ServiceName
+    condition: VmCondition
+    worker: WorkerId | None
+
+
+@dataclass(slots=True)
+class WaveProgress:
+    """How far a wave has come; ``begun`` VMs have had their maintenance ordered."""
+
+    order: WaveOrder
+    begun: set[VmId] = field(default_factory=set)
+    asked_ms: dict[VmId, float] = field(default_factory=dict)
+    is_completed: bool = False
+
+    def left(self, vms: Mapping[VmId, PoolVm]) -> list[VmId]:
+        """Return the VMs that stay and have not begun."""
+        return [vm for vm in self.order.vms if vm in vms and vm not in self.begun]
+
+
+@dataclass(frozen=True, slots=True)
+class MaintainVm:
+    """Order the maintenance of an empty VM."""
+
+    vm: VmId
+    wave: int
+
+
+def down_count(wave: WaveProgress, vms: Mapping[VmId, PoolVm]) -> int:
+    """Return how many VMs of a wave may be down for it.
+
+    An order without an answer counts, for it may have been carried out.
+    """
+    return sum(
+        1
+        for vm in wave.order.vms
+        if vm in wave.asked_ms
+        and (
+            vm not in wave.begun
+            or vm not in vms
+            or vms[vm].condition is not VmCondition.UP
+        )
+    )
+
+
+def next_steps(
+    wave: WaveProgress,
+    vms: Mapping[VmId, PoolVm],
+    workers: Mapping[WorkerId, WorkerView],
+    standby: Iterable[ServiceName],
+    now_ms: float,
+) -> tuple[list[MaintainVm], set[WorkerId]]:
+    """Return the orders to give now, and the workers to empty for later ones."""
+    orders: list[MaintainVm] = []
+    emptying: set[WorkerId] = set()
+    per_pool: dict[ServiceName, int] = {}
+    room = wave.order.max_concurrent - down_count(wave, vms)
+    for vm_id in sorted(wave.left(vms), key=lambda v: _rank(vms[v], workers, standby)):
+        vm = vms[vm_id]
+        if vm_id in wave.asked_ms:
+            if now_ms - wave.asked_ms[vm_id] >= REPEAT_MS:
+                orders.append(MaintainVm(vm_id, wave.order.number))
+            continue
+        if vm.condition is not VmCondition.UP or room <= 0:
+            continue
+        worker = workers.get(vm.worker) if vm.worker else None
+        if vm.pool in standby or vm.worker is None:
+            orders.append(MaintainVm(vm_id, wave.order.number))
+            room -= 1
+            continue
+        if worker is None or per_pool.get(vm.pool, 0) >= MAX_EMPTYING_PER_POOL:
+            continue
+        per_pool[vm.pool] = per_pool.get(vm.pool, 0) + 1
+        room -= 1
+        emptying.add(vm.worker)
+        if worker.is_evacuated and is_empty(worker):
+            orders.append(MaintainVm(vm_id, wave.order.number))
+    return orders, emptying
+
+
+def is_empty(worker: WorkerView) -> bool:
+    """Tell whether nothing runs on a worker, and all its ends are committed."""
+    is_heard = worker.life is not None and not worker.is_silent
+    return is_heard and not worker.runs and worker.seen == worker.settled
+
+
+def _rank(
+    vm: PoolVm, workers: Mapping[WorkerId, WorkerView], standby: Iterable[ServiceName]
+) -> tuple[int, int, float, VmId]:
+    """Order VMs by what it costs to take them out; those under way stay first."""
+    worker = workers.get(vm.worker) if vm.worker else None
+    if vm.pool in standby or worker is None:
+        return (0, 0, 0.0, vm.vm)
+    used = worker.info.capacity.processors - worker.free.processors
+    return (0 if worker.is_evacuated else 1, len(worker.runs), used, vm.vm)
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -4,6 +4,7 @@
 """
 
 import abc
+import enum
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -14,6 +15,7 @@
 from corianderpitch.domain.outcomes import Answered
 from corianderpitch.domain.platform import ListedVm, VmAction, VmActionState
 from corianderpitch.domain.scheduling.catalog import OperatorChanges
+from corianderpitch.domain.scheduling.maintenance import PoolVm
 from corianderpitch.domain.scheduling.orders import (
     OrderResult,
     PaceRun,
@@ -30,8 +32,10 @@
 )
 from corianderpitch.ids import (
     DataCenterId,
+    EntryId,
     JobId,
     OperationId,
+    ServiceName,
     TaskId,
     VmId,
     WorkerId,
@@ -365,6 +369,41 @@
         """Return what has changed since ``after``."""
 
 
+class VmOrderResult(enum.Enum):
+    """What the platform made of an order about a VM."""
+
+    DONE = "done"
+    SUPERSEDED = "superseded"
+    BUSY = "busy"
+    REFUSED = "refused"
+    NOT_SENT = "not_sent"
+    NO_ANSWER = "no_answer"
+
+
+class VmPools(abc.ABC):
+    """The platform's VMs in their pools, and orders about them.
+
+    Orders name their holder and carry a fence number. An order that was
+    carried out before is answered as done.
+    """
+
+    @abc.abstractmethod
+    def list_vms(self) -> Result[tuple[PoolVm, ...], PlatformError]:
+        """Return every VM."""
+
+    @abc.abstractmethod
+    def maintain(
+        self, vm: VmId, wave: int, holder: EntryId, fence: int
+    ) -> VmOrderResult:
+        """Take a VM down for maintenance; what runs there ends at once."""
+
+    @abc.abstractmethod
+    def move(
+        self, vm: VmId, pool: ServiceName, holder: EntryId, fence: int
+    ) -> VmOrderResult:
+        """Move a VM to another pool; what runs there ends at once."""
+
+
 class OperatorRows(abc.ABC):
     """What operators have written: the configuration and maintenance waves."""
 
@@ -377,3 +416,7 @@
         self, after: int, wait_ms: int
     ) -> Result[OperatorChanges, PlatformError | HistoryLost]:
         """Return what has changed since ``after``."""
+
+    @abc.abstractmethod
+    def report_wave(self, number: int, is_completed: bool) -> Result[int, CommitError]:
+        """Tell operators how far a wave has come."""
