Keep two holders from running a task twice

Workers are now recorded in the store before they are given anything, and the list of VMs tells which silent workers have ended. Ruled out: the workers' lists, which are exact.

--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -45,7 +45,7 @@
         self._epoch = 0
         self._epoch_version = 0
         self._beat_sequence = 0
-        self._beat_version: int | None = None
+        self._seen_versions: tuple[int, int] | None = None
         self._beat_seen_ms = clock.now_ms()
         self._next_beat_ms = 0.0
         self._is_held = False
@@ -124,14 +124,21 @@
 
     def _has_lapsed(self, rows: Mapping[str, Row]) -> bool:
         now_ms = self._clock.now_ms()
-        version = version_of(rows.get(self._beat_key))
-        if version != self._beat_version:
-            self._beat_version = version
+        versions = (
+            version_of(rows.get(self._epoch_key)),
+            version_of(rows.get(self._beat_key)),
+        )
+        if versions != self._seen_versions:
+            self._seen_versions = versions
             self._beat_seen_ms = now_ms
         is_new = self._epoch_key not in rows
         beat_row = rows.get(self._beat_key)
         beat = decode_row(RoleBeat, beat_row.value) if beat_row else None
-        is_released = beat is not None and beat.sequence == RELEASED
+        epoch_row = rows.get(self._epoch_key)
+        epoch = decode_row(RoleEpoch, epoch_row.value).epoch if epoch_row else 0
+        is_released = (
+            beat is not None and beat.sequence == RELEASED and beat.epoch == epoch
+        )
         return is_new or is_released or now_ms - self._beat_seen_ms >= self._lease_ms
 
     def _take(self, epoch_row: Row | None) -> bool:
@@ -153,5 +160,5 @@
     def _lose(self) -> None:
         log.info("Lost the role {}.", self._name)
         self._is_held = False
-        self._beat_version = None
+        self._seen_versions = None
         self._beat_seen_ms = self._clock.now_ms()
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -11,14 +11,17 @@
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.rows import (
     JOBS_TABLE,
+    WORKERS_KEY,
     cancel_key,
     job_key,
     pack_progress,
+    pack_workers,
     progress_key,
 )
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.scheduler import JobChange, Scheduler
 from corianderpitch.errors import CommitError, RowConflict
+from corianderpitch.ids import WorkerId
 from corianderpitch.ports import Check, RowStore, Write, parted_key
 
 MAX_CHANGES = 30  # of up to three rows each, within a transaction's hundred
@@ -52,6 +55,7 @@
         self._on_settled = on_settled
         self._event = Event()
         self._settled = Event()
+        self._recorded: set[WorkerId] | None = None
         self.ended: dict[str, float] = {}
 
     def wake(self) -> None:
@@ -72,10 +76,30 @@
             self._event = Event()
             if not self._scheduler.has_final_changes:
                 eventlet.sleep(PROGRESS_INTERVAL_MS / 1000.0)
-            if not self._commit_all():
+            if not (self._record_workers() and self._commit_all()):
                 eventlet.sleep(RETRY_MS / 1000.0)
                 self.wake()
 
+    def _record_workers(self) -> bool:
+        """Name in the store which workers may be given something."""
+        workers = self._scheduler.workers_to_record()
+        if workers == self._recorded:
+            return True
+        write = Write(WORKERS_KEY, pack_workers(workers))
+        match self._store.commit((self._fence(),), (write,)):
+            case Success(_):
+                self._recorded = workers
+                self._scheduler.note_recorded(workers)
+                self._on_settled()
+                return True
+            case Failure(error):
+                log.warning("Workers not recorded.", cause=repr(error))
+        return False
+
+    def _fence(self) -> Check:
+        fence = self._role.fence()
+        return Check(parted_key(fence.key), fence.version)
+
     def _commit_all(self) -> bool:
         changes, ends = self._scheduler.take_changes()
         for start in range(0, len(changes), MAX_CHANGES):
@@ -90,8 +114,7 @@
         return True
 
     def _commit(self, changes: Sequence[JobChange]) -> bool:
-        fence = self._role.fence()
-        checks = [Check(parted_key(fence.key), fence.version)]
+        checks = [self._fence()]
         writes: list[Write] = []
         for change in changes:
             workload = change.job.workload
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -98,7 +98,7 @@
         now_ms = self._clock.now_ms()
         length_ms = self._allowed_lease_ms(self._lease_ms)
         until_ms = None
-        if length_ms > 0 and worker.runs:
+        if length_ms > 0 and worker.runs and not worker.is_silent:
             until_ms = self._scheduler.lease(self._worker_id, length_ms, now_ms)
         fence = self._scheduler.fence_of(self._worker_id)
         result = self._link.report(
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -66,6 +66,7 @@
         """Carry waves out until killed."""
         while True:
             self._take_waves()
+            self._list_if_needed()
             if any(not wave.is_completed for wave in self._waves.values()):
                 self._round()
             eventlet.sleep(ROUND_S)
@@ -85,8 +86,6 @@
 
     def _round(self) -> None:
         now_ms = self._clock.now_ms()
-        if now_ms - self._listed_ms >= LIST_INTERVAL_MS and not self._list(now_ms):
-            return
         emptying: set[WorkerId] = set()
         orders: list[MaintainVm] = []
         for wave in self._waves.values():
@@ -104,13 +103,42 @@
             for order in orders:
                 self._order(order)
 
-    def _list(self, now_ms: float) -> bool:
+    def _list_if_needed(self) -> None:
+        """Ask for the VMs while a wave is under way or a worker does not answer."""
+        now_ms = self._clock.now_ms()
+        is_needed = (
+            any(not wave.is_completed for wave in self._waves.values())
+            or any(worker.is_silent for worker in self._scheduler.workers.values())
+            or bool(self._scheduler.unheard)
+        )
+        if not is_needed or now_ms - self._listed_ms < LIST_INTERVAL_MS:
+            return
+        self._listed_ms = now_ms
         match self._pools.list_vms():
             case Success(vms):
                 self._vms = {vm.vm: vm for vm in vms}
-                self._listed_ms = now_ms
-                return True
-        return False
+                self._take_gone(now_ms)
+
+    def _take_gone(self, asked_ms: float) -> None:
+        """Conclude from the list of VMs which silent workers have ended.
+
+        A VM names its worker's process while that lives, also when nobody
+        reaches it. Workers that came after the list was asked for are left out.
+        """
+        live = {vm.worker for vm in self._vms.values()}
+        known = self._scheduler.workers
+        gone = [
+            worker_id
+            for worker_id, worker in known.items()
+            if worker.is_silent
+            and worker_id not in live
+            and worker.since_ms < asked_ms - LIST_INTERVAL_MS
+        ]
+        gone += [w for w in self._scheduler.unheard if w not in live]
+        if gone:
+            log.info("Workers have ended.", workers=sorted(gone), at_ms=round(asked_ms))
+            self._scheduler.take_gone(gone)
+            self._wake()
 
     def _standby(self) -> frozenset[ServiceName]:
         catalog = self._catalogs.catalog
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -5,6 +5,7 @@
 only the progress row is left, as its final state.
 """
 
+from collections.abc import Iterable
 from dataclasses import fields
 from typing import Any
 
@@ -13,12 +14,14 @@
 from corianderpitch.domain.jobs import JobState, Shape
 from corianderpitch.domain.scheduling.progress import ProgressRecord, StepRecord
 from corianderpitch.domain.scheduling.workloads import Schedule, Step, Workload
-from corianderpitch.ids import JobId, QueueName
+from corianderpitch.ids import JobId, QueueName, WorkerId
 from corianderpitch.ports import PartedKey
 
 JOBS_TABLE = "jobs"
 CANCEL_SUFFIX = ".cancel"
 PROGRESS_SUFFIX = ".progress"
+SCHEDULER_TABLE = "scheduler"
+WORKERS_KEY = PartedKey(SCHEDULER_TABLE, "", "workers")
 RANGE_END = "/"  # sorts behind the dot of every suffix
 
 _STEP_DEFAULTS = {
@@ -41,6 +44,16 @@
     return PartedKey(JOBS_TABLE, queue, job_id + PROGRESS_SUFFIX)
 
 
+def pack_workers(worker_ids: Iterable[WorkerId]) -> bytes:
+    """Encode the workers that a tenure may have given something to."""
+    return msgpack.packb(sorted(worker_ids))
+
+
+def unpack_workers(value: bytes) -> tuple[WorkerId, ...]:
+    """Decode the workers that a predecessor may have given something to."""
+    return tuple(WorkerId(name) for name in msgpack.unpackb(value))
+
+
 def pack_workload(workload: Workload, accepted_ms: float) -> bytes:
     """Encode a job with the store's time of its acceptance."""
     schedule = workload.schedule
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -16,7 +16,9 @@
     CANCEL_SUFFIX,
     JOBS_TABLE,
     PROGRESS_SUFFIX,
+    WORKERS_KEY,
     unpack_progress,
+    unpack_workers,
     unpack_workload,
 )
 from corianderpitch.domain.scheduling.evacuation import evacuate
@@ -66,7 +68,7 @@
         wait_ms = lease_ms * 1.05
         term = Term(role.epoch, role.fence().version, began_ms + wait_ms)
         self.scheduler = Scheduler(term)
-        self._commits = CommitTask(store, role, self.scheduler, clock, lambda: None)
+        self._commits = CommitTask(store, role, self.scheduler, clock, self._plan_soon)
         self._maintenance = new_maintenance(self.scheduler, self.wake)
         self._tasks: dict[WorkerId, WorkerTask] = {}
         self._threads: list[eventlet.greenthread.GreenThread] = []
@@ -110,16 +112,29 @@
             thread.kill()
 
     def wake(self) -> None:
-        """Plan soon."""
+        """Plan and commit soon."""
+        self._plan_soon()
+        self._commits.wake()
+
+    def _plan_soon(self) -> None:
         if not self._wake_event.ready():
             self._wake_event.send()
-        self._commits.wake()
 
     # Reading and following the store.
 
     def _load(self) -> bool:
         self.scheduler.set_queues(self._queues())
-        return self._load_jobs() and self._load_workers()
+        return self._load_recorded() and self._load_jobs() and self._load_workers()
+
+    def _load_recorded(self) -> bool:
+        """Learn which workers a predecessor may have given something to."""
+        key = WORKERS_KEY
+        match self._store.read(key.table, key.part, key.name, key.name + "/"):
+            case Success(snapshot):
+                for row in snapshot.rows:
+                    self.scheduler.unheard |= set(unpack_workers(row.value))
+                return True
+        return False
 
     def _load_jobs(self) -> bool:
         parts = self._store.list_parts(JOBS_TABLE)
@@ -164,6 +179,8 @@
     def _follow_jobs(self) -> None:
         while True:
             match self._store.follow(JOBS_TABLE, self._jobs_version, FOLLOW_WAIT_MS):
+                case Success(_) if not self._role.is_renewed:
+                    eventlet.sleep(FOLLOW_RETRY_S)  # a successor may serve already
                 case Success(changes):
                     for row in changes.rows:
                         self._take_job_row(row)
@@ -198,6 +215,8 @@
     def _follow_workers(self) -> None:
         while True:
             match self._workers.follow(self._workers_version, FOLLOW_WAIT_MS):
+                case Success(_) if not self._role.is_renewed:
+                    eventlet.sleep(FOLLOW_RETRY_S)
                 case Success(changes):
                     self._take_workers(changes)
                     eventlet.sleep(WORKERS_INTERVAL_S)
@@ -218,8 +237,6 @@
         self._workers_version = max(self._workers_version, changes.version)
 
     def _begin_worker(self, info: WorkerInfo) -> None:
-        if self._clock.now_ms() < self.scheduler.term.leases_end_ms:
-            self.scheduler.unheard.add(info.worker)
         task = WorkerTask(
             info.worker,
             self.scheduler,
@@ -247,8 +264,10 @@
             now_ms = self._clock.now_ms()
             self.scheduler.set_queues(self._queues())
             self.scheduler.expire(now_ms)
-            evacuate(self.scheduler, now_ms)
-            plan(self.scheduler, now_ms, self._clock.wall_ms())
+            is_renewed = self._role.is_renewed
+            if is_renewed:
+                evacuate(self.scheduler, now_ms)
+            plan(self.scheduler, now_ms, self._clock.wall_ms(), is_renewed)
             self._hand_out()
 
     def _hand_out(self) -> None:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -13,6 +13,7 @@
     """Tell whether a worker may be given anything new."""
     return (
         worker.is_listed
+        and worker.is_recorded
         and not worker.is_evacuated
         and worker.draining_since_ms is None
         and worker.life is not None
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -14,10 +14,14 @@
 NOTHING_TO_AVOID: frozenset[WorkerId] = frozenset()
 
 
-def plan(scheduler: Scheduler, now_ms: float, wall_ms: float) -> None:
+def plan(
+    scheduler: Scheduler, now_ms: float, wall_ms: float, may_restart: bool = True
+) -> None:
     """Start what can be started now, in the order of ``order_key``.
 
-    ``wall_ms`` is Unix time; it serves schedules only.
+    ``wall_ms`` is Unix time; it serves schedules only. Without ``may_restart``
+    only tasks are started that never ran: a holder whose lease has lapsed may
+    take a run for lost whose end its successor knows.
     """
     usable = _usable_by_service(scheduler, now_ms)
     waiting: dict[ServiceName, list[tuple[Queue, ActiveJob]]] = defaultdict(list)
@@ -30,7 +34,14 @@
             waiting[queue.service].append((queue, job))
     for service, jobs in waiting.items():
         jobs.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
-        _plan_pool(scheduler, jobs, usable[service], now_ms, wall_ms)
+        for _, job in jobs:
+            for step in list(job.ready_steps(wall_ms)):
+                if not may_restart and step.begun & step.pending:
+                    continue
+                if step.step.is_gang:
+                    _start_gang(scheduler, job, step, usable[service], now_ms)
+                else:
+                    _start_each(scheduler, job, step, usable[service], now_ms)
 
 
 def _usable_by_service(
@@ -43,21 +54,6 @@
     return usable
 
 
-def _plan_pool(
-    scheduler: Scheduler,
-    jobs: list[tuple[Queue, ActiveJob]],
-    workers: list[WorkerView],
-    now_ms: float,
-    wall_ms: float,
-) -> None:
-    for _, job in jobs:
-        for step in list(job.ready_steps(wall_ms)):
-            if step.step.is_gang:
-                _start_gang(scheduler, job, step, workers, now_ms)
-            else:
-                _start_each(scheduler, job, step, workers, now_ms)
-
-
 def _start_each(
     scheduler: Scheduler,
     job: ActiveJob,
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -44,7 +44,10 @@
 
 @dataclass(slots=True)
 class ActiveStep:
-    """A step of one occurrence: which of its tasks wait, run or are done."""
+    """A step of one occurrence: which of its tasks wait, run or are done.
+
+    ``begun`` tasks have been started at some time.
+    """
 
     step: Step
     number: int
@@ -54,6 +57,7 @@
     failed: dict[int, set[int]] = field(default_factory=dict)
     checkpoints: dict[int, str] = field(default_factory=dict)
     runs: dict[int, list[Run]] = field(default_factory=dict)
+    begun: set[int] = field(default_factory=set)
 
     @property
     def is_done(self) -> bool:
@@ -82,6 +86,7 @@
             self.finish(index)
         self.failed = {i: set(numbers) for i, numbers in record.failed.items()}
         self.checkpoints = dict(record.checkpoints)
+        self.begun = {*record.failed, *record.checkpoints, *record.placed}
 
 
 class ActiveJob:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -187,12 +187,33 @@
         worker.leased_until_ms = max(worker.leased_until_ms, until_ms)
         return until_ms
 
+    def take_gone(self, worker_ids: Iterable[WorkerId]) -> None:
+        """Note that the processes of workers have certainly ended."""
+        for worker_id in worker_ids:
+            self.unheard.discard(worker_id)
+            worker = self.workers.get(worker_id)
+            if worker is not None and worker.is_silent:
+                for run in list(worker.runs.values()):
+                    self._lose(worker, run)
+
+    def workers_to_record(self) -> set[WorkerId]:
+        """Return the workers that may run something: known here, or unheard of."""
+        return set(self.workers) | self.unheard
+
+    def note_recorded(self, worker_ids: Iterable[WorkerId]) -> None:
+        """Note that the store names these workers."""
+        for worker_id in worker_ids:
+            if worker_id in self.workers:
+                self.workers[worker_id].is_recorded = True
+
     def fence_of(self, worker_id: WorkerId) -> int:
         """Return the fence number that orders to a worker carry."""
         return self.term.fence + self.workers[worker_id].fence_bump
 
     def expire(self, now_ms: float) -> None:
         """Give up runs whose lease has lapsed, and forget workers that are gone."""
+        if now_ms >= self.term.leases_end_ms:
+            self.unheard.clear()
         for worker in list(self.workers.values()):
             lapsed = worker.lease_end_ms(self.term.leases_end_ms) <= now_ms
             if lapsed and worker.is_silent:
@@ -200,6 +221,8 @@
                     self._lose(worker, run)
                 self.unheard.discard(worker.info.worker)
             is_gone = not worker.is_listed and not worker.runs and lapsed
+            if worker.is_silent and lapsed and not worker.is_listed:
+                worker.settled = worker.seen
             if is_gone and worker.seen == worker.settled:
                 del self.workers[worker.info.worker]
                 self.unheard.discard(worker.info.worker)
@@ -242,6 +265,7 @@
         worker.add(run)
         step.runs.setdefault(index, []).append(run)
         step.pending.discard(index)
+        step.begun.add(index)
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
         self._changed(job)
@@ -439,6 +463,7 @@
         worker.add(run)
         step.runs.setdefault(listed.task.index, []).append(run)
         step.pending.discard(listed.task.index)
+        step.begun.add(listed.task.index)
         job.state = JobState.RUNNING
         self._changed(job)
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -118,13 +118,16 @@
     """A worker with everything that runs there or may run there.
 
     ``seen`` is the last end taken in, ``settled`` the last one whose effect is
-    committed. ``fence_bump`` is added to the holder's fence number; raising it
-    makes sure that orders still under way are refused.
+    committed. A worker is given nothing before it is recorded in the store, so
+    that a successor knows of every worker that may run something.
+    ``fence_bump`` is added to the holder's fence number; raising it makes sure
+    that orders still under way are refused.
     """
 
     info: WorkerInfo
     since_ms: float
     is_listed: bool = True
+    is_recorded: bool = False
     is_evacuated: bool = False
     draining_since_ms: float | None = None
     life: str | None = None
