Leave pools under pressure their VMs until their turn is over

Ruled out: fewer VMs at once, which made the wave late in trials by its arithmetic. The property test now also cuts workers off.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -15,6 +15,7 @@
     WaveProgress,
     next_steps,
 )
+from corianderpitch.domain.scheduling.planning import pressed_services
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.ids import EntryId, ServiceName, VmId, WorkerId
 from corianderpitch.ports import OperatorRows, VmOrderResult, VmPools
@@ -78,7 +79,8 @@
                 log.info(
                     "Wave.", wave=number, vms=len(order.vms), cap=order.max_concurrent
                 )
-                self._waves[number] = WaveProgress(order)
+                due_ms = self._clock.now_ms() + order.deadline_ms
+                self._waves[number] = WaveProgress(order, due_ms)
                 self._operators.report_wave(number, False)
             elif known.order.version != order.version:
                 known.order = order
@@ -92,7 +94,12 @@
             if wave.is_completed:
                 continue
             steps, workers = next_steps(
-                wave, self._vms, self._scheduler.workers, self._standby(), now_ms
+                wave,
+                self._vms,
+                self._scheduler.workers,
+                self._standby(),
+                pressed_services(self._scheduler),
+                now_ms,
             )
             orders += steps
             emptying |= workers
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
@@ -3,9 +3,14 @@
 Pure: given the VMs, the workers and what has been ordered, ``next_steps`` says
 what to do now. Standby and idle VMs come first, because they cost nothing to
 empty; VMs of pools with the least work follow.
+
+The load it answers: each pool in turn is asked for more than it holds for some
+seconds. A pool in which tasks wait keeps all its VMs until its turn is over, or
+until the wave would be late.
 """
 
 import enum
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -15,6 +20,7 @@
 
 MAX_EMPTYING_PER_POOL = 1  # a pool gives up little capacity at a time
 REPEAT_MS = 1000.0
+ROUND_MS = 5000.0  # emptying a VM and its maintenance, as a rule
 
 
 class VmCondition(enum.Enum):
@@ -41,10 +47,16 @@
     """How far a wave has come; ``begun`` VMs have had their maintenance ordered."""
 
     order: WaveOrder
+    due_ms: float = 0.0
     begun: set[VmId] = field(default_factory=set)
     asked_ms: dict[VmId, float] = field(default_factory=dict)
     is_completed: bool = False
 
+    def is_pressing(self, vms: Mapping[VmId, "PoolVm"], now_ms: float) -> bool:
+        """Tell whether the wave would be late if it waited for quiet pools."""
+        rounds = math.ceil(len(self.left(vms)) / max(1, self.order.max_concurrent))
+        return now_ms + (rounds + 1) * ROUND_MS >= self.due_ms
+
     def left(self, vms: Mapping[VmId, PoolVm]) -> list[VmId]:
         """Return the VMs that stay and have not begun."""
         return [vm for vm in self.order.vms if vm in vms and vm not in self.begun]
@@ -80,9 +92,14 @@
     vms: Mapping[VmId, PoolVm],
     workers: Mapping[WorkerId, WorkerView],
     standby: Iterable[ServiceName],
+    pressed: frozenset[ServiceName],
     now_ms: float,
 ) -> tuple[list[MaintainVm], set[WorkerId]]:
-    """Return the orders to give now, and the workers to empty for later ones."""
+    """Return the orders to give now, and the workers to empty for later ones.
+
+    ``pressed`` names the pools in which tasks wait for room.
+    """
+    may_wait = not wave.is_pressing(vms, now_ms)
     orders: list[MaintainVm] = []
     emptying: set[WorkerId] = set()
     per_pool: dict[ServiceName, int] = {}
@@ -102,6 +119,8 @@
             continue
         if worker is None or per_pool.get(vm.pool, 0) >= MAX_EMPTYING_PER_POOL:
             continue
+        if vm.pool in pressed and may_wait and not worker.is_evacuated:
+            continue
         per_pool[vm.pool] = per_pool.get(vm.pool, 0) + 1
         room -= 1
         emptying.add(vm.worker)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -1,5 +1,6 @@
 """One round of planning: which waiting tasks start where."""
 
+import math
 from collections import defaultdict
 
 from corianderpitch.domain.jobs import Shape
@@ -44,6 +45,18 @@
                     _start_each(scheduler, job, step, usable[service], now_ms)
 
 
+def pressed_services(scheduler: Scheduler) -> frozenset[ServiceName]:
+    """Return the services whose pools have tasks of begun steps waiting for room."""
+    pressed: set[ServiceName] = set()
+    for job in scheduler.jobs.values():
+        queue = scheduler.queues.get(job.workload.queue)
+        if queue is None or queue.service in pressed:
+            continue
+        if any(step.pending for step in job.ready_steps(math.inf)):
+            pressed.add(queue.service)
+    return frozenset(pressed)
+
+
 def _usable_by_service(
     scheduler: Scheduler, now_ms: float
 ) -> dict[ServiceName, list[WorkerView]]:
--- a/packages/corianderpitch/tests/test_scheduler_rules.py
+++ b/packages/corianderpitch/tests/test_scheduler_rules.py
@@ -203,9 +203,12 @@
             return
         if reaches_store and holder.is_current():
             holder.renewed_ms = self.store.beat_ms = self.now_ms
-        for name in reach:
-            self._ask(holder, name)
-            self._deliver(holder, "prompt", run_ms)
+        for name in WORKERS:
+            if name in reach and self.workers[name].is_up:
+                self._ask(holder, name)
+                self._deliver(holder, "prompt", run_ms)
+            else:
+                holder.scheduler.take_silence(WorkerId(name))
         self._run(holder, reaches_store)
         self._deliver(holder, delivery, run_ms)
 
