--- a/packages/corianderpitch/tests/simulatedworkers.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/simulatedworkers.py
@@ -44,6 +44,7 @@
     failed: dict[TaskRef, int] = field(default_factory=dict)
 
     def started(self, task: TaskRef, worker: str) -> None:
+        """Take a start in; another run at the same time breaks the rule."""
         others = self.running.setdefault(task, set())
         assert not others, f"TWICE: {task} on {worker} beside {others}"
         others.add(worker)
@@ -55,9 +56,11 @@
                 self.starts_after[task] = self.starts_after.get(task, 0) + 1
 
     def ended(self, task: TaskRef, worker: str) -> None:
+        """Take an end in."""
         self.running.get(task, set()).discard(worker)
 
     def noted(self, worker: str, life: str, settled: int) -> None:
+        """Take in that a holder has told a worker which ends it has settled."""
         for task, ends in self.done.items():
             for end in ends:
                 is_this = (end.worker, end.life) == (worker, life)
@@ -76,6 +79,7 @@
         self.begin_life(0.0)
 
     def begin_life(self, now_ms: float) -> None:
+        """Start the process anew; it knows nothing of before."""
         self.lives += 1
         self.life = str(self.lives)
         self.born_ms = now_ms
@@ -88,6 +92,7 @@
         self.is_up = True
 
     def crash(self) -> None:
+        """End the process and everything that it runs."""
         for task in self.runs:
             self.ledger.ended(task, self.name)
         self.runs = {}
@@ -98,6 +103,7 @@
                     end.lapsed = True
 
     def clock_ms(self, now_ms: float) -> float:
+        """Return the worker's own clock."""
         return now_ms - self.born_ms
 
     def advance(self, now_ms: float) -> None:
@@ -135,6 +141,7 @@
         run_ms: float,
         fails: bool,
     ) -> OrderResult:
+        """Carry out the order to start a task that ends after ``run_ms``."""
         if order.fence < self.fence:
             return OrderResult.SUPERSEDED
         self.fence = order.fence
@@ -152,6 +159,7 @@
         return OrderResult.DONE
 
     def stop(self, order: StopRun, now_ms: float) -> OrderResult:
+        """Carry out the order to stop a run."""
         if order.fence < self.fence:
             return OrderResult.SUPERSEDED
         self.fence = order.fence
@@ -164,6 +172,7 @@
     def report(
         self, fence: int, settled: int, until_ms: float | None, now_ms: float
     ) -> WorkerReport | None:
+        """Return the list of runs and ends, ``None`` for a fence that is too low."""
         if fence < self.fence:
             return None
         self.fence = fence
--- a/packages/corianderpitch/tests/test_scheduler_rules.py
+++ b/packages/corianderpitch/tests/test_scheduler_rules.py
@@ -9,7 +9,6 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
-from simulatedworkers import Ledger, SimulatedWorker
 
 from corianderpitch.domain.jobs import JobState, Shape
 from corianderpitch.domain.scheduling.orders import (
@@ -24,6 +23,7 @@
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import Queue, Step, TaskRef, Workload
 from corianderpitch.ids import JobId, QueueName, ServiceName, VmId, WorkerId
+from corianderpitch_standins.simulatedworkers import Ledger, SimulatedWorker
 
 QUEUE = Queue(QueueName("quotes"), ServiceName("counter"), max_attempts=3)
 LEASE_MS = 6000.0
