Read requests strictly on every interface, and serve metrics of jobs

Cause: two differing Content-Length headers were accepted, the first framed the body and the rest ran as a second request; folded and malformed header lines were taken; garbage got an HTML page.

--- a/packages/corianderpitch/corianderpitch/daemon/entry.py
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -19,6 +19,7 @@
 from corianderpitch.daemon.configoperations import ConfigOperations
 from corianderpitch.daemon.documents import DocumentTask
 from corianderpitch.daemon.fleetoperations import FleetOperations
+from corianderpitch.daemon.httpprotocol import StrictProtocol
 from corianderpitch.daemon.joboperations import JobOperations
 from corianderpitch.daemon.jobs import JobTask
 from corianderpitch.daemon.leases import LeaseTask
@@ -253,6 +254,7 @@
             listener,
             app,
             log_output=False,
+            protocol=StrictProtocol,
             max_size=MAX_CALLER_CONNECTIONS,
             socket_timeout=HEADER_TIMEOUT_S,
         )
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/httpprotocol.py
@@ -0,0 +1,87 @@
+"""Strict reading of HTTP requests, for every interface of the daemon.
+
+Whatever leaves open where a request ends is refused, and the connection is
+closed: what follows could be taken for a request of somebody else (request
+smuggling; RFC 9112, sections 5 and 6.3).
+"""
+
+import json
+import re
+from email.message import Message
+from http import HTTPStatus
+
+from eventlet import wsgi
+
+from corianderpitch.domain.outcomes import OutcomeKind
+
+_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+
+
+def limit_headers(total_bytes: int) -> None:
+    """Bound the header section of every request from now on."""
+    wsgi.MAX_TOTAL_HEADER_SIZE = total_bytes
+    wsgi.MAX_HEADER_LINE = total_bytes
+
+
+def framing_problem(headers: Message) -> str | None:
+    """Return why a request cannot be told from what follows it, if so.
+
+    >>> headers = Message()
+    >>> headers["Content-Length"] = "5"
+    >>> headers["Content-Length"] = "6"
+    >>> framing_problem(headers)
+    'Content-Length is given twice'
+    """
+    if headers.defects:
+        return "a header line is malformed"
+    for name, value in headers.items():
+        if not _TOKEN.fullmatch(name) or "\r" in value or "\n" in value:
+            return "a header line is malformed"
+    lengths = headers.get_all("Content-Length", [])
+    if len(lengths) > 1:
+        return "Content-Length is given twice"
+    if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
+        return "Content-Length is not a number"
+    if lengths and "Transfer-Encoding" in headers:
+        return "Content-Length and Transfer-Encoding are given together"
+    return None
+
+
+class StrictProtocol(wsgi.HttpProtocol):
+    """Reads requests for ``eventlet.wsgi``, refusing those that are malformed."""
+
+    def parse_request(self) -> bool:
+        """Read a request line and headers; False if the request is refused."""
+        try:
+            if not super().parse_request():
+                return False
+        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+            detail = "the headers are too large"
+            self._refuse(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, detail)
+            return False
+        problem = framing_problem(self.headers)
+        if problem is not None:
+            self._refuse(HTTPStatus.BAD_REQUEST, problem)
+            return False
+        return True
+
+    def send_error(
+        self, code: int, message: str | None = None, explain: str | None = None
+    ) -> None:
+        """Refuse a request in the form that all refusals have."""
+        self._refuse(HTTPStatus(code), message or HTTPStatus(code).phrase)
+
+    def _refuse(self, status: HTTPStatus, detail: str) -> None:
+        self.close_connection = True
+        body = json.dumps({"outcome": OutcomeKind.NOT_RUN.value, "detail": detail})
+        lines = (
+            f"HTTP/1.1 {int(status)} {status.phrase}",
+            f"X-Outcome: {OutcomeKind.NOT_RUN.value}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body.encode())}",
+            "Connection: close",
+            "",
+            body,
+        )
+        self.wfile.write("\r\n".join(lines).encode())
+        self.wfile.flush()
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -9,6 +9,7 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.rows import (
     JOBS_TABLE,
     WORKERS_KEY,
@@ -46,12 +47,14 @@
         role: RoleLease,
         scheduler: Scheduler,
         clock: Clock,
+        meters: JobMeters,
         on_settled: Callable[[], None],
     ):
         self._store = store
         self._role = role
         self._scheduler = scheduler
         self._clock = clock
+        self._meters = meters
         self._on_settled = on_settled
         self._event = Event()
         self._settled = Event()
@@ -121,7 +124,11 @@
             key = progress_key(workload.queue, workload.job_id)
             checks.append(Check(key, change.job.progress_version))
             writes += self._writes(change, key)
-        match self._store.commit(tuple(checks), tuple(writes)):
+        began_ms = self._clock.now_ms()
+        result = self._store.commit(tuple(checks), tuple(writes))
+        kind = "done" if isinstance(result, Success) else "failed"
+        self._meters.record_commit(kind, self._clock.now_ms() - began_ms)
+        match result:
             case Success(version):
                 self._note_written(changes, version)
                 return True
@@ -148,10 +155,14 @@
             change.job.progress_version = version
             if change.is_final:
                 self.ended[change.job.job_id] = self._store.time_ms()
+                took_ms = self._clock.now_ms() - change.job.accepted_ms
+                state = change.record.state.value
+                self._meters.record_end(change.job.workload.queue, state, took_ms)
                 log.info(
                     "Ended.",
                     job=change.job.job_id,
-                    state=change.record.state.value,
+                    state=state,
+                    took_ms=round(took_ms),
                     at=version,
                 )
 
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -8,6 +8,7 @@
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.commits import CommitTask
+from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.domain.scheduling.orders import (
     Order,
     OrderResult,
@@ -41,6 +42,7 @@
         role: RoleLease,
         commits: CommitTask,
         clock: Clock,
+        meters: JobMeters,
         lease_ms: float,
         role_lease_ms: float,
         on_change,
@@ -51,6 +53,7 @@
         self._role = role
         self._commits = commits
         self._clock = clock
+        self._meters = meters
         self._lease_ms = lease_ms
         self._role_lease_ms = role_lease_ms
         self._on_change = on_change
@@ -148,6 +151,7 @@
             result=result.value,
             took_ms=round(now_ms - sent_ms, 1),
         )
+        self._meters.record_order(type(order).__name__, result.value, now_ms - sent_ms)
         self._scheduler.take_result(order, result, now_ms)
         if result is not OrderResult.DONE:
             self._on_change()
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/meters.py
@@ -0,0 +1,67 @@
+"""Metrics of jobs of several steps, in the Prometheus text format."""
+
+from aioprometheus import Counter, Gauge, Histogram, render
+from aioprometheus.collectors import Registry
+
+from corianderpitch.daemon.metrics import BUCKETS_MS, PREFIX
+
+
+class JobMeters:
+    """Counters and histograms of one entry."""
+
+    def __init__(self):
+        self._registry = Registry()
+        self._calls = self._counter("job_calls_total", "Calls by kind and outcome.")
+        self._call_ms = self._histogram("job_call_ms", "Time to answer a call.")
+        self._orders = self._counter("job_orders_total", "Orders by kind and result.")
+        self._order_ms = self._histogram("job_order_ms", "Time of an order.")
+        self._ended = self._counter("jobs_ended_total", "Jobs by final state.")
+        self._job_ms = self._histogram("job_ms", "Time from acceptance to the end.")
+        self._commits = self._counter("job_commits_total", "Commits by result.")
+        self._commit_ms = self._histogram("job_commit_ms", "Time of a commit.")
+        self._terms = self._counter("job_terms_total", "Tenures of this entry.")
+        self._waiting = self._gauge("jobs_open", "Jobs that have not ended.")
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(f"{PREFIX}_{name}", text, registry=self._registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"{PREFIX}_{name}", text, registry=self._registry)
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"{PREFIX}_{name}", text, registry=self._registry, buckets=BUCKETS_MS
+        )
+
+    def record_call(self, call: str, outcome: str, took_ms: float) -> None:
+        """Record a caller's call."""
+        self._calls.inc({"call": call, "outcome": outcome})
+        self._call_ms.add({"call": call}, took_ms)
+
+    def record_order(self, kind: str, result: str, took_ms: float) -> None:
+        """Record an order to a worker."""
+        self._orders.inc({"kind": kind, "result": result})
+        self._order_ms.add({"kind": kind}, took_ms)
+
+    def record_end(self, queue: str, state: str, took_ms: float) -> None:
+        """Record the end of a job."""
+        self._ended.inc({"queue": queue, "state": state})
+        self._job_ms.add({"queue": queue}, took_ms)
+
+    def record_commit(self, result: str, took_ms: float) -> None:
+        """Record a commit of progress."""
+        self._commits.inc({"result": result})
+        self._commit_ms.add({}, took_ms)
+
+    def record_term(self) -> None:
+        """Record that a tenure begins."""
+        self._terms.inc({})
+
+    def set_open(self, jobs: int) -> None:
+        """Set how many jobs the scheduler knows of; 0 for who is no holder."""
+        self._waiting.set({}, jobs)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the metrics and their content type."""
+        body, headers = render(self._registry, [])
+        return body, headers["Content-Type"]
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -12,6 +12,7 @@
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.maintainers import MaintenanceTask
+from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.rows import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
@@ -51,6 +52,7 @@
         link: WorkerLink,
         role: RoleLease,
         clock: Clock,
+        meters: JobMeters,
         queues: Callable[[], Mapping[QueueName, Queue]],
         lease_ms: float,
         role_lease_ms: float,
@@ -61,6 +63,7 @@
         self._link = link
         self._role = role
         self._clock = clock
+        self._meters = meters
         self._queues = queues
         self._lease_ms = lease_ms
         self._role_lease_ms = role_lease_ms
@@ -68,7 +71,9 @@
         wait_ms = lease_ms * 1.05
         term = Term(role.epoch, role.fence().version, began_ms + wait_ms)
         self.scheduler = Scheduler(term)
-        self._commits = CommitTask(store, role, self.scheduler, clock, self._plan_soon)
+        self._commits = CommitTask(
+            store, role, self.scheduler, clock, meters, self._plan_soon
+        )
         self._maintenance = new_maintenance(self.scheduler, self.wake)
         self._tasks: dict[WorkerId, WorkerTask] = {}
         self._threads: list[eventlet.greenthread.GreenThread] = []
@@ -79,6 +84,7 @@
 
     def run(self) -> None:
         """Serve until the role is lost."""
+        self._meters.record_term()
         try:
             if not self._load():
                 log.warning("Could not read the store; the role is not served yet.")
@@ -88,6 +94,7 @@
                 self._threads.append(eventlet.spawn(_guarded, loop))
             self._hold()
         finally:
+            self._meters.set_open(0)
             for thread in self._threads:
                 thread.kill()
 
@@ -244,6 +251,7 @@
             self._role,
             self._commits,
             self._clock,
+            self._meters,
             self._lease_ms,
             self._role_lease_ms,
             self.wake,
@@ -268,6 +276,7 @@
             if is_renewed:
                 evacuate(self.scheduler, now_ms)
             plan(self.scheduler, now_ms, self._clock.wall_ms(), is_renewed)
+            self._meters.set_open(len(self.scheduler.jobs))
             self._hand_out()
 
     def _hand_out(self) -> None:
