Never take an ended job in again, and forget ended jobs in their time

Ruled out: lists of workers that overtake each other, by the property test. The test fails without the mend. Tasks of an entry are now supervised by one piece of code, and rows of ended jobs are deleted after the time for which callers may ask, plus a minute.

--- a/packages/corianderpitch/corianderpitch/daemon/entry.py
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -4,7 +4,6 @@
 import os
 import random
 import secrets
-from typing import Protocol
 
 import eventlet
 from eventlet import wsgi
@@ -35,6 +34,7 @@
 from corianderpitch.daemon.requests import RequestRunner
 from corianderpitch.daemon.settings import Address, Settings
 from corianderpitch.daemon.statuses import StatusCollector
+from corianderpitch.daemon.supervision import keep_running
 from corianderpitch.daemon.tickets import TicketService
 from corianderpitch.daemon.views import service_views
 from corianderpitch.domain.lending import ServiceNeed
@@ -52,10 +52,6 @@
 log = logger("entry")
 
 
-class _Task(Protocol):
-    def run(self) -> None: ...
-
-
 class Entry:
     """One entry with all of its tasks."""
 
@@ -193,7 +189,7 @@
         eventlet.spawn(self._network.serve, self._peer_listener)
         tasks = (self._members, self._leases, self._documents, self._owners)
         for task in (*tasks, self._manager, self._jobs):
-            eventlet.spawn(_keep_running, task)
+            eventlet.spawn(keep_running, task.run)
         callers = self._serve_http(self._caller_listener, self._callers)
         self._serve_http(self._operator_listener, self._operators)
         _relax_garbage_collection()
@@ -331,16 +327,6 @@
     gc.set_threshold(GC_ALLOCATIONS)
 
 
-def _keep_running(task: _Task) -> None:
-    """Run a task for ever; a failure is logged and the task goes on."""
-    while True:
-        try:
-            task.run()
-        except Exception:
-            log.exception("{} failed; starting it again.", type(task).__name__)
-            eventlet.sleep(1.0)
-
-
 def _listen(name: str, text: str) -> socket.socket:
     address = Address.from_text(name, text)
     return eventlet.listen((address.host, address.port), backlog=1024)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -14,6 +14,7 @@
     JOBS_TABLE,
     WORKERS_KEY,
     cancel_key,
+    ended_job,
     job_key,
     pack_progress,
     pack_workers,
@@ -23,11 +24,14 @@
 from corianderpitch.domain.scheduling.scheduler import JobChange, Scheduler
 from corianderpitch.errors import CommitError, RowConflict
 from corianderpitch.ids import WorkerId
-from corianderpitch.ports import Check, RowStore, Write, parted_key
+from corianderpitch.ports import Check, PartedKey, RowStore, Write, parted_key
 
 MAX_CHANGES = 24  # of up to four entries each, within a transaction's hundred
 PROGRESS_INTERVAL_MS = 50.0
 RETRY_MS = 100.0
+FORGET_INTERVAL_MS = 5000.0
+FORGET_SLACK_MS = 60_000.0
+MAX_FORGOTTEN = 90  # within a transaction's hundred entries
 IDLE_WAIT_S = 1.0
 
 log = logger("commits")
@@ -49,6 +53,7 @@
         clock: Clock,
         meters: JobMeters,
         on_settled: Callable[[], None],
+        keep_ended_ms: float,
     ):
         self._store = store
         self._role = role
@@ -59,7 +64,9 @@
         self._event = Event()
         self._settled = Event()
         self._recorded: set[WorkerId] | None = None
-        self.ended: dict[str, float] = {}
+        self._keep_ended_ms = keep_ended_ms
+        self._next_forget_ms = 0.0
+        self.ended: dict[PartedKey, float] = {}
 
     def wake(self) -> None:
         """Note that something may have to be committed."""
@@ -79,9 +86,28 @@
             self._event = Event()
             if not self._scheduler.has_final_changes:
                 eventlet.sleep(PROGRESS_INTERVAL_MS / 1000.0)
-            if not (self._record_workers() and self._commit_all()):
+            if not (self._record_workers() and self.commit_all()):
                 eventlet.sleep(RETRY_MS / 1000.0)
                 self.wake()
+            if self._clock.now_ms() >= self._next_forget_ms:
+                self._next_forget_ms = self._clock.now_ms() + FORGET_INTERVAL_MS
+                self.forget_ended()
+
+    def forget_ended(self) -> None:
+        """Delete the rows of jobs whose end is longer ago than callers may ask."""
+        oldest_ms = self._store.time_ms() - self._keep_ended_ms - FORGET_SLACK_MS
+        old = [key for key, ended_ms in self.ended.items() if ended_ms < oldest_ms]
+        old = old[:MAX_FORGOTTEN]
+        if not old:
+            return
+        writes = tuple(Write(key, None) for key in old)
+        match self._store.commit((self._fence(),), writes):
+            case Success(_):
+                for key in old:
+                    del self.ended[key]
+                    self._scheduler.ended.discard(ended_job(key))
+            case Failure(error):
+                log.warning("Ended jobs not forgotten.", cause=repr(error))
 
     def _record_workers(self) -> bool:
         """Name in the store which workers may be given something."""
@@ -103,7 +129,8 @@
         fence = self._role.fence()
         return Check(parted_key(fence.key), fence.version)
 
-    def _commit_all(self) -> bool:
+    def commit_all(self) -> bool:
+        """Commit what has changed; False if something is left."""
         changes, ends = self._scheduler.take_changes()
         for start in range(0, len(changes), MAX_CHANGES):
             if not self._commit(changes[start : start + MAX_CHANGES]):
@@ -154,10 +181,12 @@
         for change in changes:
             change.job.progress_version = version
             if change.is_final:
-                self.ended[change.job.job_id] = self._store.time_ms()
+                workload = change.job.workload
+                key = progress_key(workload.queue, workload.job_id)
+                self.ended[key] = self._store.time_ms()
                 took_ms = self._clock.now_ms() - change.job.accepted_ms
                 state = change.record.state.value
-                self._meters.record_end(change.job.workload.queue, state, took_ms)
+                self._meters.record_end(workload.queue, state, took_ms)
                 log.info(
                     "Ended.",
                     job=change.job.job_id,
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -44,6 +44,11 @@
     return PartedKey(JOBS_TABLE, queue, job_id + PROGRESS_SUFFIX)
 
 
+def ended_job(key: PartedKey) -> JobId:
+    """Return the job whose progress a key names."""
+    return JobId(key.name.removesuffix(PROGRESS_SUFFIX))
+
+
 def pack_workers(worker_ids: Iterable[WorkerId]) -> bytes:
     """Encode the workers that a tenure may have given something to."""
     return msgpack.packb(sorted(worker_ids))
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -22,6 +22,7 @@
     unpack_workers,
     unpack_workload,
 )
+from corianderpitch.daemon.supervision import keep_running
 from corianderpitch.domain.scheduling.evacuation import evacuate
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ActiveJob
@@ -38,6 +39,7 @@
 PLAN_IDLE_S = 0.1
 PLAN_GATHER_S = 0.002
 RENEW_CHECK_S = 0.1
+RESTART_PAUSE_S = 0.2
 
 log = logger("scheduler")
 
@@ -56,6 +58,7 @@
         queues: Callable[[], Mapping[QueueName, Queue]],
         lease_ms: float,
         role_lease_ms: float,
+        keep_ended_ms: float,
         new_maintenance: Callable[[Scheduler, Callable[[], None]], MaintenanceTask],
     ):
         self._store = store
@@ -72,7 +75,13 @@
         term = Term(role.epoch, role.fence().version, began_ms + wait_ms)
         self.scheduler = Scheduler(term)
         self._commits = CommitTask(
-            store, role, self.scheduler, clock, meters, self._plan_soon
+            store,
+            role,
+            self.scheduler,
+            clock,
+            meters,
+            self._plan_soon,
+            keep_ended_ms,
         )
         self._maintenance = new_maintenance(self.scheduler, self.wake)
         self._tasks: dict[WorkerId, WorkerTask] = {}
@@ -91,7 +100,9 @@
                 return
             loops = (self._follow_jobs, self._follow_workers, self._plan_loop)
             for loop in (*loops, self._commits.run, self._maintenance.run):
-                self._threads.append(eventlet.spawn(_guarded, loop))
+                self._threads.append(
+                    eventlet.spawn(keep_running, loop, RESTART_PAUSE_S)
+                )
             self._hold()
         finally:
             self._meters.set_open(0)
@@ -163,6 +174,8 @@
     def _take_snapshot(self, rows: tuple[Row, ...]) -> None:
         by_name = {row.key.name: row for row in rows}
         for name, row in by_name.items():
+            if name.endswith(PROGRESS_SUFFIX):
+                self._note_ended(row)
             if "." in name:
                 continue
             job = self._make_job(row)
@@ -170,19 +183,21 @@
             if progress is not None and job.job_id not in self.scheduler.jobs:
                 job.restore(unpack_progress(progress.value))
                 job.progress_version = progress.version
-            self._add(job)
+            self.scheduler.add_job(job)
             if name + CANCEL_SUFFIX in by_name:
                 self.scheduler.cancel_job(job.job_id)
 
+    def _note_ended(self, row: Row) -> None:
+        """Remember a job that has ended, to be forgotten in its time."""
+        record = unpack_progress(row.value)
+        if record.state.has_ended:
+            self._commits.ended.setdefault(row.key, record.ended_ms)
+
     def _make_job(self, row: Row) -> ActiveJob:
         workload, accepted_ms = unpack_workload(row.key, row.value)
         age_ms = max(0.0, self._store.time_ms() - accepted_ms)
         return ActiveJob(workload, self._clock.now_ms() - age_ms, row.version)
 
-    def _add(self, job: ActiveJob) -> None:
-        if job.job_id not in self._commits.ended:
-            self.scheduler.add_job(job)
-
     def _follow_jobs(self) -> None:
         while True:
             match self._store.follow(JOBS_TABLE, self._jobs_version, FOLLOW_WAIT_MS):
@@ -207,7 +222,7 @@
         if name.endswith(CANCEL_SUFFIX):
             self.scheduler.cancel_job(JobId(name.removesuffix(CANCEL_SUFFIX)))
         elif "." not in name and name not in self.scheduler.jobs:
-            self._add(self._make_job(row))
+            self.scheduler.add_job(self._make_job(row))
 
     def _load_workers(self) -> bool:
         match self._workers.read():
@@ -258,7 +273,7 @@
         )
         self._tasks[info.worker] = task
         for loop in (task.watch, task.carry_out):
-            self._threads.append(eventlet.spawn(_guarded, loop))
+            self._threads.append(eventlet.spawn(keep_running, loop, RESTART_PAUSE_S))
         log.info("Worker.", worker=info.worker, service=info.service, vm=info.vm)
 
     # Planning.
@@ -287,14 +302,3 @@
                 task.give(order)
         if orders:
             self._commits.wake()
-
-
-def _guarded(loop: Callable[[], None]) -> None:
-    """Run a loop for the whole tenure; a failure is logged and it goes on."""
-    while True:
-        try:
-            loop()
-            return
-        except Exception:
-            log.exception("A task of the tenure failed; starting it again.")
-            eventlet.sleep(0.2)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -81,6 +81,7 @@
         self.term = term
         self.queues: dict[QueueName, Queue] = {}
         self.jobs: dict[JobId, ActiveJob] = {}
+        self.ended: set[JobId] = set()
         self.workers: dict[WorkerId, WorkerView] = {}
         self.unheard: set[WorkerId] = set()
         self.is_superseded = False
@@ -96,8 +97,11 @@
         self.queues = dict(queues)
 
     def add_job(self, job: ActiveJob) -> None:
-        """Take a job in, new or recovered."""
-        if job.job_id in self.jobs:
+        """Take a job in, new or recovered.
+
+        Rows read before a job's end was committed still name it as open.
+        """
+        if job.job_id in self.jobs or job.job_id in self.ended:
             return
         job.is_uncertain = job.version < self.term.version
         self.jobs[job.job_id] = job
@@ -518,6 +522,7 @@
     def _end_job(self, job: ActiveJob, state: JobState) -> None:
         """End a job: its record is final, and its runs are stopped."""
         del self.jobs[job.job_id]
+        self.ended.add(job.job_id)
         job.state = state
         self._changes[job.job_id] = JobChange(job, ProgressRecord(state, job.finished))
         for run in list(job.runs()):
--- /dev/null
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -0,0 +1,272 @@
+"""Single decisions of the scheduler, each from a day on which it was wrong."""
+
+from corianderpitch.adapters.memorystore import MemoryRowStore
+from corianderpitch.adapters.partedtable import PartedTable
+from corianderpitch.clock import ManualClock
+from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.commits import CommitTask
+from corianderpitch.daemon.scheduling.meters import JobMeters
+from corianderpitch.daemon.scheduling.rows import JOBS_TABLE
+from corianderpitch.domain.jobs import JobState, Shape
+from corianderpitch.domain.scheduling.catalog import WaveOrder
+from corianderpitch.domain.scheduling.evacuation import evacuate
+from corianderpitch.domain.scheduling.maintenance import (
+    PoolVm,
+    VmCondition,
+    WaveProgress,
+    next_steps,
+)
+from corianderpitch.domain.scheduling.orders import StartRun, StopRun
+from corianderpitch.domain.scheduling.planning import plan
+from corianderpitch.domain.scheduling.progress import ActiveJob
+from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.workers import (
+    EndKind,
+    ListedEnd,
+    ListedRun,
+    WorkerInfo,
+    WorkerReport,
+)
+from corianderpitch.domain.scheduling.workloads import Queue, Step, Workload
+from corianderpitch.ids import (
+    EntryId,
+    JobId,
+    QueueName,
+    ServiceName,
+    VmId,
+    WorkerId,
+)
+
+QUEUE = Queue(QueueName("quotes"), ServiceName("counter"), max_attempts=2)
+NOW_MS = 50_000.0
+ONE_STEP = (Step(1, Shape(1.0, 100), 100.0),)
+
+
+def make_scheduler(workers=("w1", "w2"), processors=4.0):
+    scheduler = Scheduler(Term(1, 5, NOW_MS))
+    scheduler.set_queues({QUEUE.name: QUEUE})
+    for name in workers:
+        add_worker(scheduler, name, processors)
+    return scheduler
+
+
+def add_worker(scheduler, name, processors=4.0, service=QUEUE.service):
+    info = WorkerInfo(
+        WorkerId(name),
+        service,
+        name,
+        "here",
+        Shape(processors, 8000),
+        ("a", "r1"),
+        VmId(f"vm-{name}"),
+        "1",
+    )
+    scheduler.set_worker(info, NOW_MS)
+    scheduler.note_recorded([WorkerId(name)])
+    report(scheduler, name)
+
+
+def report(scheduler, name, running=(), ended=(), asked_ms=NOW_MS, life="1"):
+    listed = WorkerReport(life, 1000.0, tuple(running), tuple(ended))
+    scheduler.take_report(WorkerId(name), listed, asked_ms, asked_ms)
+
+
+def make_job(name="a", steps=ONE_STEP, version=9):
+    return ActiveJob(Workload(JobId(name), QUEUE.name, "", tuple(steps)), 0.0, version)
+
+
+def starts(scheduler, now_ms=NOW_MS):
+    plan(scheduler, now_ms, 0.0)
+    return [o for o in scheduler.take_orders() if isinstance(o, StartRun)]
+
+
+def running(order):
+    return ListedRun(order.task, order.number, "", 100.0)
+
+
+def done(order, sequence=1):
+    return ListedEnd(sequence, order.task, order.number, EndKind.DONE, "")
+
+
+def test_a_job_that_has_ended_is_not_taken_in_again():
+    """A snapshot read before the end is committed still names the job."""
+    scheduler = make_scheduler()
+    scheduler.add_job(make_job())
+    (order,) = starts(scheduler)
+    report(scheduler, order.worker, ended=[done(order)])
+    scheduler.add_job(make_job())
+    assert starts(scheduler) == []
+
+
+def test_a_silent_workers_tasks_start_elsewhere_when_its_lease_has_lapsed():
+    scheduler = make_scheduler()
+    scheduler.add_job(make_job())
+    (order,) = starts(scheduler)
+    scheduler.lease(order.worker, 2000.0, NOW_MS)
+    scheduler.take_silence(order.worker)
+    scheduler.expire(NOW_MS + 1900.0)
+    assert starts(scheduler, NOW_MS + 1900.0) == []
+    scheduler.expire(NOW_MS + 2200.0)
+    (again,) = starts(scheduler, NOW_MS + 2200.0)
+    assert again.worker != order.worker
+    assert again.number > order.number
+
+
+def test_a_worker_that_has_certainly_ended_is_not_waited_for():
+    scheduler = make_scheduler()
+    scheduler.add_job(make_job())
+    (order,) = starts(scheduler)
+    scheduler.lease(order.worker, 6000.0, NOW_MS)
+    scheduler.take_silence(order.worker)
+    scheduler.take_gone([order.worker])
+    (again,) = starts(scheduler)
+    assert again.worker != order.worker
+
+
+def test_a_lapsed_holder_restarts_nothing():
+    scheduler = make_scheduler()
+    scheduler.add_job(make_job())
+    (order,) = starts(scheduler)
+    scheduler.take_silence(order.worker)
+    scheduler.take_gone([order.worker])
+    plan(scheduler, NOW_MS, 0.0, may_restart=False)
+    assert scheduler.take_orders() == []
+
+
+def test_the_entry_of_a_life_that_was_heard_keeps_its_runs():
+    scheduler = make_scheduler(("w1",))
+    report(scheduler, "w1", life="2")
+    scheduler.add_job(make_job())
+    (order,) = starts(scheduler)
+    info = scheduler.workers[WorkerId("w1")].info
+    newer = WorkerInfo(
+        info.worker, info.service, info.address, info.zone, info.capacity,
+        info.labels, info.vm, "2",
+    )  # fmt: skip
+    scheduler.set_worker(newer, NOW_MS)
+    assert order.task in scheduler.workers[WorkerId("w1")].runs
+
+
+def test_a_task_that_failed_too_often_fails_its_job():
+    scheduler = make_scheduler()
+    scheduler.add_job(make_job())
+    workers = []
+    for _ in range(QUEUE.max_attempts):
+        (order,) = starts(scheduler)
+        workers.append(order.worker)
+        end = ListedEnd(1, order.task, order.number, EndKind.FAILED, "")
+        report(scheduler, order.worker, ended=[end])
+    assert len(set(workers)) == QUEUE.max_attempts
+    (change,), _ = scheduler.take_changes()
+    assert change.record.state is JobState.FAILED
+
+
+def test_a_failed_end_counts_once_for_a_successor():
+    job = make_job()
+    first = job.begin(0)[0]
+    first.failed[0] = {7}
+    successor = make_job()
+    successor.restore(job.record())
+    scheduler = make_scheduler()
+    scheduler.add_job(successor)
+    task = make_job().begin(0)[0]
+    assert task.pending == {0}
+    (order,) = starts(scheduler)
+    end = ListedEnd(1, order.task, 7, EndKind.FAILED, "")
+    report(scheduler, order.worker, running=[running(order)], ended=[end])
+    assert scheduler.jobs[JobId("a")].begin(0)[0].failed == {0: {7}}
+
+
+def test_lasting_tasks_move_one_at_a_time_and_only_beside_ones_at_work():
+    step = Step(3, Shape(1.0, 100), is_lasting=True, estimate_ms=0.0, max_per_worker=1)
+    scheduler = make_scheduler(("w1", "w2", "w3", "w4"))
+    scheduler.add_job(make_job(steps=(step,)))
+    orders = starts(scheduler)
+    by_worker = {order.worker: order for order in orders}
+    for worker, order in by_worker.items():
+        report(scheduler, worker, running=[running(order)])
+    for worker in list(by_worker)[:2]:
+        scheduler.workers[worker].is_evacuated = True
+    evacuate(scheduler, NOW_MS)
+    stops = [o for o in scheduler.take_orders() if isinstance(o, StopRun)]
+    assert len(stops) == 1
+
+
+def test_pools_under_pressure_keep_their_vms_until_the_wave_presses():
+    scheduler = make_scheduler(("w1",))
+    vms = {
+        VmId("vm-w1"): PoolVm(
+            VmId("vm-w1"), QUEUE.service, VmCondition.UP, WorkerId("w1")
+        )
+    }
+    order = WaveOrder(1, (VmId("vm-w1"),), 30_000.0, 1)
+    wave = WaveProgress(order, due_ms=NOW_MS + 30_000.0)
+    pressed = frozenset({QUEUE.service})
+    arguments = (vms, scheduler.workers, frozenset())
+    assert next_steps(wave, *arguments, pressed, NOW_MS) == ([], set())
+    late_ms = NOW_MS + 25_000.0
+    assert next_steps(wave, *arguments, pressed, late_ms)[1] == {WorkerId("w1")}
+
+
+class TestCommits:
+    """Commits against a store that takes a hundred entries at most."""
+
+    def make(self):
+        clock = ManualClock(1000.0)
+        store = MemoryRowStore(clock)
+        role = RoleLease(
+            "scheduler", EntryId("e1"), PartedTable(store), clock, 500.0, 2000.0
+        )
+        assert role.seek()
+        scheduler = make_scheduler()
+        commits = CommitTask(
+            store, role, scheduler, clock, JobMeters(), lambda: None, 120_000.0
+        )
+        return clock, store, scheduler, commits
+
+    def test_many_cancelled_jobs_fit_into_transactions(self):
+        _, store, scheduler, commits = self.make()
+        sizes = []
+        plain = store.commit
+
+        def counted(checks, writes):
+            sizes.append(len(checks) + len(writes))
+            return plain(checks, writes)
+
+        store.commit = counted
+        for number in range(60):
+            scheduler.add_job(make_job(f"job{number}"))
+            scheduler.cancel_job(JobId(f"job{number}"))
+        assert commits.commit_all()
+        assert max(sizes) <= 100
+        rows = store.read(JOBS_TABLE, QUEUE.name).unwrap().rows
+        assert len(rows) == 60
+
+    def test_ended_jobs_are_forgotten_after_their_time(self):
+        clock, store, scheduler, commits = self.make()
+        scheduler.add_job(make_job())
+        scheduler.cancel_job(JobId("a"))
+        assert commits.commit_all()
+        commits.forget_ended()
+        assert len(store.read(JOBS_TABLE, QUEUE.name).unwrap().rows) == 1
+        clock.advance(200_000.0)
+        commits.forget_ended()
+        assert store.read(JOBS_TABLE, QUEUE.name).unwrap().rows == ()
+
+
+def test_a_role_that_was_just_taken_is_not_taken_again_before_its_first_beat():
+    clock = ManualClock(1000.0)
+    store = MemoryRowStore(clock)
+
+    def lease(entry):
+        table = PartedTable(store)
+        return RoleLease("scheduler", EntryId(entry), table, clock, 500.0, 2000.0)
+
+    first, second, third = lease("e1"), lease("e2"), lease("e3")
+    assert first.seek()
+    first.renew()
+    for waiting in (second, third):
+        assert not waiting.seek()
+    clock.advance(2500.0)
+    assert second.seek()
+    assert not third.seek()
