Never serve one epoch twice, and keep fences rising for forgotten workers

Fences now rise over the whole tenure, and a role that is still held at a tenure's end is given up. Both tests failed before.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/holder.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/holder.py
@@ -34,7 +34,7 @@
     def run(self) -> None:
         """Seek and serve the role until told to leave."""
         while not self._is_leaving:
-            if self._is_able() and (self._role.is_held or self._role.seek()):
+            if self._is_able() and self._role.seek():
                 self._serve()
             eventlet.sleep(SEEK_INTERVAL_MS / 1000.0)
 
@@ -49,13 +49,19 @@
             self.term.run()
         finally:
             self.term = None
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """Give the role up if it is still held.
+
+        A tenure never begins twice: run numbers and fences would start anew.
+        """
         if self._role.is_held:
-            self._role.verify()
+            self._role.release()
 
     def leave(self) -> None:
         """Stop serving and give the role up, so that a successor need not wait."""
         self._is_leaving = True
         if self.term is not None:
             self.term.stop()
-        if self._role.is_held:
-            self._role.release()
+        self._give_up()
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -33,7 +33,7 @@
 from corianderpitch.domain.scheduling.workloads import Queue, TaskRef, Workload
 from corianderpitch.ids import JobId, QueueName, WorkerId
 
-FENCES_PER_TERM = 1024  # room for the numbers raised within one term
+FENCES_PER_TERM = 1_000_000  # room for the numbers raised within one term
 RUNS_PER_TERM = 1_000_000  # run numbers of a later term are always higher
 STOP_REPEAT_MS = 500.0
 REST_AFTER_REFUSAL_MS = 100.0
@@ -86,6 +86,7 @@
         self.unheard: set[WorkerId] = set()
         self.is_superseded = False
         self._numbers = term.number * RUNS_PER_TERM
+        self._fence_bump = 0
         self._orders: list[Order] = []
         self._changes: dict[JobId, JobChange] = {}
         self._stops_sent_ms: dict[tuple[TaskRef, int], float] = {}
@@ -117,7 +118,7 @@
         worker = self.workers.get(info.worker)
         is_new = worker is None
         if worker is None:
-            worker = WorkerView(info, now_ms)
+            worker = WorkerView(info, now_ms, fence_bump=self._fence_bump)
             self.workers[info.worker] = worker
         elif info.life not in (worker.info.life, worker.life):
             self._begin_life(worker, None)
@@ -359,10 +360,15 @@
         worker.leased_until_ms = 0.0
         worker.failed_jobs.clear()
         if had_life:
-            worker.fence_bump += 1
+            self._raise_fence(worker)
             for run in list(worker.runs.values()):
                 self._lose(worker, run)
 
+    def _raise_fence(self, worker: WorkerView) -> None:
+        """Raise a worker's fence above all of this tenure, also of forgotten ones."""
+        self._fence_bump += 1
+        worker.fence_bump = self._fence_bump
+
     def _take_end(self, worker: WorkerView, end: ListedEnd, now_ms: float) -> None:
         self._stops_sent_ms.pop((end.task, end.number), None)
         run = worker.runs.get(end.task)
@@ -547,7 +553,7 @@
                 if run.state is RunState.STARTING:
                     run.state = RunState.UNSETTLED
                     run.since_ms = now_ms
-                    worker.fence_bump += 1
+                    self._raise_fence(worker)
                     self._orders.append(SettleWorker(order.worker))
                 return
             case OrderResult.SUPERSEDED:
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -1,10 +1,13 @@
 """Single decisions of the scheduler, each from a day on which it was wrong."""
 
+import eventlet
+
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.adapters.partedtable import PartedTable
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.commits import CommitTask
+from corianderpitch.daemon.scheduling.holder import SchedulerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.rows import JOBS_TABLE
 from corianderpitch.domain.jobs import JobState, Shape
@@ -16,7 +19,7 @@
     WaveProgress,
     next_steps,
 )
-from corianderpitch.domain.scheduling.orders import StartRun, StopRun
+from corianderpitch.domain.scheduling.orders import OrderResult, StartRun, StopRun
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
@@ -270,3 +273,43 @@
     clock.advance(2500.0)
     assert second.seek()
     assert not third.seek()
+
+
+def test_a_worker_that_was_forgotten_and_comes_back_is_not_given_a_lower_fence():
+    scheduler = make_scheduler(("w1",))
+    scheduler.add_job(make_job())
+    (order,) = starts(scheduler)
+    scheduler.take_result(order, OrderResult.NO_ANSWER, NOW_MS)
+    raised = scheduler.fence_of(WorkerId("w1"))
+    assert raised > order.fence
+    scheduler.take_silence(WorkerId("w1"))
+    scheduler.take_gone([WorkerId("w1")])
+    scheduler.unlist_worker(WorkerId("w1"))
+    scheduler.expire(NOW_MS + 10_000.0)
+    assert WorkerId("w1") not in scheduler.workers
+    add_worker(scheduler, "w1")
+    assert scheduler.fence_of(WorkerId("w1")) >= raised
+
+
+def test_no_two_tenures_share_an_epoch():
+    """A tenure may end while the role is still held."""
+    clock = ManualClock(1000.0)
+    table = PartedTable(MemoryRowStore(clock))
+    role = RoleLease("scheduler", EntryId("e1"), table, clock, 500.0, 2000.0)
+    epochs = []
+
+    class Tenure:
+        scheduler = Scheduler(Term(1, 1, 0.0))
+
+        def run(self):
+            epochs.append(role.epoch)
+            if len(epochs) == 3:
+                task.leave()
+
+        def stop(self):
+            pass
+
+    task = SchedulerTask(role, Tenure, clock, lambda: True)
+    with eventlet.Timeout(5.0):
+        task.run()
+    assert epochs == [1, 2, 3]
