--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -294,7 +294,20 @@
             self._meters.set_open(len(self.scheduler.jobs))
             self._hand_out()
 
+    def _log_notices(self) -> None:
+        for notice in self.scheduler.take_notices():
+            task = notice.task
+            log.info(
+                "Run ended.",
+                job=task.job_id,
+                task=f"{task.occurrence}.{task.step}.{task.index}",
+                run=notice.number,
+                worker=notice.worker,
+                how=notice.how,
+            )
+
     def _hand_out(self) -> None:
+        self._log_notices()
         orders = self.scheduler.take_orders()
         for order in orders:
             task = self._tasks.get(order.worker)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
@@ -64,3 +64,16 @@
     OTHER_LIFE = "other_life"
     NOT_SENT = "not_sent"
     NO_ANSWER = "no_answer"
+
+
+@dataclass(frozen=True, slots=True)
+class RunNotice:
+    """A run that did not end as done, for the log.
+
+    ``how`` is the kind of its end, or says why it counts as lost.
+    """
+
+    worker: WorkerId
+    task: TaskRef
+    number: int
+    how: str
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 from corianderpitch.domain.scheduling.orders import (
     Order,
     OrderResult,
+    RunNotice,
     SettleWorker,
     StartRun,
     StopRun,
@@ -88,6 +89,7 @@
         self._numbers = term.number * RUNS_PER_TERM
         self._fence_bump = 0
         self._orders: list[Order] = []
+        self._notices: list[RunNotice] = []
         self._changes: dict[JobId, JobChange] = {}
         self._stops_sent_ms: dict[tuple[TaskRef, int], float] = {}
 
@@ -304,6 +306,11 @@
         orders, self._orders = self._orders, []
         return orders
 
+    def take_notices(self) -> list[RunNotice]:
+        """Return which runs have ended otherwise than done since the last call."""
+        notices, self._notices = self._notices, []
+        return notices
+
     def take_changes(self) -> tuple[list[JobChange], dict[WorkerId, tuple[str, int]]]:
         """Return what is to be committed, and the ends that this settles.
 
@@ -364,6 +371,9 @@
             for run in list(worker.runs.values()):
                 self._lose(worker, run)
 
+    def _notice(self, worker: WorkerView, task: TaskRef, number: int, how: str) -> None:
+        self._notices.append(RunNotice(worker.info.worker, task, number, how))
+
     def _raise_fence(self, worker: WorkerView) -> None:
         """Raise a worker's fence above all of this tenure, also of forgotten ones."""
         self._fence_bump += 1
@@ -384,6 +394,8 @@
         if index in step.done:
             return
         self._changed(job)
+        if end.kind is not EndKind.DONE:
+            self._notice(worker, end.task, end.number, end.kind.value)
         match end.kind:
             case EndKind.DONE:
                 worker.failed_jobs.clear()
@@ -509,6 +521,7 @@
     def _lose(self, worker: WorkerView, run: Run) -> None:
         """Forget a run that has certainly ended without an end in a list."""
         worker.drop(run)
+        self._notice(worker, run.task, run.number, f"lost_{run.state.value}")
         self._stops_sent_ms.pop((run.task, run.number), None)
         job = self.jobs.get(run.task.job_id)
         step = job.find(run.task) if job is not None else None
