--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -294,6 +294,12 @@
             self._meters.set_open(len(self.scheduler.jobs))
             self._hand_out()
 
+    def _drop_ended_threads(self) -> None:
+        """Forget the threads of workers that are gone."""
+        for worker_id in set(self._tasks) - set(self.scheduler.workers):
+            del self._tasks[worker_id]
+        self._threads = [thread for thread in self._threads if not thread.dead]
+
     def _log_notices(self) -> None:
         for notice in self.scheduler.take_notices():
             task = notice.task
@@ -308,6 +314,7 @@
 
     def _hand_out(self) -> None:
         self._log_notices()
+        self._drop_ended_threads()
         orders = self.scheduler.take_orders()
         for order in orders:
             task = self._tasks.get(order.worker)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -31,7 +31,7 @@
     WorkerReport,
     WorkerView,
 )
-from corianderpitch.domain.scheduling.workloads import Queue, TaskRef, Workload
+from corianderpitch.domain.scheduling.workloads import Queue, TaskRef
 from corianderpitch.ids import JobId, QueueName, WorkerId
 
 FENCES_PER_TERM = 1_000_000  # room for the numbers raised within one term
@@ -582,8 +582,3 @@
         """Conclude from a refused fence number whether somebody else has taken over."""
         if worker_id in self.workers and fence == self.fence_of(worker_id):
             self.is_superseded = True
-
-
-def new_job(workload: Workload, accepted_ms: float, version: int) -> ActiveJob:
-    """Return a job that has not begun."""
-    return ActiveJob(workload, accepted_ms, version)
