Let no overtaken list prove that a run is gone

Ruled out: an order carried out late (the numbers of both runs are of the same moment), another life of the worker.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -451,6 +451,7 @@
         run.load = listed.load
         if run.state in (RunState.STARTING, RunState.UNSETTLED):
             run.state = RunState.RUNNING
+            run.since_ms = now_ms  # lists asked for before may not know of it yet
         if listed.checkpoint:
             step.checkpoints[listed.task.index] = listed.checkpoint
         if run.state is RunState.STOPPING:
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -313,3 +313,14 @@
     with eventlet.Timeout(5.0):
         task.run()
     assert epochs == [1, 2, 3]
+
+
+def test_a_list_that_was_overtaken_by_a_later_one_proves_nothing():
+    """Both were asked for after the order; the second to come was made first."""
+    scheduler = make_scheduler(("w1",))
+    scheduler.add_job(make_job())
+    (order,) = starts(scheduler)
+    report(scheduler, "w1", running=[running(order)], asked_ms=NOW_MS + 2.0)
+    report(scheduler, "w1", asked_ms=NOW_MS + 1.0)
+    assert order.task in scheduler.workers[WorkerId("w1")].runs
+    assert starts(scheduler, NOW_MS + 3.0) == []
