--- a/packages/corianderpitch/corianderpitch/daemon/metrics.py
+++ b/packages/corianderpitch/corianderpitch/daemon/metrics.py
@@ -13,14 +13,37 @@
 BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10000)
 
 
-class Metrics:
+class MeterSet:
+    """Meters of one registry, and their text form."""
+
+    def __init__(self):
+        self._registry = Registry()
+
+    def _counter(self, name: str, text: str) -> Counter:
+        return Counter(f"{PREFIX}_{name}", text, registry=self._registry)
+
+    def _gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"{PREFIX}_{name}", text, registry=self._registry)
+
+    def _histogram(self, name: str, text: str) -> Histogram:
+        return Histogram(
+            f"{PREFIX}_{name}", text, registry=self._registry, buckets=BUCKETS_MS
+        )
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the metrics and their content type."""
+        body, headers = render(self._registry, [])
+        return body, headers["Content-Type"]
+
+
+class Metrics(MeterSet):
     """Counters and histograms of one entry.
 
     ``refresh`` functions set gauges just before the metrics are rendered.
     """
 
     def __init__(self):
-        self._registry = Registry()
+        super().__init__()
         self._outcomes = self._counter("outcomes_total", "Requests by outcome.")
         self._wait_ms = self._histogram("wait_ms", "Time until a permit.")
         self._run_ms = self._histogram("run_ms", "Time on an instance.")
@@ -38,17 +61,6 @@
         )
         self._refreshers: list[Callable[[], None]] = []
 
-    def _counter(self, name: str, text: str) -> Counter:
-        return Counter(f"{PREFIX}_{name}", text, registry=self._registry)
-
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"{PREFIX}_{name}", text, registry=self._registry)
-
-    def _histogram(self, name: str, text: str) -> Histogram:
-        return Histogram(
-            f"{PREFIX}_{name}", text, registry=self._registry, buckets=BUCKETS_MS
-        )
-
     def on_render(self, refresh: Callable[[], None]) -> None:
         """Call a function before each rendering."""
         self._refreshers.append(refresh)
@@ -95,5 +107,4 @@
         """Return the metrics and their content type."""
         for refresh in self._refreshers:
             refresh()
-        body, headers = render(self._registry, [])
-        return body, headers["Content-Type"]
+        return super().render()
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -144,7 +144,7 @@
         log.info(
             type(order).__name__,
             job=order.task.job_id,
-            task=_text(order.task),
+            task=order.task.place,
             run=order.number,
             worker=self._worker_id,
             fence=order.fence,
@@ -165,7 +165,3 @@
         if until_ms is None:
             return OrderResult.NOT_SENT
         return self._link.start(worker.info, order, until_ms)
-
-
-def _text(task) -> str:
-    return f"{task.occurrence}.{task.step}.{task.index}"
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -90,6 +90,8 @@
         now_ms = self._clock.now_ms()
         emptying: set[WorkerId] = set()
         orders: list[MaintainVm] = []
+        standby = self._standby()
+        pressed = pressed_services(self._scheduler)
         for wave in self._waves.values():
             if wave.is_completed:
                 continue
@@ -97,8 +99,8 @@
                 wave,
                 self._vms,
                 self._scheduler.workers,
-                self._standby(),
-                pressed_services(self._scheduler),
+                standby,
+                pressed,
                 now_ms,
             )
             orders += steps
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/meters.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/meters.py
@@ -1,16 +1,13 @@
 """Metrics of jobs of several steps, in the Prometheus text format."""
 
-from aioprometheus import Counter, Gauge, Histogram, render
-from aioprometheus.collectors import Registry
+from corianderpitch.daemon.metrics import MeterSet
 
-from corianderpitch.daemon.metrics import BUCKETS_MS, PREFIX
 
-
-class JobMeters:
+class JobMeters(MeterSet):
     """Counters and histograms of one entry."""
 
     def __init__(self):
-        self._registry = Registry()
+        super().__init__()
         self._calls = self._counter("job_calls_total", "Calls by kind and outcome.")
         self._call_ms = self._histogram("job_call_ms", "Time to answer a call.")
         self._orders = self._counter("job_orders_total", "Orders by kind and result.")
@@ -22,17 +19,6 @@
         self._terms = self._counter("job_terms_total", "Tenures of this entry.")
         self._waiting = self._gauge("jobs_open", "Jobs that have not ended.")
 
-    def _counter(self, name: str, text: str) -> Counter:
-        return Counter(f"{PREFIX}_{name}", text, registry=self._registry)
-
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(f"{PREFIX}_{name}", text, registry=self._registry)
-
-    def _histogram(self, name: str, text: str) -> Histogram:
-        return Histogram(
-            f"{PREFIX}_{name}", text, registry=self._registry, buckets=BUCKETS_MS
-        )
-
     def record_call(self, call: str, outcome: str, took_ms: float) -> None:
         """Record a caller's call."""
         self._calls.inc({"call": call, "outcome": outcome})
@@ -60,8 +46,3 @@
     def set_open(self, jobs: int) -> None:
         """Set how many jobs the scheduler knows of; 0 for who is no holder."""
         self._waiting.set({}, jobs)
-
-    def render(self) -> tuple[bytes, str]:
-        """Return the metrics and their content type."""
-        body, headers = render(self._registry, [])
-        return body, headers["Content-Type"]
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -296,17 +296,19 @@
 
     def _drop_ended_threads(self) -> None:
         """Forget the threads of workers that are gone."""
-        for worker_id in set(self._tasks) - set(self.scheduler.workers):
+        gone = set(self._tasks) - set(self.scheduler.workers)
+        if not gone:
+            return
+        for worker_id in gone:
             del self._tasks[worker_id]
         self._threads = [thread for thread in self._threads if not thread.dead]
 
     def _log_notices(self) -> None:
         for notice in self.scheduler.take_notices():
-            task = notice.task
             log.info(
                 "Run ended.",
-                job=task.job_id,
-                task=f"{task.occurrence}.{task.step}.{task.index}",
+                job=notice.task.job_id,
+                task=notice.task.place,
                 run=notice.number,
                 worker=notice.worker,
                 how=notice.how,
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -151,7 +151,6 @@
             self._begin_life(worker, report.life)
         worker.clock_ms = report.clock_ms
         worker.clock_at_ms = now_ms
-        worker.answered_ms = now_ms
         worker.is_silent = False
         for end in sorted(report.ended, key=lambda e: e.sequence):
             if end.sequence > worker.seen:
@@ -297,10 +296,6 @@
             run.state = RunState.STOPPING
         self._order_stop(run.worker, run.task, run.number)
 
-    def add_order(self, order: Order) -> None:
-        """Hand out an order decided elsewhere."""
-        self._orders.append(order)
-
     def take_orders(self) -> list[Order]:
         """Return the orders given since the last call."""
         orders, self._orders = self._orders, []
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -139,7 +139,6 @@
     clock_ms: float | None = None
     clock_at_ms: float = 0.0
     leased_until_ms: float = 0.0
-    answered_ms: float | None = None
     is_silent: bool = False
     rest_until_ms: float = 0.0
     failed_jobs: list[str] = field(default_factory=list)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
@@ -18,6 +18,11 @@
     step: int
     index: int
 
+    @property
+    def place(self) -> str:
+        """Return where in its job the task stands, for the log."""
+        return f"{self.occurrence}.{self.step}.{self.index}"
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
