Let VMs follow the load between pools, and fill workers one after the other

A pure module now says how many workers each pool wants (1.1 times what runs and waits, lasting tasks, three at least) and names moves of idle VMs, standby VMs first; VMs that are not wanted for a second go back. Best-fit placement leaves VMs empty; lasting steps are spread over two workers at least.

--- /dev/null
+++ b/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
@@ -0,0 +1,282 @@
+"""Replays load patterns against the scheduler's own decisions, in simulated time.
+
+Queues, pools and jobs resemble the users': short jobs of one to three steps, and
+a lasting job in each queue. Only time, workers and VMs are simulated; ordering,
+placement and the sizes of pools are decided by the modules that serve.
+
+>>> report = replay(Turns(), ReplayPolicy(follows_load=False), seed=1, length_s=5)
+>>> sorted(report.queues)
+['q0', 'q1', 'q2', 'q3']
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition
+from corianderpitch.domain.scheduling.orders import StartRun, StopRun
+from corianderpitch.domain.scheduling.planning import plan
+from corianderpitch.domain.scheduling.progress import ActiveJob
+from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.sizing import (
+    DemandWindow,
+    PoolNeed,
+    plan_moves,
+    pool_loads,
+)
+from corianderpitch.domain.scheduling.workers import (
+    EndKind,
+    ListedEnd,
+    ListedRun,
+    WorkerInfo,
+    WorkerReport,
+)
+from corianderpitch.domain.scheduling.workloads import Queue, Step, TaskRef, Workload
+from corianderpitch.ids import JobId, QueueName, ServiceName, VmId, WorkerId
+
+TICK_MS = 20
+ROUND_MS = 100
+MOVE_MS = 1500
+LEASE_MS = 60_000.0
+CAPACITY = Shape(16.0, 32_768)
+STANDBY = ServiceName("standby")
+
+
+@dataclass(frozen=True, slots=True)
+class Turns:
+    """Each queue in turn asks for ``peak`` times its mean, and little in between."""
+
+    queues: int = 4
+    mean_per_s: float = 4.5
+    peak: float = 4.0
+    rest: float = 0.05
+    turn_s: float = 5.0
+
+    def rate_per_s(self, queue: int, now_ms: float) -> float:
+        """Return how many jobs a second a queue is handed."""
+        turn = int(now_ms / 1000.0 / self.turn_s) % self.queues
+        return self.mean_per_s * (self.peak if turn == queue else self.rest)
+
+
+@dataclass(frozen=True, slots=True)
+class ReplayPolicy:
+    """What is compared: VMs of each pool, and whether they follow the load."""
+
+    workers: int = 6
+    spare: int = 6
+    follows_load: bool = True
+
+
+@dataclass(slots=True)
+class QueueReport:
+    """Jobs of a queue by how they ended, and how long each took."""
+
+    in_time: int = 0
+    late: int = 0
+    took_ms: list[float] = field(default_factory=list)
+
+    @property
+    def share_in_time(self) -> float:
+        """Return the share of ended jobs that met their objective."""
+        return self.in_time / max(1, self.in_time + self.late)
+
+
+@dataclass(slots=True)
+class ReplayReport:
+    """What a replay showed."""
+
+    queues: dict[QueueName, QueueReport] = field(default_factory=dict)
+    vm_s: float = 0.0
+    moves: int = 0
+
+    @property
+    def share_in_time(self) -> float:
+        """Return the share of all ended jobs that met their objective."""
+        in_time = sum(q.in_time for q in self.queues.values())
+        return in_time / max(1, sum(q.in_time + q.late for q in self.queues.values()))
+
+
+@dataclass(slots=True)
+class _Vm:
+    """A VM; ``worker`` is empty while it is off or on its way."""
+
+    vm: VmId
+    pool: ServiceName
+    ready_ms: float = 0.0
+    worker: WorkerId = WorkerId("")
+    runs: dict[TaskRef, tuple[int, float]] = field(default_factory=dict)
+    sequence: int = 0
+
+    def listed(self, now_ms: float) -> PoolVm:
+        """Return what the platform's list says of it."""
+        is_up = now_ms >= self.ready_ms
+        condition = VmCondition.UP if is_up else VmCondition.MOVING
+        return PoolVm(self.vm, self.pool, condition, self.worker or None)
+
+
+class _Replay:
+    def __init__(self, pattern: Turns, policy: ReplayPolicy, seed: int):
+        self._pattern = pattern
+        self._policy = policy
+        self._random = random.Random(seed)
+        self._scheduler = Scheduler(Term(1, 1, 0.0))
+        self._queues = [
+            Queue(QueueName(f"q{n}"), ServiceName(f"s{n}"), 0, 4, 1.6, target_ms=600.0)
+            for n in range(pattern.queues)
+        ]
+        self._scheduler.set_queues({queue.name: queue for queue in self._queues})
+        self._vms = [
+            _Vm(VmId(f"vm{n}-{m}"), queue.service)
+            for n, queue in enumerate(self._queues)
+            for m in range(policy.workers)
+        ]
+        self._vms += [_Vm(VmId(f"spare-{m}"), STANDBY) for m in range(policy.spare)]
+        self._demand = DemandWindow()
+        self._real_ms: dict[tuple[JobId, int], list[float]] = {}
+        self._jobs = 0
+        self._workers = 0
+        self.report = ReplayReport({q.name: QueueReport() for q in self._queues})
+
+    def run(self, length_s: float) -> ReplayReport:
+        self._begin_workers(0.0)
+        for queue in self._queues:
+            step = Step(5, Shape(1.5, 2400), 0.0, is_lasting=True, max_unavailable=1)
+            self._hand_in(queue, (step,), 0.0)
+        for now_ms in range(0, int(length_s * 1000), TICK_MS):
+            self._tick(float(now_ms))
+        return self.report
+
+    def _tick(self, now_ms: float) -> None:
+        self._begin_workers(now_ms)
+        self._end_runs(now_ms)
+        for number, queue in enumerate(self._queues):
+            rate = self._pattern.rate_per_s(number, now_ms) * TICK_MS / 1000.0
+            if self._random.random() < rate:
+                self._hand_in(queue, self._steps(), now_ms)
+        plan(self._scheduler, now_ms, now_ms)
+        for order in self._scheduler.take_orders():
+            self._carry(order, now_ms)
+        self._commit(now_ms)
+        if self._policy.follows_load and now_ms % ROUND_MS == 0:
+            self._move(now_ms)
+        on = sum(1 for vm in self._vms if vm.pool != STANDBY)
+        self.report.vm_s += on * TICK_MS / 1000.0
+
+    def _steps(self) -> tuple[Step, ...]:
+        """Draw the steps of a short job: widths and lengths spread widely."""
+        draw = self._random
+        estimate_ms = 800.0 * draw.lognormvariate(0.0, 0.5)
+        return tuple(
+            Step(
+                max(1, min(24, round(6.0 * draw.lognormvariate(-0.2, 0.6)))),
+                Shape(0.88, 1300),
+                estimate_ms,
+                after=(number - 1,) if number else (),
+            )
+            for number in range(draw.choice((1, 1, 1, 2, 2, 3)))
+        )
+
+    def _hand_in(self, queue: Queue, steps: tuple[Step, ...], now_ms: float) -> None:
+        self._jobs += 1
+        job_id = JobId(f"{self._jobs:016x}")
+        workload = Workload(job_id, queue.name, "", steps)
+        for number, step in enumerate(steps):
+            self._real_ms[job_id, number] = [
+                step.estimate_ms * self._random.lognormvariate(0.0, 0.3)
+                for _ in range(step.count)
+            ]
+        self._scheduler.add_job(ActiveJob(workload, now_ms, 2))
+
+    def _begin_workers(self, now_ms: float) -> None:
+        for vm in self._vms:
+            if vm.worker or vm.pool == STANDBY or now_ms < vm.ready_ms:
+                continue
+            self._workers += 1
+            vm.worker = WorkerId(f"w{self._workers}")
+            vm.sequence = 0
+            info = WorkerInfo(
+                vm.worker, vm.pool, "", "here", CAPACITY, ("a", "r1"), vm.vm, "1"
+            )
+            self._scheduler.set_worker(info, now_ms)
+            self._scheduler.note_recorded([vm.worker])
+            self._tell(vm, (), now_ms)
+
+    def _tell(self, vm: _Vm, ends: tuple[ListedEnd, ...], now_ms: float) -> None:
+        running = tuple(
+            ListedRun(task, number, "", 100.0) for task, (number, _) in vm.runs.items()
+        )
+        listed = WorkerReport("1", now_ms, running, ends)
+        self._scheduler.take_report(vm.worker, listed, now_ms, now_ms)
+        self._scheduler.lease(vm.worker, LEASE_MS, now_ms)
+
+    def _end_runs(self, now_ms: float) -> None:
+        for vm in self._vms:
+            ends: list[ListedEnd] = []
+            for task, (number, done_ms) in list(vm.runs.items()):
+                if done_ms <= now_ms:
+                    del vm.runs[task]
+                    vm.sequence += 1
+                    ends.append(ListedEnd(vm.sequence, task, number, EndKind.DONE, ""))
+            if ends:
+                self._tell(vm, tuple(ends), now_ms)
+
+    def _carry(self, order, now_ms: float) -> None:
+        match order:
+            case StartRun(worker, task, number):
+                vm = next(vm for vm in self._vms if vm.worker == worker)
+                job = self._scheduler.jobs[task.job_id]
+                step = job.workload.steps[task.step]
+                took_ms = self._real_ms[task.job_id, task.step][task.index]
+                done_ms = float("inf") if step.is_lasting else now_ms + took_ms
+                vm.runs[task] = (number, done_ms)
+                self._tell(vm, (), now_ms)
+            case StopRun(worker, task, _):
+                vm = next(vm for vm in self._vms if vm.worker == worker)
+                vm.runs.pop(task, None)
+
+    def _commit(self, now_ms: float) -> None:
+        changes, ends = self._scheduler.take_changes()
+        self._scheduler.settle_ends(ends)
+        for change in changes:
+            if change.is_final:
+                self._note_end(change.job, now_ms)
+
+    def _note_end(self, job: ActiveJob, now_ms: float) -> None:
+        queue = self._scheduler.queues[job.workload.queue]
+        found = self.report.queues[queue.name]
+        took_ms = now_ms - job.accepted_ms
+        found.took_ms.append(took_ms)
+        steps = range(len(job.workload.steps))
+        chain_ms = sum(max(self._real_ms.pop((job.job_id, n))) for n in steps)
+        if took_ms <= queue.stretch * chain_ms + queue.target_ms:
+            found.in_time += 1
+        else:
+            found.late += 1
+
+    def _move(self, now_ms: float) -> None:
+        needs = {
+            service: PoolNeed(
+                load.wanted_workers,
+                self._demand.note(service, load.wanted_workers, now_ms),
+            )
+            for service, load in pool_loads(self._scheduler, now_ms).items()
+        }
+        vms = {vm.vm: vm.listed(now_ms) for vm in self._vms}
+        standby = frozenset((STANDBY,))
+        by_id = {vm.vm: vm for vm in self._vms}
+        for move in plan_moves(vms, self._scheduler.workers, needs, standby, {}):
+            vm = by_id[move.vm]
+            if vm.worker:
+                self._scheduler.unlist_worker(vm.worker)
+                self._scheduler.take_silence(vm.worker)
+                self._scheduler.take_gone([vm.worker])
+            vm.pool, vm.worker = move.pool, WorkerId("")
+            vm.ready_ms = now_ms + MOVE_MS
+            self.report.moves += 1
+
+
+def replay(
+    pattern: Turns, policy: ReplayPolicy, seed: int, length_s: float
+) -> ReplayReport:
+    """Play a pattern for some seconds, and report how its jobs fared."""
+    return _Replay(pattern, policy, seed).run(length_s)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -1,74 +1,78 @@
-"""Carries out operators' maintenance waves, within a scheduler's tenure."""
+"""Carries out maintenance waves and moves between pools, within a tenure."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import eventlet
-from returns.result import Success
+from returns.result import Failure, Success
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
-from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.catalogs import CatalogTask
+from corianderpitch.daemon.scheduling.vmorders import LIST_INTERVAL_MS, VmOrders
 from corianderpitch.domain.scheduling.maintenance import (
+    REPEAT_MS,
     MaintainVm,
-    PoolVm,
     WaveProgress,
     next_steps,
 )
 from corianderpitch.domain.scheduling.planning import pressed_services
 from corianderpitch.domain.scheduling.scheduler import Scheduler
-from corianderpitch.ids import EntryId, ServiceName, VmId, WorkerId
-from corianderpitch.ports import OperatorRows, VmOrderResult, VmPools
+from corianderpitch.domain.scheduling.sizing import (
+    DemandWindow,
+    MoveVm,
+    PoolNeed,
+    plan_moves,
+    pool_loads,
+)
+from corianderpitch.ids import ServiceName, VmId, WorkerId
+from corianderpitch.ports import OperatorRows, VmOrderResult
 
-LIST_INTERVAL_MS = 400.0
 ROUND_S = 0.1
-HOLDER_CHANGE_SLACK_MS = 500.0
-ROLE_MARGIN_MS = 500.0
 
 log = logger("maintenance")
 
 
-class MaintenanceTask:
-    """Empties VMs in turn and has them maintained.
+@dataclass(slots=True)
+class PendingMove:
+    """A move whose order got no answer, and that the list does not show yet."""
 
-    A new holder first waits until orders of its predecessor are out of the way.
-    """
+    pool: ServiceName
+    asked_ms: float
+
+
+class MaintenanceTask:
+    """Decides in rounds which VMs are emptied, maintained and moved."""
 
     def __init__(
         self,
-        entry: EntryId,
-        pools: VmPools,
+        orders: VmOrders,
         operators: OperatorRows,
         catalogs: CatalogTask,
         scheduler: Scheduler,
-        role: RoleLease,
         clock: Clock,
-        holder_change_ms: float,
-        role_lease_ms: float,
         wake: Callable[[], None],
     ):
-        self._entry = entry
-        self._pools = pools
+        self._orders = orders
         self._operators = operators
         self._catalogs = catalogs
         self._scheduler = scheduler
-        self._role = role
         self._clock = clock
-        self._role_lease_ms = role_lease_ms
         self._wake = wake
         self._waves: dict[int, WaveProgress] = {}
-        self._vms: dict[VmId, PoolVm] = {}
-        self._listed_ms = -LIST_INTERVAL_MS
-        self._first_order_ms = clock.now_ms()
-        if scheduler.term.number > 1:
-            self._first_order_ms += holder_change_ms + HOLDER_CHANGE_SLACK_MS
+        self._moves: dict[VmId, PendingMove] = {}
+        self._refused: set[MoveVm] = set()
+        self._demand = DemandWindow()
+        self._gone: set[WorkerId] = set()
 
     def run(self) -> None:
-        """Carry waves out until killed."""
+        """Carry waves and moves out until killed."""
         while True:
             self._take_waves()
-            self._list_if_needed()
-            if any(not wave.is_completed for wave in self._waves.values()):
+            if self._orders.refresh():
+                self._take_gone(self._orders.listed_ms)
+                self._take_moves()
+            if self._orders.vms:
                 self._round()
             eventlet.sleep(ROUND_S)
 
@@ -81,52 +85,88 @@
                 )
                 due_ms = self._clock.now_ms() + order.deadline_ms
                 self._waves[number] = WaveProgress(order, due_ms)
-                self._operators.report_wave(number, False)
+                self._report(number, False)
             elif known.order.version != order.version:
                 known.order = order
                 known.is_completed = False
 
+    def _report(self, wave: int, is_completed: bool) -> bool:
+        """Tell operators how far a wave has come; returns whether they know."""
+        match self._operators.report_wave(wave, is_completed):
+            case Success(_):
+                return True
+            case Failure(error):
+                log.warning("Wave not reported.", wave=wave, cause=repr(error))
+        return False
+
     def _round(self) -> None:
         now_ms = self._clock.now_ms()
+        standby = self._standby()
+        maintains, emptying = self._plan_waves(standby, now_ms)
+        moves = self._moves_to_repeat(now_ms)
+        moves += self._plan_moves(standby, emptying, now_ms)
+        for vm in {move.vm for move in moves} | set(self._moves):
+            known = self._orders.vms.get(vm)
+            if known is not None and known.worker is not None:
+                emptying.add(known.worker)
+        self._mark(emptying)
+        for order in maintains:
+            self._maintain(order)
+        for move in moves:
+            self._move(move)
+
+    def _plan_waves(
+        self, standby: frozenset[ServiceName], now_ms: float
+    ) -> tuple[list[MaintainVm], set[WorkerId]]:
         emptying: set[WorkerId] = set()
         orders: list[MaintainVm] = []
-        standby = self._standby()
         pressed = pressed_services(self._scheduler)
+        vms = {v: vm for v, vm in self._orders.vms.items() if v not in self._moves}
         for wave in self._waves.values():
             if wave.is_completed:
                 continue
             steps, workers = next_steps(
-                wave,
-                self._vms,
-                self._scheduler.workers,
-                standby,
-                pressed,
-                now_ms,
+                wave, vms, self._scheduler.workers, standby, pressed, now_ms
             )
             orders += steps
             emptying |= workers
-            if not wave.left(self._vms):
-                self._complete(wave)
-        self._mark(emptying)
-        if now_ms >= self._first_order_ms:
-            for order in orders:
-                self._order(order)
+            if not wave.left(self._orders.vms) and self._report(
+                wave.order.number, True
+            ):
+                wave.is_completed = True
+                log.info("Wave completed.", wave=wave.order.number)
+        return orders, emptying
 
-    def _list_if_needed(self) -> None:
-        """Ask for the VMs while a wave is under way or a worker does not answer."""
-        now_ms = self._clock.now_ms()
-        is_needed = (
-            any(not wave.is_completed for wave in self._waves.values())
-            or any(worker.is_silent for worker in self._scheduler.workers.values())
-            or bool(self._scheduler.unheard)
-        )
-        if not is_needed or now_ms - self._listed_ms < LIST_INTERVAL_MS:
-            return
-        self._listed_ms = now_ms
-        match self._pools.list_vms():
-            case Success(vms):
-                self._vms = {vm.vm: vm for vm in vms}
-                self._take_gone(now_ms)
+    def _moves_to_repeat(self, now_ms: float) -> list[MoveVm]:
+        return [
+            MoveVm(vm, move.pool)
+            for vm, move in self._moves.items()
+            if now_ms - move.asked_ms >= REPEAT_MS
+        ]
+
+    def _plan_moves(
+        self, standby: frozenset[ServiceName], emptying: set[WorkerId], now_ms: float
+    ) -> list[MoveVm]:
+        loads = pool_loads(self._scheduler, self._clock.wall_ms())
+        needs = {
+            service: PoolNeed(
+                load.wanted_workers,
+                self._demand.note(service, load.wanted_workers, now_ms),
+            )
+            for service, load in loads.items()
+        }
+        if not self._orders.is_open:
+            return []
+        vms = self._orders.vms
+        bound: dict[VmId, ServiceName | None] = {
+            vm: move.pool for vm, move in self._moves.items()
+        }
+        for wave in self._waves.values():
+            under_way = wave.asked_ms.keys() - wave.begun
+            bound |= {vm: None for vm in under_way}
+        bound |= {v: None for v, vm in vms.items() if vm.worker in emptying}
+        moves = plan_moves(vms, self._scheduler.workers, needs, standby, bound)
+        return [move for move in moves if move not in self._refused]
 
     def _take_gone(self, asked_ms: float) -> None:
         """Conclude from the list of VMs which silent workers have ended.
@@ -134,7 +174,7 @@
         A VM names its worker's process while that lives, also when nobody
         reaches it. Workers that came after the list was asked for are left out.
         """
-        live = {vm.worker for vm in self._vms.values()}
+        live = {vm.worker for vm in self._orders.vms.values()}
         known = self._scheduler.workers
         gone = [
             worker_id
@@ -145,9 +185,18 @@
         ]
         gone += [w for w in self._scheduler.unheard if w not in live]
         if gone:
-            log.info("Workers have ended.", workers=sorted(gone), at_ms=round(asked_ms))
             self._scheduler.take_gone(gone)
             self._wake()
+        if not self._gone.issuperset(gone):
+            log.info("Workers have ended.", workers=sorted(gone), at_ms=round(asked_ms))
+        self._gone = set(gone)
+
+    def _take_moves(self) -> None:
+        """Forget moves that the list shows, and those of VMs that are gone."""
+        for vm_id, move in list(self._moves.items()):
+            vm = self._orders.vms.get(vm_id)
+            if vm is None or vm.pool == move.pool:
+                del self._moves[vm_id]
 
     def _standby(self) -> frozenset[ServiceName]:
         catalog = self._catalogs.catalog
@@ -162,40 +211,27 @@
                 log.info("Emptying.", worker=worker_id, begins=is_marked)
                 self._wake()
 
-    def _order(self, order: MaintainVm) -> None:
+    def _maintain(self, order: MaintainVm) -> None:
         wave = self._waves[order.wave]
-        if not self._may_order(order):
-            return
+        was_asked = order.vm in wave.asked_ms
         wave.asked_ms[order.vm] = self._clock.now_ms()
-        fence = self._scheduler.term.fence
-        result = self._pools.maintain(order.vm, order.wave, self._entry, fence)
-        log.info(
-            "Maintain.", vm=order.vm, wave=order.wave, fence=fence, result=result.value
-        )
-        match result:
+        match self._orders.maintain(order.vm, order.wave):
             case VmOrderResult.DONE:
                 wave.begun.add(order.vm)
-                self._listed_ms = -LIST_INTERVAL_MS
-            case VmOrderResult.SUPERSEDED:
-                self._scheduler.is_superseded = True
-            case VmOrderResult.NO_ANSWER:
-                pass
-            case _:
+            case VmOrderResult.REFUSED:
+                del wave.asked_ms[order.vm]
+            case VmOrderResult.BUSY | VmOrderResult.NOT_SENT if not was_asked:
                 del wave.asked_ms[order.vm]
 
-    def _may_order(self, order: MaintainVm) -> bool:
-        """Check once more, right before the order, that nothing would be harmed."""
-        if self._role.renewed_age_ms > self._role_lease_ms - ROLE_MARGIN_MS:
-            return False
-        worker_id = self._vms[order.vm].worker
-        worker = self._scheduler.workers.get(worker_id) if worker_id else None
-        return worker is None or not worker.runs
-
-    def _complete(self, wave: WaveProgress) -> None:
-        """Tell operators that every VM that stays has had its maintenance."""
-        if not self._vms:
-            return
-        match self._operators.report_wave(wave.order.number, True):
-            case Success(_):
-                wave.is_completed = True
-                log.info("Wave completed.", wave=wave.order.number)
+    def _move(self, move: MoveVm) -> None:
+        """Order a move; one without an answer is repeated until it is settled."""
+        was_asked = move.vm in self._moves
+        self._moves[move.vm] = PendingMove(move.pool, self._clock.now_ms())
+        match self._orders.move(move.vm, move.pool):
+            case VmOrderResult.DONE:
+                del self._moves[move.vm]
+            case VmOrderResult.REFUSED:
+                self._refused.add(move)
+                del self._moves[move.vm]
+            case VmOrderResult.BUSY | VmOrderResult.NOT_SENT if not was_asked:
+                del self._moves[move.vm]
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -1,12 +1,14 @@
 """Choice of a worker for a task."""
 
+import math
 from collections.abc import Iterable
 
 from corianderpitch.domain.scheduling.progress import ActiveStep
 from corianderpitch.domain.scheduling.workers import WorkerView
+from corianderpitch.domain.scheduling.workloads import Step
 from corianderpitch.ids import WorkerId
 
-FAILURES_TO_REST = 2
+LASTING_SPREAD = 2  # workers that a lasting step is spread over at least
 
 
 def is_usable(worker: WorkerView, now_ms: float) -> bool:
@@ -35,10 +37,10 @@
 ) -> WorkerView | None:
     """Return the best worker for a task, ``None`` if there is none now.
 
-    Workers near the task's data come first, then those with the most
-    processors left, so that no worker is a hot spot. A filler goes where the
-    fewest tasks are that serve users. ``avoided`` lists workers that the task
-    has failed on; they are taken only where no other would do.
+    Workers near the task's data come first, then the fullest ones that have
+    room (best fit): the others fall idle, and large tasks find room. A filler
+    goes where the fewest tasks are that serve users. ``avoided`` lists workers
+    that the task has failed on; they are taken only where no other would do.
     """
     best: WorkerView | None = None
     best_rank: tuple[float, ...] = ()
@@ -52,7 +54,7 @@
             worker.info.worker not in avoided,
             not step.step.data_rack or step.step.data_rack in worker.info.labels,
             -_neighbours(step, worker),
-            worker.free.processors,
+            -worker.free.processors,
         )
         if best is None or rank > best_rank:
             best, best_rank = worker, rank
@@ -64,10 +66,22 @@
         return False
     if any(run.worker == worker.info.worker for run in step.runs.get(index, ())):
         return False
-    limit = step.step.max_per_worker
+    limit = per_worker_limit(step.step)
     return not limit or runs_on(step, worker.info.worker) < limit
 
 
+def per_worker_limit(step: Step) -> int:
+    """Return how many tasks of a step may run on one worker, 0 for any number.
+
+    A lasting step is spread over two workers at least, so that the loss of one
+    does not take all of it.
+    """
+    if not step.is_lasting:
+        return step.max_per_worker
+    spread = math.ceil(step.count / LASTING_SPREAD)
+    return min(spread, step.max_per_worker) if step.max_per_worker else spread
+
+
 def _neighbours(step: ActiveStep, worker: WorkerView) -> int:
     """Return how many tasks a filler would disturb, or fillers would be beside."""
     if step.step.is_filler:
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
@@ -0,0 +1,199 @@
+"""How many VMs each pool needs now, and which VMs move to another pool.
+
+The load it answers: each queue in turn asks for about five times its mean for
+some seconds, more than its pool holds, and for next to nothing in between. VMs
+follow the load: a pool that fills up is given idle VMs of the standby pool or of
+pools at rest, and a pool whose turn is over gives its idle VMs back. VMs of the
+standby pool are off, so a VM that is not needed is best kept there.
+
+Pure: ``plan_moves`` names moves of VMs on which nothing runs.
+"""
+
+import math
+from collections import deque
+from collections.abc import Iterable, Mapping, Set
+from dataclasses import dataclass
+
+from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition, is_empty
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.workers import WorkerView
+from corianderpitch.ids import ServiceName, VmId, WorkerId
+
+MIN_WORKERS = 3  # the loss of one VM leaves two, on which what lasts is spread
+HEADROOM = 1.1  # tasks of unlike sizes do not fill a VM
+HOLD_MS = 1000.0  # a VM that stays so long costs as much as moving it twice
+
+
+@dataclass(frozen=True, slots=True)
+class PoolLoad:
+    """What a pool's runs hold and what waits for room, in workers' worth."""
+
+    running: float = 0.0
+    lasting: float = 0.0
+    waiting: float = 0.0
+
+    @property
+    def wanted_workers(self) -> int:
+        """Return how many workers the load asks for."""
+        passing = HEADROOM * (self.running + self.waiting)
+        return max(MIN_WORKERS, math.ceil(passing + self.lasting))
+
+
+@dataclass(frozen=True, slots=True)
+class MoveVm:
+    """Move a VM on which nothing runs to another pool."""
+
+    vm: VmId
+    pool: ServiceName
+
+
+def share_of(room: Shape, capacity: Shape) -> float:
+    """Return which share of a worker a task takes, by what is scarcest.
+
+    >>> share_of(Shape(1.0, 500), Shape(4.0, 1000))
+    0.5
+    """
+    return max(
+        room.processors / capacity.processors if capacity.processors else 0.0,
+        room.memory_mb / capacity.memory_mb if capacity.memory_mb else 0.0,
+        room.accelerators / capacity.accelerators if capacity.accelerators else 0.0,
+    )
+
+
+def pool_loads(scheduler: Scheduler, wall_ms: float) -> dict[ServiceName, PoolLoad]:
+    """Return the load of each pool that a queue sends to."""
+    capacities = _capacities(scheduler.workers.values())
+    running: dict[ServiceName, float] = {}
+    lasting: dict[ServiceName, float] = {}
+    waiting: dict[ServiceName, float] = {}
+    services = {queue.service for queue in scheduler.queues.values()}
+    for job in scheduler.jobs.values():
+        queue = scheduler.queues.get(job.workload.queue)
+        capacity = capacities.get(queue.service) if queue is not None else None
+        if capacity is None:
+            continue
+        service = queue.service
+        for step in job.steps():
+            kind = lasting if step.step.is_lasting else running
+            held = share_of(step.step.room, capacity) * len(step.runs)
+            kind[service] = kind.get(service, 0.0) + held
+        for step in job.ready_steps(wall_ms):
+            kind = lasting if step.step.is_lasting else waiting
+            asked = share_of(step.step.room, capacity) * len(step.pending)
+            kind[service] = kind.get(service, 0.0) + asked
+    return {
+        service: PoolLoad(
+            running.get(service, 0.0),
+            lasting.get(service, 0.0),
+            waiting.get(service, 0.0),
+        )
+        for service in services
+    }
+
+
+def _capacities(workers: Iterable[WorkerView]) -> dict[ServiceName, Shape]:
+    """Return the size of a worker of each pool."""
+    return {worker.info.service: worker.info.capacity for worker in workers}
+
+
+class DemandWindow:
+    """Remembers for a while how many workers each pool has asked for."""
+
+    def __init__(self, hold_ms: float = HOLD_MS):
+        self._hold_ms = hold_ms
+        self._asked: dict[ServiceName, deque[tuple[float, int]]] = {}
+
+    def note(self, service: ServiceName, wanted: int, now_ms: float) -> int:
+        """Note what a pool asks for; returns the most of the last while."""
+        asked = self._asked.setdefault(service, deque())
+        while asked and asked[0][0] < now_ms - self._hold_ms:
+            asked.popleft()
+        while asked and asked[-1][1] <= wanted:
+            asked.pop()
+        asked.append((now_ms, wanted))
+        return asked[0][1]
+
+
+@dataclass(frozen=True, slots=True)
+class PoolNeed:
+    """How many workers a pool asks for now, and at most in the last while."""
+
+    wanted: int
+    held: int
+
+
+def plan_moves(
+    vms: Mapping[VmId, PoolVm],
+    workers: Mapping[WorkerId, WorkerView],
+    needs: Mapping[ServiceName, PoolNeed],
+    standby: Set[ServiceName],
+    bound: Mapping[VmId, ServiceName | None],
+) -> list[MoveVm]:
+    """Return the moves to order now.
+
+    ``bound`` names VMs that something else has been planned for, each with the
+    pool that it goes to, or ``None`` where it only leaves its own for a while.
+    """
+    sizes = _sizes(vms, workers, bound)
+    lacks = {
+        service: need.wanted - sizes.get(service, 0) for service, need in needs.items()
+    }
+    spares = {
+        service: sizes.get(service, 0) - need.held for service, need in needs.items()
+    }
+    free = [vm for vm in vms.values() if vm.vm not in bound]
+    donors = [
+        *(vm for vm in free if vm.pool in standby and _is_up(vm)),
+        *_idle_vms(free, workers, spares),
+    ]
+    moves: list[MoveVm] = []
+    for service in sorted(lacks, key=lambda s: (-lacks[s], s)):
+        while lacks[service] > 0 and donors:
+            moves.append(MoveVm(donors.pop(0).vm, service))
+            lacks[service] -= 1
+    if standby:
+        rest = min(standby)
+        moves += [MoveVm(vm.vm, rest) for vm in donors if vm.pool not in standby]
+    return moves
+
+
+def _is_up(vm: PoolVm) -> bool:
+    return vm.condition is VmCondition.UP
+
+
+def _sizes(
+    vms: Mapping[VmId, PoolVm],
+    workers: Mapping[WorkerId, WorkerView],
+    bound: Mapping[VmId, ServiceName | None],
+) -> dict[ServiceName, int]:
+    """Count the VMs of each pool that serve or are about to."""
+    sizes: dict[ServiceName, int] = {}
+    for vm in vms.values():
+        pool = bound.get(vm.vm, vm.pool)
+        worker = workers.get(vm.worker) if vm.worker else None
+        is_lost = vm.condition is VmCondition.DOWN or (
+            worker is not None
+            and (worker.is_silent or worker.draining_since_ms is not None)
+        )
+        if pool is not None and not is_lost:
+            sizes[pool] = sizes.get(pool, 0) + 1
+    return sizes
+
+
+def _idle_vms(
+    free: Iterable[PoolVm],
+    workers: Mapping[WorkerId, WorkerView],
+    spares: Mapping[ServiceName, int],
+) -> list[PoolVm]:
+    """Return VMs on which nothing runs, as many as each pool can spare."""
+    left = dict(spares)
+    idle: list[PoolVm] = []
+    for vm in sorted(free, key=lambda v: v.vm):
+        worker = workers.get(vm.worker) if vm.worker else None
+        if worker is None or left.get(vm.pool, 0) <= 0 or not _is_up(vm):
+            continue
+        if is_empty(worker) and worker.info.service == vm.pool:
+            left[vm.pool] -= 1
+            idle.append(vm)
+    return idle
--- /dev/null
+++ b/packages/corianderpitch/tests/test_sizing.py
@@ -0,0 +1,97 @@
+"""VMs follow the load: single decisions, and a replay of queues that peak in turn."""
+
+import pytest
+
+from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition
+from corianderpitch.domain.scheduling.sizing import (
+    DemandWindow,
+    MoveVm,
+    PoolLoad,
+    PoolNeed,
+    plan_moves,
+)
+from corianderpitch.domain.scheduling.workers import WorkerInfo, WorkerView
+from corianderpitch.ids import ServiceName, VmId, WorkerId
+from corianderpitch_standins.loadreplay import ReplayPolicy, Turns, replay
+
+FULL, QUIET, REST = (ServiceName(name) for name in ("full", "quiet", "rest"))
+
+
+def make_pools(**workers):
+    """Make VMs with idle workers, and two VMs of the standby pool."""
+    vms, views = {}, {}
+    for pool, count in workers.items():
+        for number in range(count):
+            vm, worker = VmId(f"{pool}-{number}"), WorkerId(f"w-{pool}-{number}")
+            vms[vm] = PoolVm(vm, ServiceName(pool), VmCondition.UP, worker)
+            shape, labels = Shape(16.0, 32_000), ("a", "r1")
+            info = WorkerInfo(
+                worker, ServiceName(pool), "", "here", shape, labels, vm, "1"
+            )
+            views[worker] = WorkerView(info, 0.0, life="1")
+    for number in range(2):
+        vm = VmId(f"rest-{number}")
+        vms[vm] = PoolVm(vm, REST, VmCondition.UP, None)
+    return vms, views
+
+
+def moves(vms, views, needs, bound=None):
+    needs = {pool: PoolNeed(*need) for pool, need in needs.items()}
+    return plan_moves(vms, views, needs, frozenset((REST,)), bound or {})
+
+
+def test_a_pool_that_fills_up_is_given_standby_vms_first_then_idle_ones():
+    vms, views = make_pools(full=2, quiet=3)
+    found = moves(vms, views, {FULL: (5, 5), QUIET: (2, 2)})
+    assert found == [
+        MoveVm(VmId("rest-0"), FULL),
+        MoveVm(VmId("rest-1"), FULL),
+        MoveVm(VmId("quiet-0"), FULL),
+    ]
+
+
+def test_idle_vms_go_to_the_standby_pool_only_when_the_load_has_been_low_for_a_while():
+    vms, views = make_pools(quiet=3)
+    assert moves(vms, views, {QUIET: (1, 3)}) == []
+    found = moves(vms, views, {QUIET: (1, 1)})
+    assert found == [MoveVm(VmId("quiet-0"), REST), MoveVm(VmId("quiet-1"), REST)]
+
+
+def test_a_vm_on_which_something_runs_or_that_is_bound_otherwise_does_not_move():
+    vms, views = make_pools(quiet=2)
+    views["w-quiet-0"].runs["task"] = object()
+    bound = {VmId("quiet-1"): None}
+    assert moves(vms, views, {QUIET: (0, 0)}, bound) == []
+
+
+def test_vms_that_are_on_their_way_count_and_lost_ones_do_not():
+    vms, views = make_pools(full=2)
+    vms[VmId("full-0")] = PoolVm(VmId("full-0"), FULL, VmCondition.MOVING, None)
+    assert moves(vms, views, {FULL: (2, 2)}) == []
+    views["w-full-1"].is_silent = True
+    assert moves(vms, views, {FULL: (2, 2)}) == [MoveVm(VmId("rest-0"), FULL)]
+
+
+def test_the_window_remembers_the_most_that_was_asked_for():
+    window = DemandWindow(hold_ms=1000.0)
+    assert window.note(FULL, 7, 0.0) == 7
+    assert window.note(FULL, 3, 900.0) == 7
+    assert window.note(FULL, 4, 1100.0) == 4
+
+
+def test_a_pool_never_asks_for_less_than_what_survives_a_loss():
+    assert PoolLoad().wanted_workers >= 2
+
+
+TARGET_SHARE = 0.90  # of the users' calm day
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_queues_that_peak_in_turn_are_served_in_time_with_fewer_vms(seed):
+    """Each queue asks four times its mean for five seconds, more than six VMs hold."""
+    fixed = replay(Turns(), ReplayPolicy(follows_load=False), seed, 30.0)
+    follows = replay(Turns(), ReplayPolicy(), seed, 30.0)
+    assert follows.share_in_time > fixed.share_in_time
+    assert follows.share_in_time >= TARGET_SHARE
+    assert follows.vm_s < fixed.vm_s
