Take a lapsed role by the store's clock, and order VMs soon after a takeover

VMs also went first to a pool whose waiting jobs were late already, and left the next peak short.

Beats and epochs now carry the store's own time, so that a lapsed lease is seen at once. VMs are named in the store before orders about them are sent; a new holder leaves just those alone, and knows which had their maintenance. VMs go first where jobs can still be kept.

Ruled out: a shorter lease alone (a store whose answers are lost would make holders change often). Clocks of entries are still not compared.

--- a/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
@@ -20,9 +20,9 @@
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
 from corianderpitch.domain.scheduling.sizing import (
     DemandWindow,
-    PoolNeed,
     plan_moves,
     pool_loads,
+    pool_needs,
 )
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
@@ -254,13 +254,8 @@
             found.late += 1
 
     def _move(self, now_ms: float) -> None:
-        needs = {
-            service: PoolNeed(
-                load.wanted_workers,
-                self._demand.note(service, load.wanted_workers, now_ms),
-            )
-            for service, load in pool_loads(self._scheduler, now_ms).items()
-        }
+        loads = pool_loads(self._scheduler, now_ms, now_ms)
+        needs = pool_needs(loads, self._demand, now_ms)
         vms = {vm.vm: vm.listed(now_ms) for vm in self._vms}
         standby = frozenset((STANDBY,))
         by_id = {vm.vm: vm for vm in self._vms}
--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -4,21 +4,32 @@
 its version is checked in every transaction of the holder, so that a holder
 which was paused past its lease can change nothing. The beat row is renewed by
 the holder; others take the role when it has not changed for the lease's time,
-measured by their own clocks. The method is that of fencing tokens.
+measured by their own clocks. Where the table has a clock, the rows carry its
+time, so that an entry that has just started need not watch for the lease's time
+first. The method is that of fencing tokens.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from returns.result import Success
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.ids import EntryId
-from corianderpitch.ports import Check, Row, TableService, Write, version_of
+from corianderpitch.ports import (
+    Check,
+    Row,
+    TableService,
+    Write,
+    parted_key,
+    version_of,
+)
 from corianderpitch.records import RoleBeat, RoleEpoch, decode_row, encode_row
 
 RELEASED = -1  # sequence of the last beat of a holder that gave its role up
 
+TABLE_TIME_SLACK_MS = 300.0  # how far an entry's estimate of it may lag behind
+
 log = logger("roles")
 
 
@@ -33,7 +44,9 @@
         clock: Clock,
         beat_interval_ms: float,
         lease_ms: float,
+        table_time_ms: Callable[[], float] = lambda: 0.0,
     ):
+        self._table_time_ms = table_time_ms
         self._name = name
         self._entry = entry
         self._table = table
@@ -80,6 +93,10 @@
         """Return the check that every transaction of the holder carries."""
         return Check(self._epoch_key, self._epoch_version)
 
+    def parted_fence(self) -> Check:
+        """Return the same check for a store that has partitions."""
+        return Check(parted_key(self._epoch_key), self._epoch_version)
+
     def seek(self) -> bool:
         """Take the role if its lease has lapsed; returns whether it was taken."""
         match self._table.read({self._epoch_key: 0, self._beat_key: 0}):
@@ -93,7 +110,9 @@
         if now_ms < self._next_beat_ms:
             return True
         self._beat_sequence += 1
-        beat = encode_row(RoleBeat(self._epoch, self._beat_sequence))
+        beat = encode_row(
+            RoleBeat(self._epoch, self._beat_sequence, self._table_time_ms())
+        )
         write = Write(self._beat_key, beat)
         match self._table.commit((self.fence(),), (write,)):
             case Success(_):
@@ -131,19 +150,29 @@
         if versions != self._seen_versions:
             self._seen_versions = versions
             self._beat_seen_ms = now_ms
-        is_new = self._epoch_key not in rows
+        epoch_row = rows.get(self._epoch_key)
+        if epoch_row is None:
+            return True
+        epoch = decode_row(RoleEpoch, epoch_row.value)
         beat_row = rows.get(self._beat_key)
         beat = decode_row(RoleBeat, beat_row.value) if beat_row else None
-        epoch_row = rows.get(self._epoch_key)
-        epoch = decode_row(RoleEpoch, epoch_row.value).epoch if epoch_row else 0
-        is_released = (
-            beat is not None and beat.sequence == RELEASED and beat.epoch == epoch
-        )
-        return is_new or is_released or now_ms - self._beat_seen_ms >= self._lease_ms
+        is_beating = beat is not None and beat.epoch == epoch.epoch
+        if is_beating and beat.sequence == RELEASED:
+            return True
+        renewed_ms = beat.sent_ms if is_beating else epoch.taken_ms
+        return self._is_old(renewed_ms) or now_ms - self._beat_seen_ms >= self._lease_ms
+
+    def _is_old(self, renewed_ms: float) -> bool:
+        """Tell whether a renewal at this time of the table's clock has lapsed."""
+        if renewed_ms == 0.0:
+            return False
+        age_ms = self._table_time_ms() - renewed_ms
+        return age_ms >= self._lease_ms + TABLE_TIME_SLACK_MS
 
     def _take(self, epoch_row: Row | None) -> bool:
         old = decode_row(RoleEpoch, epoch_row.value) if epoch_row else None
-        epoch = RoleEpoch(self._entry, old.epoch + 1 if old else 1)
+        number = old.epoch + 1 if old else 1
+        epoch = RoleEpoch(self._entry, number, self._table_time_ms())
         check = Check(self._epoch_key, version_of(epoch_row))
         write = Write(self._epoch_key, encode_row(epoch))
         match self._table.commit((check,), (write,)):
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -24,7 +24,7 @@
 from corianderpitch.domain.scheduling.scheduler import JobChange, Scheduler
 from corianderpitch.errors import CommitError, RowConflict
 from corianderpitch.ids import WorkerId
-from corianderpitch.ports import Check, PartedKey, RowStore, Write, parted_key
+from corianderpitch.ports import Check, PartedKey, RowStore, Write
 
 MAX_CHANGES = 24  # of up to four entries each, within a transaction's hundred
 PROGRESS_INTERVAL_MS = 50.0
@@ -101,7 +101,7 @@
         if not old:
             return
         writes = tuple(Write(key, None) for key in old)
-        match self._store.commit((self._fence(),), writes):
+        match self._store.commit((self._role.parted_fence(),), writes):
             case Success(_):
                 for key in old:
                     del self.ended[key]
@@ -115,7 +115,7 @@
         if workers == self._recorded:
             return True
         write = Write(WORKERS_KEY, pack_workers(workers))
-        match self._store.commit((self._fence(),), (write,)):
+        match self._store.commit((self._role.parted_fence(),), (write,)):
             case Success(_):
                 self._recorded = workers
                 self._scheduler.note_recorded(workers)
@@ -125,10 +125,6 @@
                 log.warning("Workers not recorded.", cause=repr(error))
         return False
 
-    def _fence(self) -> Check:
-        fence = self._role.fence()
-        return Check(parted_key(fence.key), fence.version)
-
     def commit_all(self) -> bool:
         """Commit what has changed; False if something is left."""
         changes, ends = self._scheduler.take_changes()
@@ -144,7 +140,7 @@
         return True
 
     def _commit(self, changes: Sequence[JobChange]) -> bool:
-        checks = [self._fence()]
+        checks = [self._role.parted_fence()]
         writes: list[Write] = []
         for change in changes:
             workload = change.job.workload
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -21,14 +21,15 @@
 from corianderpitch.domain.scheduling.sizing import (
     DemandWindow,
     MoveVm,
-    PoolNeed,
     plan_moves,
     pool_loads,
+    pool_needs,
 )
 from corianderpitch.ids import ServiceName, VmId, WorkerId
 from corianderpitch.ports import OperatorRows, VmOrderResult
 
 ROUND_S = 0.1
+LOAD_RETRY_S = 0.2
 
 log = logger("maintenance")
 
@@ -68,6 +69,9 @@
     def run(self) -> None:
         """Carry waves and moves out until killed."""
         while True:
+            if not self._orders.load():
+                eventlet.sleep(LOAD_RETRY_S)
+                continue
             self._take_waves()
             if self._orders.refresh():
                 self._take_gone(self._orders.listed_ms)
@@ -84,7 +88,8 @@
                     "Wave.", wave=number, vms=len(order.vms), cap=order.max_concurrent
                 )
                 due_ms = self._clock.now_ms() + order.deadline_ms
-                self._waves[number] = WaveProgress(order, due_ms)
+                begun = self._orders.begun.get(number, set())
+                self._waves[number] = WaveProgress(order, due_ms, set(begun))
                 self._report(number, False)
             elif known.order.version != order.version:
                 known.order = order
@@ -110,10 +115,12 @@
             if known is not None and known.worker is not None:
                 emptying.add(known.worker)
         self._mark(emptying)
-        for order in maintains:
-            self._maintain(order)
-        for move in moves:
-            self._move(move)
+        named = {order.vm for order in maintains} | {move.vm for move in moves}
+        if (named or not self._orders.is_written) and self._orders.announce(named):
+            for order in maintains:
+                self._maintain(order)
+            for move in moves:
+                self._move(move)
 
     def _plan_waves(
         self, standby: frozenset[ServiceName], now_ms: float
@@ -121,12 +128,13 @@
         emptying: set[WorkerId] = set()
         orders: list[MaintainVm] = []
         pressed = pressed_services(self._scheduler)
+        held_back = self._orders.held_back()
         vms = {v: vm for v, vm in self._orders.vms.items() if v not in self._moves}
         for wave in self._waves.values():
             if wave.is_completed:
                 continue
             steps, workers = next_steps(
-                wave, vms, self._scheduler.workers, standby, pressed, now_ms
+                wave, vms, self._scheduler.workers, standby, pressed, held_back, now_ms
             )
             orders += steps
             emptying |= workers
@@ -147,16 +155,8 @@
     def _plan_moves(
         self, standby: frozenset[ServiceName], emptying: set[WorkerId], now_ms: float
     ) -> list[MoveVm]:
-        loads = pool_loads(self._scheduler, self._clock.wall_ms())
-        needs = {
-            service: PoolNeed(
-                load.wanted_workers,
-                self._demand.note(service, load.wanted_workers, now_ms),
-            )
-            for service, load in loads.items()
-        }
-        if not self._orders.is_open:
-            return []
+        loads = pool_loads(self._scheduler, now_ms, self._clock.wall_ms())
+        needs = pool_needs(loads, self._demand, now_ms)
         vms = self._orders.vms
         bound: dict[VmId, ServiceName | None] = {
             vm: move.pool for vm, move in self._moves.items()
@@ -165,6 +165,7 @@
             under_way = wave.asked_ms.keys() - wave.begun
             bound |= {vm: None for vm in under_way}
         bound |= {v: None for v, vm in vms.items() if vm.worker in emptying}
+        bound |= {vm: vms[vm].pool for vm in self._orders.held_back() if vm in vms}
         moves = plan_moves(vms, self._scheduler.workers, needs, standby, bound)
         return [move for move in moves if move not in self._refused]
 
@@ -218,6 +219,7 @@
         match self._orders.maintain(order.vm, order.wave):
             case VmOrderResult.DONE:
                 wave.begun.add(order.vm)
+                self._orders.note_begun(order.wave, order.vm)
             case VmOrderResult.REFUSED:
                 del wave.asked_ms[order.vm]
             case VmOrderResult.BUSY | VmOrderResult.NOT_SENT if not was_asked:
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import fields
+from dataclasses import dataclass, field, fields
 from typing import Any
 
 import msgpack
@@ -14,7 +14,7 @@
 from corianderpitch.domain.jobs import JobState, Shape
 from corianderpitch.domain.scheduling.progress import ProgressRecord, StepRecord
 from corianderpitch.domain.scheduling.workloads import Schedule, Step, Workload
-from corianderpitch.ids import JobId, QueueName, WorkerId
+from corianderpitch.ids import JobId, QueueName, VmId, WorkerId
 from corianderpitch.ports import PartedKey
 
 JOBS_TABLE = "jobs"
@@ -22,10 +22,11 @@
 PROGRESS_SUFFIX = ".progress"
 SCHEDULER_TABLE = "scheduler"
 WORKERS_KEY = PartedKey(SCHEDULER_TABLE, "", "workers")
+VM_ORDERS_KEY = PartedKey(SCHEDULER_TABLE, "", "vms")
 RANGE_END = "/"  # sorts behind the dot of every suffix
 
 _STEP_DEFAULTS = {
-    field.name: field.default for field in fields(Step) if field.name != "shape"
+    each.name: each.default for each in fields(Step) if each.name != "shape"
 }
 
 
@@ -59,6 +60,33 @@
     return tuple(WorkerId(name) for name in msgpack.unpackb(value))
 
 
+@dataclass(frozen=True, slots=True)
+class VmOrdersRecord:
+    """What a successor must know of orders about VMs.
+
+    ``ordered_ms`` holds the store's time of the last order about each VM, as far
+    as it is recent; ``begun`` the VMs of each wave that had their maintenance.
+    """
+
+    ordered_ms: dict[VmId, float] = field(default_factory=dict)
+    begun: dict[int, set[VmId]] = field(default_factory=dict)
+
+
+def pack_vm_orders(record: VmOrdersRecord) -> bytes:
+    """Encode which VMs were ordered about, and which had their maintenance."""
+    begun = {wave: sorted(vms) for wave, vms in record.begun.items()}
+    return msgpack.packb([record.ordered_ms, begun])
+
+
+def unpack_vm_orders(value: bytes) -> VmOrdersRecord:
+    """Decode what a predecessor has ordered."""
+    ordered_ms, begun = msgpack.unpackb(value, strict_map_key=False)
+    return VmOrdersRecord(
+        {VmId(vm): at_ms for vm, at_ms in ordered_ms.items()},
+        {wave: {VmId(vm) for vm in vms} for wave, vms in begun.items()},
+    )
+
+
 def pack_workload(workload: Workload, accepted_ms: float) -> bytes:
     """Encode a job with the store's time of its acceptance."""
     schedule = workload.schedule
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -1,6 +1,6 @@
 """The platform's VMs as one holder sees them, and its orders about them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import replace
 
 from returns.result import Success
@@ -8,10 +8,16 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.rows import (
+    VM_ORDERS_KEY,
+    VmOrdersRecord,
+    pack_vm_orders,
+    unpack_vm_orders,
+)
 from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.ids import EntryId, ServiceName, VmId
-from corianderpitch.ports import VmOrderResult, VmPools
+from corianderpitch.ports import RowStore, VmOrderResult, VmPools, Write
 
 LIST_INTERVAL_MS = 400.0
 HOLDER_CHANGE_SLACK_MS = 500.0
@@ -23,15 +29,17 @@
 class VmOrders:
     """Keeps the list of VMs, and gives orders that are safe to give.
 
-    A new holder first waits until orders of its predecessor are out of the way.
-    Each order carries a fence number above those before it, so that an order
-    that is carried out late cannot undo a newer one.
+    The store names a VM before the first order about it is sent. A new holder
+    leaves VMs alone that its predecessor ordered about a short while ago. Each
+    order carries a fence number above those before it, so that an order that is
+    carried out late cannot undo a newer one.
     """
 
     def __init__(
         self,
         entry: EntryId,
         pools: VmPools,
+        store: RowStore,
         scheduler: Scheduler,
         role: RoleLease,
         clock: Clock,
@@ -40,21 +48,73 @@
     ):
         self._entry = entry
         self._pools = pools
+        self._store = store
         self._scheduler = scheduler
         self._role = role
         self._clock = clock
         self._role_lease_ms = role_lease_ms
         self._listed_ms = -LIST_INTERVAL_MS
         self._orders = 0
-        self._first_order_ms = clock.now_ms()
-        if scheduler.term.number > 1:
-            self._first_order_ms += holder_change_ms + HOLDER_CHANGE_SLACK_MS
+        self._recent_ms = holder_change_ms + HOLDER_CHANGE_SLACK_MS
+        self._predecessors: dict[VmId, float] = {}
+        self._written: VmOrdersRecord | None = None
+        self._ordered_ms: dict[VmId, float] = {}
+        self.begun: dict[int, set[VmId]] = {}
         self.vms: dict[VmId, PoolVm] = {}
 
+    def load(self) -> bool:
+        """Read what predecessors have ordered; returns whether that is known."""
+        if self._written is not None:
+            return True
+        key = VM_ORDERS_KEY
+        match self._store.read(key.table, key.part, key.name, key.name + "/"):
+            case Success(snapshot):
+                rows = [unpack_vm_orders(row.value) for row in snapshot.rows]
+                self._written = rows[0] if rows else VmOrdersRecord()
+                self._predecessors = dict(self._written.ordered_ms)
+                self.begun = {w: set(vms) for w, vms in self._written.begun.items()}
+                return True
+            case failure:
+                log.warning("Orders not read.", cause=repr(failure.failure()))
+        return False
+
+    def held_back(self) -> set[VmId]:
+        """Return the VMs that a predecessor ordered about a short while ago."""
+        oldest_ms = self._store.time_ms() - self._recent_ms
+        self._predecessors = {
+            vm: at_ms for vm, at_ms in self._predecessors.items() if at_ms > oldest_ms
+        }
+        return set(self._predecessors)
+
+    def announce(self, vms: Iterable[VmId]) -> bool:
+        """Name VMs in the store before orders about them are sent.
+
+        Returns whether the orders may be sent.
+        """
+        now_ms = self._store.time_ms()
+        oldest_ms = now_ms - self._recent_ms
+        ordered_ms = {vm: at for vm, at in self._ordered_ms.items() if at > oldest_ms}
+        ordered_ms |= {vm: now_ms for vm in vms}
+        begun = {wave: set(done) for wave, done in self.begun.items()}
+        record = VmOrdersRecord(self._predecessors | ordered_ms, begun)
+        write = Write(VM_ORDERS_KEY, pack_vm_orders(record))
+        match self._store.commit((self._role.parted_fence(),), (write,)):
+            case Success(_):
+                self._written = record
+                self._ordered_ms = ordered_ms
+                return True
+            case failure:
+                log.warning("Orders not announced.", cause=repr(failure.failure()))
+        return False
+
+    def note_begun(self, wave: int, vm: VmId) -> None:
+        """Remember that a VM has had its maintenance in a wave."""
+        self.begun.setdefault(wave, set()).add(vm)
+
     @property
-    def is_open(self) -> bool:
-        """Tell whether orders of a predecessor are out of the way."""
-        return self._clock.now_ms() >= self._first_order_ms
+    def is_written(self) -> bool:
+        """Tell whether the store knows which VMs have had their maintenance."""
+        return self._written is not None and self._written.begun == self.begun
 
     @property
     def listed_ms(self) -> float:
@@ -122,7 +182,7 @@
 
     def _may_order(self, vm: VmId) -> bool:
         """Check once more, right before an order, that nothing would be harmed."""
-        if not self.is_open or vm not in self.vms:
+        if vm not in self.vms or vm not in self._ordered_ms:
             return False
         if self._role.renewed_age_ms > self._role_lease_ms - ROLE_MARGIN_MS:
             return False
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
@@ -11,7 +11,7 @@
 
 import enum
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Set
 from dataclasses import dataclass, field
 
 from corianderpitch.domain.scheduling.catalog import WaveOrder
@@ -70,21 +70,23 @@
     wave: int
 
 
-def down_count(wave: WaveProgress, vms: Mapping[VmId, PoolVm]) -> int:
+def down_count(
+    wave: WaveProgress, vms: Mapping[VmId, PoolVm], held_back: Set[VmId]
+) -> int:
     """Return how many VMs of a wave may be down for it.
 
-    An order without an answer counts, for it may have been carried out.
+    An order without an answer counts, for it may have been carried out, and so
+    does one that a predecessor may have given a short while ago.
     """
-    return sum(
-        1
-        for vm in wave.order.vms
-        if vm in wave.asked_ms
-        and (
-            vm not in wave.begun
-            or vm not in vms
-            or vms[vm].condition is not VmCondition.UP
-        )
-    )
+    down = 0
+    for vm_id in wave.order.vms:
+        vm = vms.get(vm_id)
+        is_up = vm is not None and vm.condition is VmCondition.UP
+        is_open = vm_id in wave.asked_ms and not (vm_id in wave.begun and is_up)
+        is_down = vm is not None and vm.condition is VmCondition.IN_MAINTENANCE
+        if is_open or is_down or vm_id in held_back:
+            down += 1
+    return down
 
 
 def next_steps(
@@ -92,25 +94,27 @@
     vms: Mapping[VmId, PoolVm],
     workers: Mapping[WorkerId, WorkerView],
     standby: Iterable[ServiceName],
-    pressed: frozenset[ServiceName],
+    pressed: Set[ServiceName],
+    held_back: Set[VmId],
     now_ms: float,
 ) -> tuple[list[MaintainVm], set[WorkerId]]:
     """Return the orders to give now, and the workers to empty for later ones.
 
-    ``pressed`` names the pools in which tasks wait for room.
+    ``pressed`` names the pools in which tasks wait for room, ``held_back`` VMs
+    that a predecessor ordered about a short while ago.
     """
     may_wait = not wave.is_pressing(vms, now_ms)
     orders: list[MaintainVm] = []
     emptying: set[WorkerId] = set()
     per_pool: dict[ServiceName, int] = {}
-    room = wave.order.max_concurrent - down_count(wave, vms)
+    room = wave.order.max_concurrent - down_count(wave, vms, held_back)
     for vm_id in sorted(wave.left(vms), key=lambda v: _rank(vms[v], workers, standby)):
         vm = vms[vm_id]
         if vm_id in wave.asked_ms:
             if now_ms - wave.asked_ms[vm_id] >= REPEAT_MS:
                 orders.append(MaintainVm(vm_id, wave.order.number))
             continue
-        if vm.condition is not VmCondition.UP or room <= 0:
+        if vm.condition is not VmCondition.UP or room <= 0 or vm_id in held_back:
             continue
         worker = workers.get(vm.worker) if vm.worker else None
         if vm.pool in standby or vm.worker is None:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
@@ -16,6 +16,8 @@
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition, is_empty
+from corianderpitch.domain.scheduling.ordering import is_lost
+from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.workers import WorkerView
 from corianderpitch.ids import ServiceName, VmId, WorkerId
@@ -27,17 +29,37 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolLoad:
-    """What a pool's runs hold and what waits for room, in workers' worth."""
+    """What a pool's runs hold and what waits for room, in workers' worth.
+
+    ``lost`` waits too, but of jobs that can no longer meet their objective.
+    """
 
     running: float = 0.0
     lasting: float = 0.0
     waiting: float = 0.0
+    lost: float = 0.0
 
     @property
     def wanted_workers(self) -> int:
-        """Return how many workers the load asks for."""
-        passing = HEADROOM * (self.running + self.waiting)
-        return max(MIN_WORKERS, math.ceil(passing + self.lasting))
+        """Return how many workers the load asks for that can be kept."""
+        return self._workers_for(self.running + self.waiting)
+
+    @property
+    def useful_workers(self) -> int:
+        """Return how many workers would have something to do."""
+        return self._workers_for(self.running + self.waiting + self.lost)
+
+    def plus(self, other: "PoolLoad") -> "PoolLoad":
+        """Return the sum of two loads."""
+        return PoolLoad(
+            self.running + other.running,
+            self.lasting + other.lasting,
+            self.waiting + other.waiting,
+            self.lost + other.lost,
+        )
+
+    def _workers_for(self, passing: float) -> int:
+        return max(MIN_WORKERS, math.ceil(HEADROOM * passing + self.lasting))
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,35 +83,42 @@
     )
 
 
-def pool_loads(scheduler: Scheduler, wall_ms: float) -> dict[ServiceName, PoolLoad]:
+def pool_loads(
+    scheduler: Scheduler, now_ms: float, wall_ms: float
+) -> dict[ServiceName, PoolLoad]:
     """Return the load of each pool that a queue sends to."""
     capacities = _capacities(scheduler.workers.values())
-    running: dict[ServiceName, float] = {}
-    lasting: dict[ServiceName, float] = {}
-    waiting: dict[ServiceName, float] = {}
-    services = {queue.service for queue in scheduler.queues.values()}
+    loads = {queue.service: PoolLoad() for queue in scheduler.queues.values()}
     for job in scheduler.jobs.values():
         queue = scheduler.queues.get(job.workload.queue)
         capacity = capacities.get(queue.service) if queue is not None else None
-        if capacity is None:
-            continue
-        service = queue.service
-        for step in job.steps():
-            kind = lasting if step.step.is_lasting else running
-            held = share_of(step.step.room, capacity) * len(step.runs)
-            kind[service] = kind.get(service, 0.0) + held
-        for step in job.ready_steps(wall_ms):
-            kind = lasting if step.step.is_lasting else waiting
-            asked = share_of(step.step.room, capacity) * len(step.pending)
-            kind[service] = kind.get(service, 0.0) + asked
-    return {
-        service: PoolLoad(
-            running.get(service, 0.0),
-            lasting.get(service, 0.0),
-            waiting.get(service, 0.0),
-        )
-        for service in services
-    }
+        if capacity is not None:
+            load = loads[queue.service]
+            loads[queue.service] = load.plus(
+                _job_load(job, capacity, is_lost(job, queue, now_ms), wall_ms)
+            )
+    return loads
+
+
+def _job_load(
+    job: ActiveJob, capacity: Shape, is_late: bool, wall_ms: float
+) -> PoolLoad:
+    running = lasting = waiting = 0.0
+    for step in job.steps():
+        held = share_of(step.step.room, capacity) * len(step.runs)
+        if step.step.is_lasting:
+            lasting += held
+        else:
+            running += held
+    for step in job.ready_steps(wall_ms):
+        asked = share_of(step.step.room, capacity) * len(step.pending)
+        if step.step.is_lasting:
+            lasting += asked
+        else:
+            waiting += asked
+    if is_late:
+        return PoolLoad(running, lasting, 0.0, waiting)
+    return PoolLoad(running, lasting, waiting)
 
 
 def _capacities(workers: Iterable[WorkerView]) -> dict[ServiceName, Shape]:
@@ -117,12 +146,27 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolNeed:
-    """How many workers a pool asks for now, and at most in the last while."""
+    """How many workers a pool asks for, could use, and at most did lately."""
 
     wanted: int
+    useful: int
     held: int
 
 
+def pool_needs(
+    loads: Mapping[ServiceName, PoolLoad], window: DemandWindow, now_ms: float
+) -> dict[ServiceName, PoolNeed]:
+    """Return what each pool asks for, and note it in the window."""
+    return {
+        service: PoolNeed(
+            load.wanted_workers,
+            load.useful_workers,
+            window.note(service, load.useful_workers, now_ms),
+        )
+        for service, load in loads.items()
+    }
+
+
 def plan_moves(
     vms: Mapping[VmId, PoolVm],
     workers: Mapping[WorkerId, WorkerView],
@@ -132,13 +176,11 @@
 ) -> list[MoveVm]:
     """Return the moves to order now.
 
+    VMs go first where jobs can still be kept, then where late ones wait.
     ``bound`` names VMs that something else has been planned for, each with the
     pool that it goes to, or ``None`` where it only leaves its own for a while.
     """
     sizes = _sizes(vms, workers, bound)
-    lacks = {
-        service: need.wanted - sizes.get(service, 0) for service, need in needs.items()
-    }
     spares = {
         service: sizes.get(service, 0) - need.held for service, need in needs.items()
     }
@@ -147,17 +189,32 @@
         *(vm for vm in free if vm.pool in standby and _is_up(vm)),
         *_idle_vms(free, workers, spares),
     ]
+    wanted = {service: need.wanted for service, need in needs.items()}
+    useful = {service: need.useful for service, need in needs.items()}
     moves: list[MoveVm] = []
-    for service in sorted(lacks, key=lambda s: (-lacks[s], s)):
-        while lacks[service] > 0 and donors:
-            moves.append(MoveVm(donors.pop(0).vm, service))
-            lacks[service] -= 1
+    for goals in (wanted, useful):
+        moves += _fill(goals, sizes, donors)
     if standby:
         rest = min(standby)
         moves += [MoveVm(vm.vm, rest) for vm in donors if vm.pool not in standby]
     return moves
 
 
+def _fill(
+    goals: Mapping[ServiceName, int],
+    sizes: dict[ServiceName, int],
+    donors: list[PoolVm],
+) -> list[MoveVm]:
+    """Give donors to the pools that lack most; both collections are updated."""
+    moves: list[MoveVm] = []
+    lacks = {service: goal - sizes.get(service, 0) for service, goal in goals.items()}
+    for service in sorted(lacks, key=lambda s: (-lacks[s], s)):
+        for _ in range(min(lacks[service], len(donors))):
+            moves.append(MoveVm(donors.pop(0).vm, service))
+            sizes[service] = sizes.get(service, 0) + 1
+    return moves
+
+
 def _is_up(vm: PoolVm) -> bool:
     return vm.condition is VmCondition.UP
 
--- a/packages/corianderpitch/corianderpitch/records.py
+++ b/packages/corianderpitch/corianderpitch/records.py
@@ -57,18 +57,23 @@
 
 @dataclass(frozen=True, slots=True)
 class RoleEpoch:
-    """Who holds a role; ``epoch`` grows with every holder."""
+    """Who holds a role; ``epoch`` grows with every holder.
+
+    ``taken_ms`` is the table's own time of the taking, 0 where it has no clock.
+    """
 
     holder: EntryId
     epoch: int
+    taken_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class RoleBeat:
-    """Renewal of a role's lease."""
+    """Renewal of a role's lease, sent at ``sent_ms`` of the table's own time."""
 
     epoch: int
     sequence: int
+    sent_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -206,9 +206,9 @@
     wave = WaveProgress(order, due_ms=NOW_MS + 30_000.0)
     pressed = frozenset({QUEUE.service})
     arguments = (vms, scheduler.workers, frozenset())
-    assert next_steps(wave, *arguments, pressed, NOW_MS) == ([], set())
+    assert next_steps(wave, *arguments, pressed, set(), NOW_MS) == ([], set())
     late_ms = NOW_MS + 25_000.0
-    assert next_steps(wave, *arguments, pressed, late_ms)[1] == {WorkerId("w1")}
+    assert next_steps(wave, *arguments, pressed, set(), late_ms)[1] == {WorkerId("w1")}
 
 
 class TestCommits:
--- a/packages/corianderpitch/tests/test_sizing.py
+++ b/packages/corianderpitch/tests/test_sizing.py
@@ -43,7 +43,7 @@
 
 def test_a_pool_that_fills_up_is_given_standby_vms_first_then_idle_ones():
     vms, views = make_pools(full=2, quiet=3)
-    found = moves(vms, views, {FULL: (5, 5), QUIET: (2, 2)})
+    found = moves(vms, views, {FULL: (5, 5, 5), QUIET: (2, 2, 2)})
     assert found == [
         MoveVm(VmId("rest-0"), FULL),
         MoveVm(VmId("rest-1"), FULL),
@@ -53,8 +53,8 @@
 
 def test_idle_vms_go_to_the_standby_pool_only_when_the_load_has_been_low_for_a_while():
     vms, views = make_pools(quiet=3)
-    assert moves(vms, views, {QUIET: (1, 3)}) == []
-    found = moves(vms, views, {QUIET: (1, 1)})
+    assert moves(vms, views, {QUIET: (1, 1, 3)}) == []
+    found = moves(vms, views, {QUIET: (1, 1, 1)})
     assert found == [MoveVm(VmId("quiet-0"), REST), MoveVm(VmId("quiet-1"), REST)]
 
 
@@ -62,15 +62,22 @@
     vms, views = make_pools(quiet=2)
     views["w-quiet-0"].runs["task"] = object()
     bound = {VmId("quiet-1"): None}
-    assert moves(vms, views, {QUIET: (0, 0)}, bound) == []
+    assert moves(vms, views, {QUIET: (0, 0, 0)}, bound) == []
 
 
 def test_vms_that_are_on_their_way_count_and_lost_ones_do_not():
     vms, views = make_pools(full=2)
     vms[VmId("full-0")] = PoolVm(VmId("full-0"), FULL, VmCondition.MOVING, None)
-    assert moves(vms, views, {FULL: (2, 2)}) == []
+    assert moves(vms, views, {FULL: (2, 2, 2)}) == []
     views["w-full-1"].is_silent = True
-    assert moves(vms, views, {FULL: (2, 2)}) == [MoveVm(VmId("rest-0"), FULL)]
+    assert moves(vms, views, {FULL: (2, 2, 2)}) == [MoveVm(VmId("rest-0"), FULL)]
+
+
+def test_vms_go_first_where_jobs_can_still_be_kept():
+    """After an outage one queue has many late jobs while the next one peaks."""
+    vms, views = make_pools(full=1, quiet=1)
+    found = moves(vms, views, {FULL: (1, 9, 9), QUIET: (2, 2, 2)})
+    assert found == [MoveVm(VmId("rest-0"), QUIET), MoveVm(VmId("rest-1"), FULL)]
 
 
 def test_the_window_remembers_the_most_that_was_asked_for():
