Spread a queue over partitions, and serve those that the store answers for

A queue's jobs are spread over four partitions. Where a commit fails, each partition is tried by itself, and one that fails rests; workers keep their ends until every job that they concern is committed. A new holder serves the partitions that it can read, keeps trying the others while its lease holds, leaves runs and ends of jobs that may be unread as they are, and hears all workers again before a job that was read late starts anything.

Ruled out: taking a job into another partition while its own is away. A successor that cannot read the first one would run a finished job again.

Five new tests; each fails without its part of the mend.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -16,6 +16,7 @@
     cancel_key,
     ended_job,
     job_key,
+    job_part,
     pack_progress,
     pack_workers,
     progress_key,
@@ -29,6 +30,7 @@
 MAX_CHANGES = 24  # of up to four entries each, within a transaction's hundred
 PROGRESS_INTERVAL_MS = 50.0
 RETRY_MS = 100.0
+PART_REST_MS = 500.0  # as long as a call to a partition that does not answer
 FORGET_INTERVAL_MS = 5000.0
 FORGET_SLACK_MS = 60_000.0
 MAX_FORGOTTEN = 90  # within a transaction's hundred entries
@@ -64,6 +66,7 @@
         self._event = Event()
         self._settled = Event()
         self._recorded: set[WorkerId] | None = None
+        self._rest_until_ms: dict[str, float] = {}
         self._keep_ended_ms = keep_ended_ms
         self._next_forget_ms = 0.0
         self.ended: dict[PartedKey, float] = {}
@@ -128,16 +131,41 @@
     def commit_all(self) -> bool:
         """Commit what has changed; False if something is left."""
         changes, ends = self._scheduler.take_changes()
-        for start in range(0, len(changes), MAX_CHANGES):
-            if not self._commit(changes[start : start + MAX_CHANGES]):
-                self._scheduler.keep_changes(changes[start:])
-                return False
+        kept = self._commit_changes(changes)
+        self._scheduler.keep_changes(kept)
+        open_workers = {worker for change in kept for worker in change.workers}
+        ends = {w: end for w, end in ends.items() if w not in open_workers}
         self._scheduler.settle_ends(ends)
         settled, self._settled = self._settled, Event()
         settled.send()
-        if changes or ends:
+        if len(kept) < len(changes) or ends:
             self._on_settled()
-        return True
+        return not kept
+
+    def _commit_changes(self, changes: Sequence[JobChange]) -> list[JobChange]:
+        """Commit changes, all together where that works; returns what is left.
+
+        When the store does not take them all, each partition is tried by itself,
+        and one that fails rests for a while: it must not hold up the others.
+        """
+        now_ms = self._clock.now_ms()
+        kept = [c for c in changes if self._rest_until_ms.get(_part(c), 0) > now_ms]
+        awake = [c for c in changes if self._rest_until_ms.get(_part(c), 0) <= now_ms]
+        for start in range(0, len(awake), MAX_CHANGES):
+            chunk = awake[start : start + MAX_CHANGES]
+            if self._commit(chunk):
+                continue
+            by_part: dict[str, list[JobChange]] = {}
+            for change in chunk:
+                by_part.setdefault(_part(change), []).append(change)
+            for part, group in by_part.items():
+                if len(by_part) > 1 and self._commit(group):
+                    continue
+                self._rest_until_ms[part] = self._clock.now_ms() + PART_REST_MS
+                kept += group
+            if not self._role.is_held:
+                return kept + awake[start + MAX_CHANGES :]
+        return kept
 
     def _commit(self, changes: Sequence[JobChange]) -> bool:
         checks = [self._role.parted_fence()]
@@ -202,9 +230,12 @@
         for change in changes:
             workload = change.job.workload
             key = progress_key(workload.queue, workload.job_id)
-            rows = self._store.read(
-                JOBS_TABLE, workload.queue, key.name, key.name + "/"
-            )
+            rows = self._store.read(JOBS_TABLE, key.part, key.name, key.name + "/")
             if isinstance(rows, Success):
                 found = rows.unwrap().rows
                 change.job.progress_version = found[0].version if found else 0
+
+
+def _part(change: JobChange) -> str:
+    workload = change.job.workload
+    return job_part(workload.queue, workload.job_id)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -13,6 +13,8 @@
     RANGE_END,
     cancel_key,
     job_key,
+    job_part,
+    job_parts,
     pack_workload,
     progress_key,
     unpack_progress,
@@ -136,23 +138,19 @@
 
     def count_waiting(self, queue: QueueName) -> IntakeResult:
         """Return how many accepted jobs of a queue have not begun."""
-        match self._store.read(JOBS_TABLE, queue):
-            case Success(snapshot):
-                names = {row.key.name for row in snapshot.rows}
-                waiting = sum(
-                    1
-                    for name in names
-                    if "." not in name
-                    and name + PROGRESS_SUFFIX not in names
-                    and name + CANCEL_SUFFIX not in names
-                )
-                return IntakeResult(IntakeKind.DONE, waiting=waiting)
-            case Failure(error):
-                return self._not_done("count", JobId(""), error)
+        waiting = 0
+        for part in job_parts(queue):
+            match self._store.read(JOBS_TABLE, part):
+                case Success(snapshot):
+                    waiting += _count_waiting(snapshot.rows)
+                case Failure(error):
+                    return self._not_done("count", JobId(""), error)
+        return IntakeResult(IntakeKind.DONE, waiting=waiting)
 
     def _rows(self, queue: QueueName, job_id: JobId):
         """Read all rows of a job, by their suffix."""
-        found = self._store.read(JOBS_TABLE, queue, job_id, job_id + RANGE_END)
+        part = job_part(queue, job_id)
+        found = self._store.read(JOBS_TABLE, part, job_id, job_id + RANGE_END)
         return found.map(
             lambda snapshot: {
                 row.key.name.removeprefix(job_id): row for row in snapshot.rows
@@ -167,6 +165,17 @@
         return IntakeResult(kind, retry_after_ms=STORE_AWAY_RETRY_MS)
 
 
+def _count_waiting(rows: tuple[Row, ...]) -> int:
+    names = {row.key.name for row in rows}
+    return sum(
+        1
+        for name in names
+        if "." not in name
+        and name + PROGRESS_SUFFIX not in names
+        and name + CANCEL_SUFFIX not in names
+    )
+
+
 def _state(rows: dict[str, Row]) -> JobState:
     """Return the state that a job's rows stand for."""
     progress = rows.get(PROGRESS_SUFFIX)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -26,6 +26,7 @@
 START_LEASE_MS = 2000.0  # a start carried out later than this is refused
 SETTLE_WAIT_MS = 150.0
 SILENT_RETRY_MS = 300.0
+UNREAD_RETRY_MS = 200.0
 LEASE_SLACK_MS = 500.0
 
 log = logger("links")
@@ -77,6 +78,8 @@
                 eventlet.sleep(SILENT_RETRY_MS / 1000.0)
             elif worker.seen != worker.settled:
                 self._commits.wait_settled(SETTLE_WAIT_MS)
+            elif worker.has_unread_ends:
+                eventlet.sleep(UNREAD_RETRY_MS / 1000.0)
         self._orders.put(None)
 
     def carry_out(self) -> None:
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -2,9 +2,11 @@
 
 A job has a row with what was handed in, at most one row that asks for its
 cancelling, and, once it has begun, one with its progress. When it has ended
-only the progress row is left, as its final state.
+only the progress row is left, as its final state. The jobs of a queue are spread
+over some partitions, so that the loss of one takes away a part of each queue.
 """
 
+import zlib
 from collections.abc import Iterable
 from dataclasses import dataclass, field, fields
 from typing import Any
@@ -23,6 +25,8 @@
 SCHEDULER_TABLE = "scheduler"
 WORKERS_KEY = PartedKey(SCHEDULER_TABLE, "", "workers")
 VM_ORDERS_KEY = PartedKey(SCHEDULER_TABLE, "", "vms")
+JOB_PARTS = 4  # of a queue; more would make counting and taking over slower
+PART_SEPARATOR = "/"
 RANGE_END = "/"  # sorts behind the dot of every suffix
 
 _STEP_DEFAULTS = {
@@ -30,19 +34,35 @@
 }
 
 
+def job_part(queue: QueueName, job_id: JobId) -> str:
+    """Return the partition of a job's rows."""
+    number = zlib.crc32(job_id.encode()) % JOB_PARTS
+    return f"{queue}{PART_SEPARATOR}{number}"
+
+
+def job_parts(queue: QueueName) -> tuple[str, ...]:
+    """Return all partitions of a queue."""
+    return tuple(f"{queue}{PART_SEPARATOR}{n}" for n in range(JOB_PARTS))
+
+
+def queue_of(part: str) -> QueueName:
+    """Return the queue whose jobs a partition holds."""
+    return QueueName(part.rpartition(PART_SEPARATOR)[0])
+
+
 def job_key(queue: QueueName, job_id: JobId) -> PartedKey:
     """Return the key of what was handed in."""
-    return PartedKey(JOBS_TABLE, queue, job_id)
+    return PartedKey(JOBS_TABLE, job_part(queue, job_id), job_id)
 
 
 def cancel_key(queue: QueueName, job_id: JobId) -> PartedKey:
     """Return the key of a job's cancelling."""
-    return PartedKey(JOBS_TABLE, queue, job_id + CANCEL_SUFFIX)
+    return PartedKey(JOBS_TABLE, job_part(queue, job_id), job_id + CANCEL_SUFFIX)
 
 
 def progress_key(queue: QueueName, job_id: JobId) -> PartedKey:
     """Return the key of a job's progress."""
-    return PartedKey(JOBS_TABLE, queue, job_id + PROGRESS_SUFFIX)
+    return PartedKey(JOBS_TABLE, job_part(queue, job_id), job_id + PROGRESS_SUFFIX)
 
 
 def ended_job(key: PartedKey) -> JobId:
@@ -105,7 +125,7 @@
     text, steps, schedule, accepted_ms = msgpack.unpackb(value)
     workload = Workload(
         JobId(key.name),
-        QueueName(key.part),
+        queue_of(key.part),
         text,
         tuple(_unpack_step(step) for step in steps),
         Schedule(*schedule),
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -1,6 +1,6 @@
 """One tenure of the scheduler's role: what it reads, follows and keeps running."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import eventlet
 from eventlet.event import Event
@@ -35,6 +35,10 @@
 
 FOLLOW_WAIT_MS = 1000
 FOLLOW_RETRY_S = 0.1
+LOAD_RETRY_S = 0.1
+REST_INTERVAL_S = 0.5
+LEASE_END_SHARE = 1.05  # workers' clocks may be 2 % slow
+READERS = 8  # partitions that are read at a time
 WORKERS_INTERVAL_S = 0.2  # workers renew their entries often; takes them in batches
 PLAN_IDLE_S = 0.1
 PLAN_GATHER_S = 0.002
@@ -71,7 +75,7 @@
         self._lease_ms = lease_ms
         self._role_lease_ms = role_lease_ms
         began_ms = clock.now_ms()
-        wait_ms = lease_ms * 1.05
+        wait_ms = lease_ms * LEASE_END_SHARE
         term = Term(role.epoch, role.fence().version, began_ms + wait_ms)
         self.scheduler = Scheduler(term)
         self._commits = CommitTask(
@@ -89,17 +93,26 @@
         self._wake_event = Event()
         self._is_stopped = False
         self._jobs_version = 0
+        self._unread: set[str] = set()
         self._workers_version = 0
 
     def run(self) -> None:
         """Serve until the role is lost."""
         self._meters.record_term()
         try:
-            if not self._load():
+            while not self._load():
                 log.warning("Could not read the store; the role is not served yet.")
-                return
+                eventlet.sleep(LOAD_RETRY_S)
+                self._role.renew()
+                if not (self._is_serving() and self._role.is_renewed):
+                    return
             loops = (self._follow_jobs, self._follow_workers, self._plan_loop)
-            for loop in (*loops, self._commits.run, self._maintenance.run):
+            for loop in (
+                *loops,
+                self._read_rest,
+                self._commits.run,
+                self._maintenance.run,
+            ):
                 self._threads.append(
                     eventlet.spawn(keep_running, loop, RESTART_PAUSE_S)
                 )
@@ -155,22 +168,53 @@
         return False
 
     def _load_jobs(self) -> bool:
+        """Read all jobs; partitions that cannot be read are left for later.
+
+        The store may not answer for some of its partitions. The others are
+        served meanwhile.
+        """
         parts = self._store.list_parts(JOBS_TABLE)
         if not isinstance(parts, Success):
             return False
-        versions = []
-        for part in parts.unwrap():
-            snapshot = self._store.read(JOBS_TABLE, part)
-            if not isinstance(snapshot, Success):
-                return False
-            self._take_snapshot(snapshot.unwrap().rows)
-            versions.append(snapshot.unwrap().version)
+        versions = self._read_parts(parts.unwrap())
+        if parts.unwrap() and not versions:
+            return False
         self._jobs_version = min(versions, default=self._jobs_version)
         log.info(
-            "Jobs read.", jobs=len(self.scheduler.jobs), version=self._jobs_version
+            "Jobs read.",
+            jobs=len(self.scheduler.jobs),
+            version=self._jobs_version,
+            unread=sorted(self._unread),
         )
         return True
 
+    def _read_parts(self, parts: Iterable[str]) -> list[int]:
+        """Take partitions in; returns the versions at which they were read."""
+        versions: list[int] = []
+        self._unread |= set(parts)
+        pool = eventlet.GreenPool(READERS)
+        for part, snapshot in pool.imap(self._read_part, sorted(self._unread)):
+            if isinstance(snapshot, Success):
+                self._take_snapshot(snapshot.unwrap().rows)
+                versions.append(snapshot.unwrap().version)
+                self._unread.discard(part)
+        self.scheduler.is_whole = not self._unread
+        return versions
+
+    def _read_part(self, part: str):
+        return part, self._store.read(JOBS_TABLE, part)
+
+    def _read_rest(self) -> None:
+        """Read the partitions that could not be read, until all have been."""
+        while True:
+            eventlet.sleep(REST_INTERVAL_S)
+            if self._unread and self._role.is_renewed:
+                now_ms = self._clock.now_ms()
+                self.scheduler.hear_again(now_ms + self._lease_ms * LEASE_END_SHARE)
+                self._read_parts(())
+                log.info("Partitions still unread.", unread=sorted(self._unread))
+                self.wake()
+
     def _take_snapshot(self, rows: tuple[Row, ...]) -> None:
         by_name = {row.key.name: row for row in rows}
         for name, row in by_name.items():
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -94,7 +94,8 @@
 
     ``accepted_ms`` is the holder's own time of its acceptance, ``version`` the
     store's version of its row; ``progress_version`` is that of the row with its
-    progress, 0 while there is none.
+    progress, 0 while there is none. ``heard_from`` names workers with ends whose
+    effect on the job is not committed.
     """
 
     def __init__(self, workload: Workload, accepted_ms: float, version: int):
@@ -109,6 +110,7 @@
         self.chain_ms = max(self.tails_ms, default=0.0)
         self.is_dirty = False
         self.is_uncertain = False
+        self.heard_from: set[WorkerId] = set()
         self.failed_on: dict[tuple[int, int], frozenset[WorkerId]] = {}
         self.left_core_ms = 0.0
         self.left_chain_ms = 0.0
@@ -124,6 +126,11 @@
         key = (step, index)
         self.failed_on[key] = self.failed_on.get(key, frozenset()) | {worker}
 
+    def take_heard_from(self) -> frozenset[WorkerId]:
+        """Return the workers of ends taken in since the last call."""
+        workers, self.heard_from = frozenset(self.heard_from), set()
+        return workers
+
     def begin(self, occurrence: int) -> list[ActiveStep]:
         """Return the steps of an occurrence, made when first asked for."""
         if occurrence not in self.occurrences:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -64,10 +64,14 @@
 
 @dataclass(frozen=True, slots=True)
 class JobChange:
-    """A job's progress to be committed; a final one ends the job."""
+    """A job's progress to be committed; a final one ends the job.
+
+    ``workers`` are those whose ends it takes in; they keep these until then.
+    """
 
     job: ActiveJob
     record: ProgressRecord
+    workers: frozenset[WorkerId] = frozenset()
 
     @property
     def is_final(self) -> bool:
@@ -86,6 +90,8 @@
         self.workers: dict[WorkerId, WorkerView] = {}
         self.unheard: set[WorkerId] = set()
         self.is_superseded = False
+        self.leases_end_ms = term.leases_end_ms
+        self.is_whole = True  # all partitions of jobs have been read
         self._numbers = term.number * RUNS_PER_TERM
         self._fence_bump = 0
         self._orders: list[Order] = []
@@ -152,10 +158,15 @@
         worker.clock_ms = report.clock_ms
         worker.clock_at_ms = now_ms
         worker.is_silent = False
+        worker.has_unread_ends = False
         for end in sorted(report.ended, key=lambda e: e.sequence):
-            if end.sequence > worker.seen:
-                self._take_end(worker, end, now_ms)
-                worker.seen = end.sequence
+            if end.sequence <= worker.seen:
+                continue
+            if self._may_be_unread(end.task.job_id):
+                worker.has_unread_ends = True  # it lists them again
+                break
+            self._take_end(worker, end, now_ms)
+            worker.seen = end.sequence
         listed = {(run.task, run.number) for run in report.running}
         for run in report.running:
             self._take_run(worker, run, now_ms)
@@ -206,6 +217,14 @@
         """Return the workers that may run something: known here, or unheard of."""
         return set(self.workers) | self.unheard
 
+    def hear_again(self, leases_end_ms: float) -> None:
+        """Ask all workers anew what runs there, for jobs that are read late.
+
+        Their runs were left alone so far, and are leased like all others.
+        """
+        self.unheard = set(self.workers)
+        self.leases_end_ms = leases_end_ms
+
     def note_recorded(self, worker_ids: Iterable[WorkerId]) -> None:
         """Note that the store names these workers."""
         for worker_id in worker_ids:
@@ -218,10 +237,10 @@
 
     def expire(self, now_ms: float) -> None:
         """Give up runs whose lease has lapsed, and forget workers that are gone."""
-        if now_ms >= self.term.leases_end_ms:
+        if now_ms >= self.leases_end_ms:
             self.unheard.clear()
         for worker in list(self.workers.values()):
-            lapsed = worker.lease_end_ms(self.term.leases_end_ms) <= now_ms
+            lapsed = worker.lease_end_ms(self.leases_end_ms) <= now_ms
             if lapsed and worker.is_silent:
                 for run in list(worker.runs.values()):
                     self._lose(worker, run)
@@ -235,7 +254,7 @@
 
     def is_certain(self, job: ActiveJob, now_ms: float) -> bool:
         """Tell whether what waits of a job cannot be running unknown to us."""
-        if job.is_uncertain and (not self.unheard or now_ms >= self.term.leases_end_ms):
+        if job.is_uncertain and (not self.unheard or now_ms >= self.leases_end_ms):
             job.is_uncertain = False
         return not job.is_uncertain
 
@@ -315,7 +334,7 @@
         for job in self.jobs.values():
             if job.is_dirty:
                 job.is_dirty = False
-                changes.append(JobChange(job, job.record()))
+                changes.append(JobChange(job, job.record(), job.take_heard_from()))
         self._changes = {}
         ends = {
             worker_id: (worker.life, worker.seen)
@@ -331,6 +350,7 @@
                 self._changes.setdefault(change.job.job_id, change)
             else:
                 change.job.is_dirty = True
+                change.job.heard_from |= change.workers
 
     def settle_ends(self, ends: Mapping[WorkerId, tuple[str, int]]) -> None:
         """Note that the effect of ends is committed; workers may forget them."""
@@ -388,6 +408,7 @@
             self._forget(step, run)
         if index in step.done:
             return
+        job.heard_from.add(worker.info.worker)
         self._changed(job)
         if end.kind is not EndKind.DONE:
             self._notice(worker, end.task, end.number, end.kind.value)
@@ -440,7 +461,8 @@
             self._adopt(worker, job, step, listed, now_ms)
             return
         if not is_known or step is None or listed.task.index in step.done:
-            self._stop_unknown(worker, listed, now_ms)
+            if not self._may_be_unread(listed.task.job_id):
+                self._stop_unknown(worker, listed, now_ms)
             return
         run.percent = listed.percent
         run.load = listed.load
@@ -452,6 +474,11 @@
         if run.state is RunState.STOPPING:
             self.stop(run, now_ms)
 
+    def _may_be_unread(self, job_id: JobId) -> bool:
+        """Tell whether a job may be in a partition that could not be read yet."""
+        is_known = job_id in self.jobs or job_id in self.ended
+        return not self.is_whole and not is_known
+
     def _may_adopt(self, step: ActiveStep, listed: ListedRun) -> bool:
         index = listed.task.index
         is_free = index not in step.done and not step.runs.get(index)
@@ -539,7 +566,8 @@
         del self.jobs[job.job_id]
         self.ended.add(job.job_id)
         job.state = state
-        self._changes[job.job_id] = JobChange(job, ProgressRecord(state, job.finished))
+        record = ProgressRecord(state, job.finished)
+        self._changes[job.job_id] = JobChange(job, record, job.take_heard_from())
         for run in list(job.runs()):
             self._order_stop(run.worker, run.task, run.number)
             if run.state is not RunState.UNSETTLED:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -140,6 +140,7 @@
     clock_at_ms: float = 0.0
     leased_until_ms: float = 0.0
     is_silent: bool = False
+    has_unread_ends: bool = False
     rest_until_ms: float = 0.0
     failed_jobs: list[str] = field(default_factory=list)
 
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -1,6 +1,7 @@
 """Single decisions of the scheduler, each from a day on which it was wrong."""
 
 import eventlet
+from returns.result import Failure
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.adapters.partedtable import PartedTable
@@ -9,7 +10,7 @@
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.holder import SchedulerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
-from corianderpitch.daemon.scheduling.rows import JOBS_TABLE
+from corianderpitch.daemon.scheduling.rows import JOBS_TABLE, ended_job, job_part
 from corianderpitch.domain.jobs import JobState, Shape
 from corianderpitch.domain.scheduling.catalog import WaveOrder
 from corianderpitch.domain.scheduling.evacuation import evacuate
@@ -30,7 +31,8 @@
     WorkerInfo,
     WorkerReport,
 )
-from corianderpitch.domain.scheduling.workloads import Queue, Step, Workload
+from corianderpitch.domain.scheduling.workloads import Queue, Step, TaskRef, Workload
+from corianderpitch.errors import OutcomeLost
 from corianderpitch.ids import (
     EntryId,
     JobId,
@@ -211,24 +213,32 @@
     assert next_steps(wave, *arguments, pressed, set(), late_ms)[1] == {WorkerId("w1")}
 
 
+def job_rows(store):
+    """Return the rows of all jobs."""
+    parts = store.list_parts(JOBS_TABLE).unwrap()
+    return [row for part in parts for row in store.read(JOBS_TABLE, part).unwrap().rows]
+
+
+def make_commits():
+    """Make a task that commits what a scheduler decides, and its store."""
+    clock = ManualClock(1000.0)
+    store = MemoryRowStore(clock)
+    role = RoleLease(
+        "scheduler", EntryId("e1"), PartedTable(store), clock, 500.0, 2000.0
+    )
+    assert role.seek()
+    scheduler = make_scheduler()
+    commits = CommitTask(
+        store, role, scheduler, clock, JobMeters(), lambda: None, 120_000.0
+    )
+    return clock, store, scheduler, commits
+
+
 class TestCommits:
     """Commits against a store that takes a hundred entries at most."""
 
-    def make(self):
-        clock = ManualClock(1000.0)
-        store = MemoryRowStore(clock)
-        role = RoleLease(
-            "scheduler", EntryId("e1"), PartedTable(store), clock, 500.0, 2000.0
-        )
-        assert role.seek()
-        scheduler = make_scheduler()
-        commits = CommitTask(
-            store, role, scheduler, clock, JobMeters(), lambda: None, 120_000.0
-        )
-        return clock, store, scheduler, commits
-
     def test_many_cancelled_jobs_fit_into_transactions(self):
-        _, store, scheduler, commits = self.make()
+        _, store, scheduler, commits = make_commits()
         sizes = []
         plain = store.commit
 
@@ -242,19 +252,18 @@
             scheduler.cancel_job(JobId(f"job{number}"))
         assert commits.commit_all()
         assert max(sizes) <= 100
-        rows = store.read(JOBS_TABLE, QUEUE.name).unwrap().rows
-        assert len(rows) == 60
+        assert len(job_rows(store)) == 60
 
     def test_ended_jobs_are_forgotten_after_their_time(self):
-        clock, store, scheduler, commits = self.make()
+        clock, store, scheduler, commits = make_commits()
         scheduler.add_job(make_job())
         scheduler.cancel_job(JobId("a"))
         assert commits.commit_all()
         commits.forget_ended()
-        assert len(store.read(JOBS_TABLE, QUEUE.name).unwrap().rows) == 1
+        assert len(job_rows(store)) == 1
         clock.advance(200_000.0)
         commits.forget_ended()
-        assert store.read(JOBS_TABLE, QUEUE.name).unwrap().rows == ()
+        assert job_rows(store) == []
 
 
 def test_a_role_that_was_just_taken_is_not_taken_again_before_its_first_beat():
@@ -324,3 +333,98 @@
     report(scheduler, "w1", asked_ms=NOW_MS + 1.0)
     assert order.task in scheduler.workers[WorkerId("w1")].runs
     assert starts(scheduler, NOW_MS + 3.0) == []
+
+
+class TestUnreadPartitions:
+    """The store answers for some of its partitions only, at a takeover."""
+
+    def run_of(self, number=3):
+        job = make_job("late", version=2)
+        task = TaskRef(job.job_id, 0, 0, 0)
+        return job, ListedRun(task, number, "", 50.0)
+
+    def test_a_run_of_a_job_that_is_not_read_yet_is_left_alone(self):
+        scheduler = make_scheduler(("w1",))
+        scheduler.is_whole = False
+        _, run = self.run_of()
+        report(scheduler, "w1", running=[run])
+        assert scheduler.take_orders() == []
+        scheduler.is_whole = True
+        report(scheduler, "w1", running=[run], asked_ms=NOW_MS + 600.0)
+        assert [type(order) for order in scheduler.take_orders()] == [StopRun]
+
+    def test_an_end_of_a_job_that_is_not_read_yet_is_kept_by_the_worker(self):
+        scheduler = make_scheduler(("w1",))
+        scheduler.is_whole = False
+        job, run = self.run_of()
+        end = ListedEnd(1, run.task, run.number, EndKind.DONE, "")
+        report(scheduler, "w1", ended=[end])
+        assert scheduler.workers[WorkerId("w1")].seen == 0
+        scheduler.add_job(job)
+        report(scheduler, "w1", ended=[end])
+        assert scheduler.workers[WorkerId("w1")].seen == 1
+        (change,) = scheduler.take_changes()[0]
+        assert change.record.state is JobState.DONE
+
+    def test_a_job_that_is_read_late_waits_for_the_lists_of_all_workers(self):
+        """Its task may run, also when all leases of the predecessor have lapsed."""
+        scheduler = make_scheduler(("w1",))
+        scheduler.is_whole = False
+        job, run = self.run_of()
+        late_ms = NOW_MS + 20_000.0
+        report(scheduler, "w1", running=[run], asked_ms=late_ms)
+        scheduler.hear_again(late_ms + 6000.0)
+        scheduler.add_job(job)
+        scheduler.is_whole = True
+        assert starts(scheduler, late_ms) == []
+        report(scheduler, "w1", running=[run], asked_ms=late_ms)
+        assert starts(scheduler, late_ms) == []
+        assert list(job.runs())[0].number == run.number
+
+
+class TestPartitionedCommits:
+    """A partition that does not answer holds up nothing but itself."""
+
+    def lose_part(self, store, part):
+        plain = store.commit
+
+        def partly(checks, writes):
+            if any(entry.key.part == part for entry in (*checks, *writes)):
+                return Failure(OutcomeLost("silent"))
+            return plain(checks, writes)
+
+        store.commit = partly
+
+    def test_the_others_are_committed_and_their_ends_settled(self):
+        _, store, scheduler, commits = make_commits()
+        names = [f"job{number}" for number in range(12)]
+        for name in names:
+            scheduler.add_job(make_job(name))
+        orders = starts(scheduler)
+        lost = job_part(QUEUE.name, JobId("job0"))
+        self.lose_part(store, lost)
+        for order in orders:
+            sequence = scheduler.workers[order.worker].seen + 1
+            report(scheduler, order.worker, ended=[done(order, sequence)])
+        assert not commits.commit_all()
+        ended = [j for j in names if j not in scheduler.jobs]
+        stored = {ended_job(row.key) for row in job_rows(store)}
+        assert stored == {j for j in ended if job_part(QUEUE.name, j) != lost}
+        assert stored
+        held = {o.worker for o in orders if job_part(QUEUE.name, o.task.job_id) == lost}
+        for name, worker in scheduler.workers.items():
+            assert (worker.settled == worker.seen) == (name not in held)
+
+    def test_what_was_held_up_is_committed_when_the_partition_is_back(self):
+        clock, store, scheduler, commits = make_commits()
+        plain = store.commit
+        scheduler.add_job(make_job("job0"))
+        scheduler.add_job(make_job("job1"))
+        self.lose_part(store, job_part(QUEUE.name, JobId("job0")))
+        scheduler.cancel_job(JobId("job0"))
+        scheduler.cancel_job(JobId("job1"))
+        assert not commits.commit_all()
+        store.commit = plain
+        clock.advance(1000.0)
+        assert commits.commit_all()
+        assert len(job_rows(store)) == 2
