Ask the advice service before starts, and slow fillers down that do harm

Cause: two contracts of the users' platform had no code.

Advice: one call at a time, for the step that comes first in the queue's order, with up to thirty workers that have room, the freest first; following steps are asked about ahead. Tickets belong to a life of a worker; a refused ticket is dropped. Pacing: a tail over its target slows the fillers beside it to 30 percent, then to 0, within 1.2 s of lists that come every 0.6 s; below 0.8 of the target they speed up by ten points a list. Such workers are listed every 0.4 s.

Ruled out: asking about all workers of a pool in one call (the time of a call grows with each); halving the pace until it helps (four lists until it stops).

--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/adapters/memoryadvice.py
@@ -0,0 +1,26 @@
+"""In-memory twin of an advice service."""
+
+from collections.abc import Set
+
+from returns.result import Result, Success
+
+from corianderpitch.domain.scheduling.advice import AskAdvice
+from corianderpitch.errors import PlatformError
+from corianderpitch.ids import WorkerId
+from corianderpitch.ports import Advice, AdviceService
+
+VALIDITY_MS = 3000.0
+
+
+class MemoryAdvice(AdviceService):
+    """Allows the workers that it was given, and remembers what it was asked."""
+
+    def __init__(self, allowed: Set[WorkerId]):
+        self._allowed = allowed
+        self.questions: list[AskAdvice] = []
+
+    def advise(self, question: AskAdvice) -> Result[Advice, PlatformError]:
+        """Return a ticket for each worker that is allowed."""
+        self.questions.append(question)
+        tickets = {w: f"ticket-{w}" for w in question.workers if w in self._allowed}
+        return Success(Advice(tickets, VALIDITY_MS))
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/advisors.py
@@ -0,0 +1,67 @@
+"""Asks the advice service which workers may run a step, one call at a time."""
+
+from collections.abc import Callable
+
+import eventlet
+from returns.result import Failure, Success
+
+from corianderpitch.clock import Clock
+from corianderpitch.daemon.logs import logger
+from corianderpitch.domain.scheduling.advice import next_question, take_advice
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.ports import AdviceService
+
+IDLE_S = 0.02
+RETRY_S = 0.1
+
+log = logger("advice")
+
+
+class AdviceTask:
+    """Keeps steps supplied with tickets, within a tenure."""
+
+    def __init__(
+        self,
+        service: AdviceService,
+        scheduler: Scheduler,
+        clock: Clock,
+        wake: Callable[[], None],
+    ):
+        self._service = service
+        self._scheduler = scheduler
+        self._clock = clock
+        self._wake = wake
+
+    def run(self) -> None:
+        """Ask until killed."""
+        while True:
+            eventlet.sleep(IDLE_S if self.ask() else RETRY_S)
+
+    def ask(self) -> bool:
+        """Make the next call; returns whether there may be another one soon."""
+        asked_ms = self._clock.now_ms()
+        question = next_question(self._scheduler, asked_ms, self._clock.wall_ms())
+        if question is None:
+            return True
+        match self._service.advise(question):
+            case Success(advice):
+                until_ms = asked_ms + advice.validity_ms
+                take_advice(self._scheduler, question, advice.allowed, until_ms)
+                log.info(
+                    "Advised.",
+                    job=question.job_id,
+                    step=question.step,
+                    asked=len(question.workers),
+                    allowed=len(advice.allowed),
+                    took_ms=round(self._clock.now_ms() - asked_ms, 1),
+                )
+                self._wake()
+                return True
+            case Failure(error):
+                log.warning(
+                    "Not advised.",
+                    job=question.job_id,
+                    step=question.step,
+                    cause=repr(error),
+                )
+        return False
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -17,12 +17,14 @@
     StartRun,
     StopRun,
 )
+from corianderpitch.domain.scheduling.pacing import needs_watching
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.errors import WorkerError, WorkerProblem
 from corianderpitch.ids import WorkerId
 from corianderpitch.ports import WorkerLink
 
 LIST_WAIT_MS = 1000  # bounds how long a dead connection stays unnoticed
+PACE_WAIT_MS = 400  # tails are figures of the last half second
 START_LEASE_MS = 2000.0  # a start carried out later than this is refused
 SETTLE_WAIT_MS = 150.0
 SILENT_RETRY_MS = 300.0
@@ -72,6 +74,8 @@
         while self._worker_id in self._scheduler.workers:
             worker = self._scheduler.workers[self._worker_id]
             wait_ms = LIST_WAIT_MS if worker.clock_ms is not None else 0
+            if needs_watching(self._scheduler, worker):
+                wait_ms = min(wait_ms, PACE_WAIT_MS)
             if worker.seen != worker.settled:
                 wait_ms = 0
             if not self._look(wait_ms):
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -1,6 +1,7 @@
 """One tenure of the scheduler's role: what it reads, follows and keeps running."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Protocol
 
 import eventlet
 from eventlet.event import Event
@@ -11,7 +12,6 @@
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.links import WorkerTask
-from corianderpitch.daemon.scheduling.maintainers import MaintenanceTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.rows import (
     CANCEL_SUFFIX,
@@ -24,6 +24,7 @@
 )
 from corianderpitch.daemon.supervision import keep_running
 from corianderpitch.domain.scheduling.evacuation import evacuate
+from corianderpitch.domain.scheduling.pacing import pace_fillers
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
@@ -48,6 +49,13 @@
 log = logger("scheduler")
 
 
+class TermTask(Protocol):
+    """A task that runs beside the scheduler for the time of a tenure."""
+
+    def run(self) -> None:
+        """Work until killed."""
+
+
 class SchedulerTerm:
     """Runs the scheduler while this entry holds the role."""
 
@@ -63,7 +71,7 @@
         lease_ms: float,
         role_lease_ms: float,
         keep_ended_ms: float,
-        new_maintenance: Callable[[Scheduler, Callable[[], None]], MaintenanceTask],
+        companions: Sequence[Callable[[Scheduler, Callable[[], None]], TermTask]],
     ):
         self._store = store
         self._workers = workers
@@ -87,7 +95,7 @@
             self._plan_soon,
             keep_ended_ms,
         )
-        self._maintenance = new_maintenance(self.scheduler, self.wake)
+        self._companions = [new(self.scheduler, self.wake) for new in companions]
         self._tasks: dict[WorkerId, WorkerTask] = {}
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._wake_event = Event()
@@ -111,7 +119,7 @@
                 *loops,
                 self._read_rest,
                 self._commits.run,
-                self._maintenance.run,
+                *(task.run for task in self._companions),
             ):
                 self._threads.append(
                     eventlet.spawn(keep_running, loop, RESTART_PAUSE_S)
@@ -362,6 +370,7 @@
         self._log_notices()
         self._drop_ended_threads()
         orders = self.scheduler.take_orders()
+        orders += pace_fillers(self.scheduler, self._clock.now_ms())
         for order in orders:
             task = self._tasks.get(order.worker)
             if task is not None:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
@@ -9,7 +9,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Start a task; ``checkpoint`` is empty where it begins anew."""
+    """Start a task; ``checkpoint`` is empty where it begins anew.
+
+    ``ticket`` is empty where the queue has no advice policy.
+    """
 
     worker: WorkerId
     task: TaskRef
@@ -17,6 +20,7 @@
     text: str
     checkpoint: str
     fence: int
+    ticket: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 
 from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.advice import permitted
 from corianderpitch.domain.scheduling.ordering import order_key
 from corianderpitch.domain.scheduling.placing import choose_worker, is_usable
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
@@ -35,14 +36,15 @@
             waiting[queue.service].append((queue, job))
     for service, jobs in waiting.items():
         jobs.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
-        for _, job in jobs:
+        for queue, job in jobs:
             for step in list(job.ready_steps(wall_ms)):
                 if not may_restart and step.begun & step.pending:
                     continue
+                workers = permitted(step, queue.advice, usable[service], now_ms)
                 if step.step.is_gang:
-                    _start_gang(scheduler, job, step, usable[service], now_ms)
+                    _start_gang(scheduler, job, step, workers, now_ms)
                 else:
-                    _start_each(scheduler, job, step, usable[service], now_ms)
+                    _start_each(scheduler, job, step, workers, now_ms)
 
 
 def pressed_services(scheduler: Scheduler) -> frozenset[ServiceName]:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -42,11 +42,21 @@
     ended_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Leave to start tasks of one step on one life of a worker."""
+
+    text: str
+    life: str
+    until_ms: float
+
+
 @dataclass(slots=True)
 class ActiveStep:
     """A step of one occurrence: which of its tasks wait, run or are done.
 
-    ``begun`` tasks have been started at some time.
+    ``begun`` tasks have been started at some time. ``tickets`` are those of the
+    advice service; ``denied`` names lives of workers that it does not allow.
     """
 
     step: Step
@@ -58,12 +68,19 @@
     checkpoints: dict[int, str] = field(default_factory=dict)
     runs: dict[int, list[Run]] = field(default_factory=dict)
     begun: set[int] = field(default_factory=set)
+    tickets: dict[WorkerId, Ticket] = field(default_factory=dict)
+    denied: set[tuple[WorkerId, str]] = field(default_factory=set)
 
     @property
     def is_done(self) -> bool:
         """Tell whether all tasks are done."""
         return len(self.done) == self.step.count
 
+    def ticket_for(self, worker: WorkerId) -> str:
+        """Return the ticket for a worker, empty where there is none."""
+        ticket = self.tickets.get(worker)
+        return ticket.text if ticket is not None else ""
+
     def finish(self, index: int) -> None:
         """Note that a task is done."""
         self.done.add(index)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -11,6 +11,7 @@
 from corianderpitch.domain.scheduling.orders import (
     Order,
     OrderResult,
+    PaceRun,
     RunNotice,
     SettleWorker,
     StartRun,
@@ -188,7 +189,9 @@
         match order:
             case StartRun():
                 self._take_start_result(order, result, now_ms)
-            case StopRun() if result is OrderResult.SUPERSEDED:
+            case PaceRun() if result is OrderResult.DONE:
+                self._take_pace(order)
+            case StopRun() | PaceRun() if result is OrderResult.SUPERSEDED:
                 self._check_fence(order.worker, order.fence)
 
     def lease(self, worker_id: WorkerId, length_ms: float, now_ms: float) -> int | None:
@@ -302,6 +305,7 @@
                 job.workload.text,
                 step.checkpoints.get(index, ""),
                 fence,
+                step.ticket_for(worker.info.worker),
             )
         )
 
@@ -595,6 +599,8 @@
                 return
             case OrderResult.SUPERSEDED:
                 self._check_fence(order.worker, order.fence)
+            case OrderResult.NOT_ALLOWED:
+                self._drop_ticket(order)
             case OrderResult.NO_ROOM:
                 worker.rest_until_ms = now_ms + REST_AFTER_REFUSAL_MS
             case _:
@@ -602,6 +608,19 @@
         if run.state is not RunState.RUNNING:
             self._lose(worker, run)
 
+    def _take_pace(self, order: PaceRun) -> None:
+        worker = self.workers.get(order.worker)
+        run = worker.runs.get(order.task) if worker is not None else None
+        if run is not None and run.number == order.number:
+            run.pace_percent = order.percent
+
+    def _drop_ticket(self, order: StartRun) -> None:
+        """Forget a ticket that a worker does not take; another one is asked for."""
+        job = self.jobs.get(order.task.job_id)
+        step = job.find(order.task) if job is not None else None
+        if step is not None:
+            step.tickets.pop(order.worker, None)
+
     def _check_fence(self, worker_id: WorkerId, fence: int) -> None:
         """Conclude from a refused fence number whether somebody else has taken over."""
         if worker_id in self.workers and fence == self.fence_of(worker_id):
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -98,7 +98,8 @@
 class Run:
     """One run of a task on a worker.
 
-    ``fence`` is the number that its start carried.
+    ``fence`` is the number that its start carried. ``pace_percent`` is the share
+    of its speed that it was last let work at, ``paced_ms`` when that was ordered.
     """
 
     task: TaskRef
@@ -111,6 +112,7 @@
     percent: float = 0.0
     load: float = 0.0
     pace_percent: int = 100
+    paced_ms: float = 0.0
 
 
 @dataclass(slots=True)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
@@ -104,12 +104,22 @@
         return any(step.is_lasting for step in self.steps)
 
 
+@dataclass(frozen=True, slots=True)
+class AdvicePolicy:
+    """How long the advice service takes a call, and its tickets are good."""
+
+    decision_ms: float = 0.0
+    per_worker_ms: float = 0.0
+    validity_ms: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Queue:
     """Where callers hand jobs in, and the service whose workers run them.
 
     The latency objective of a job is ``stretch`` times its longest chain of
-    work plus ``target_ms``. Priority 0 comes first.
+    work plus ``target_ms``. Priority 0 comes first. With an ``advice`` policy a
+    task is started only on workers that the advice service allows.
     """
 
     name: QueueName
@@ -118,6 +128,7 @@
     max_attempts: int = 1
     stretch: float = 1.0
     target_ms: float = 0.0
+    advice: AdvicePolicy | None = None
 
 
 def chain_ms(steps: tuple[Step, ...]) -> tuple[float, ...]:
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -14,6 +14,7 @@
 from corianderpitch.domain.jobs import Shape, Task, Worker
 from corianderpitch.domain.outcomes import Answered
 from corianderpitch.domain.platform import ListedVm, VmAction, VmActionState
+from corianderpitch.domain.scheduling.advice import AskAdvice
 from corianderpitch.domain.scheduling.catalog import OperatorChanges
 from corianderpitch.domain.scheduling.maintenance import PoolVm
 from corianderpitch.domain.scheduling.orders import (
@@ -369,6 +370,22 @@
         """Return what has changed since ``after``."""
 
 
+@dataclass(frozen=True, slots=True)
+class Advice:
+    """Tickets of the workers that may run a step, good for ``validity_ms``."""
+
+    allowed: Mapping[WorkerId, str]
+    validity_ms: float
+
+
+class AdviceService(abc.ABC):
+    """Knows which workers a queue's policy allows to run a step."""
+
+    @abc.abstractmethod
+    def advise(self, question: AskAdvice) -> Result[Advice, PlatformError]:
+        """Ask which of the named workers may run a step."""
+
+
 class VmOrderResult(enum.Enum):
     """What the platform made of an order about a VM."""
 
--- /dev/null
+++ b/packages/corianderpitch/tests/test_advice.py
@@ -0,0 +1,97 @@
+"""Queues whose policy allows only some workers."""
+
+from returns.result import Failure
+from test_scheduler import NOW_MS, QUEUE, add_worker, make_job, make_scheduler, starts
+
+from corianderpitch.adapters.memoryadvice import VALIDITY_MS, MemoryAdvice
+from corianderpitch.clock import ManualClock
+from corianderpitch.daemon.scheduling.advisors import AdviceTask
+from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.advice import next_question
+from corianderpitch.domain.scheduling.orders import OrderResult
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.workloads import AdvicePolicy, Queue, Step
+from corianderpitch.errors import PlatformUnavailable
+from corianderpitch.ids import WorkerId
+
+POLICY = AdvicePolicy(decision_ms=20.0, per_worker_ms=2.0, validity_ms=VALIDITY_MS)
+ADVISED = Queue(QUEUE.name, QUEUE.service, max_attempts=2, advice=POLICY)
+
+
+def make_advised(allowed, workers=("w1", "w2", "w3")):
+    scheduler = make_scheduler(workers)
+    scheduler.set_queues({ADVISED.name: ADVISED})
+    service = MemoryAdvice({WorkerId(name) for name in allowed})
+    clock = ManualClock(NOW_MS)
+    task = AdviceTask(service, scheduler, clock, lambda: None)
+    return scheduler, service, clock, task
+
+
+def test_nothing_starts_before_advice_and_then_only_where_it_is_allowed():
+    scheduler, _, _, task = make_advised(["w2"])
+    scheduler.add_job(make_job())
+    assert starts(scheduler) == []
+    assert task.ask()
+    (order,) = starts(scheduler)
+    assert (order.worker, order.ticket) == ("w2", "ticket-w2")
+
+
+def test_workers_that_are_not_allowed_are_not_asked_about_again():
+    scheduler, service, _, task = make_advised([])
+    scheduler.add_job(make_job())
+    task.ask()
+    task.ask()
+    assert len(service.questions) == 1
+    add_worker(scheduler, "w4")
+    task.ask()
+    assert service.questions[-1].workers == ("w4",)
+
+
+def test_a_ticket_that_is_about_to_run_out_is_asked_for_anew():
+    scheduler, service, clock, task = make_advised(["w1"])
+    scheduler.add_job(make_job(steps=(Step(1, Shape(99.0, 1), 1.0),)))
+    assert next_question(scheduler, NOW_MS, 0.0) is None  # nobody has room
+    scheduler.add_job(make_job("b"))
+    task.ask()
+    clock.advance(VALIDITY_MS - 100.0)
+    assert starts(scheduler, clock.now_ms()) == []
+    task.ask()
+    assert len(service.questions) == 2
+    assert len(starts(scheduler, clock.now_ms())) == 1
+
+
+def test_a_ticket_that_a_worker_does_not_take_is_dropped():
+    scheduler, service, _, task = make_advised(["w1"])
+    scheduler.add_job(make_job())
+    task.ask()
+    (order,) = starts(scheduler)
+    scheduler.take_result(order, OrderResult.NOT_ALLOWED, NOW_MS)
+    assert starts(scheduler) == []
+    task.ask()
+    assert len(service.questions) == 2
+    assert len(starts(scheduler)) == 1
+
+
+def test_the_following_step_is_asked_about_before_its_turn():
+    scheduler, service, _, task = make_advised(["w1"])
+    first = Step(1, Shape(1.0, 100), 100.0)
+    second = Step(1, Shape(1.0, 100), 100.0, after=(0,))
+    scheduler.add_job(make_job(steps=(first, second)))
+    task.ask()
+    task.ask()
+    assert [question.step for question in service.questions] == [0, 1]
+
+
+def test_a_service_that_does_not_answer_is_asked_again_later():
+    scheduler, service, _, task = make_advised(["w1"])
+    scheduler.add_job(make_job())
+    service.advise = lambda question: Failure(PlatformUnavailable("away"))
+    assert not task.ask()
+    assert starts(scheduler) == []
+
+
+def test_queues_without_a_policy_are_not_asked_about():
+    scheduler = make_scheduler()
+    scheduler.add_job(make_job())
+    assert isinstance(scheduler, Scheduler)
+    assert next_question(scheduler, NOW_MS, 0.0) is None
