Keep each end at its worker until the job that it concerns is committed

While the commit of a first end was under way, a later end finished the job; the commit failed (its partition did not answer), and the worker of the first end was noted at a job that was no longer looked at. The next commit then settled that worker's ends. Ends of a job whose final record still waited were not kept either.

Each end is now held by its number: a job remembers the ends since its last record, a worker forgets only up to the first one that is open, and ends that come for a job whose final record waits are held until that is written.

Ruled out: the takeover (the end was taken note of before it) and lists that were overtaken (the end was in the holder's list).

--- a/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
@@ -235,8 +235,8 @@
                 vm.runs.pop(task, None)
 
     def _commit(self, now_ms: float) -> None:
-        changes, ends = self._scheduler.take_changes()
-        self._scheduler.settle_ends(ends)
+        changes = self._scheduler.take_changes()
+        self._scheduler.settle(changes)
         for change in changes:
             if change.is_final:
                 self._note_end(change.job, now_ms)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -130,15 +130,12 @@
 
     def commit_all(self) -> bool:
         """Commit what has changed; False if something is left."""
-        changes, ends = self._scheduler.take_changes()
+        changes = self._scheduler.take_changes()
         kept = self._commit_changes(changes)
         self._scheduler.keep_changes(kept)
-        open_workers = {worker for change in kept for worker in change.workers}
-        ends = {w: end for w, end in ends.items() if w not in open_workers}
-        self._scheduler.settle_ends(ends)
         settled, self._settled = self._settled, Event()
         settled.send()
-        if len(kept) < len(changes) or ends:
+        if len(kept) < len(changes):
             self._on_settled()
         return not kept
 
@@ -202,6 +199,7 @@
         return writes
 
     def _note_written(self, changes: Sequence[JobChange], version: int) -> None:
+        self._scheduler.settle(changes)
         for change in changes:
             change.job.progress_version = version
             if change.is_final:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from corianderpitch.domain.jobs import JobState
-from corianderpitch.domain.scheduling.workers import Run
+from corianderpitch.domain.scheduling.workers import EndRef, Run
 from corianderpitch.domain.scheduling.workloads import (
     Step,
     TaskRef,
@@ -111,8 +111,8 @@
 
     ``accepted_ms`` is the holder's own time of its acceptance, ``version`` the
     store's version of its row; ``progress_version`` is that of the row with its
-    progress, 0 while there is none. ``heard_from`` names workers with ends whose
-    effect on the job is not committed.
+    progress, 0 while there is none. ``open_ends`` are ends taken in since the last
+    record of its progress.
     """
 
     def __init__(self, workload: Workload, accepted_ms: float, version: int):
@@ -127,7 +127,7 @@
         self.chain_ms = max(self.tails_ms, default=0.0)
         self.is_dirty = False
         self.is_uncertain = False
-        self.heard_from: set[WorkerId] = set()
+        self.open_ends: list[EndRef] = []
         self.failed_on: dict[tuple[int, int], frozenset[WorkerId]] = {}
         self.left_core_ms = 0.0
         self.left_chain_ms = 0.0
@@ -143,10 +143,10 @@
         key = (step, index)
         self.failed_on[key] = self.failed_on.get(key, frozenset()) | {worker}
 
-    def take_heard_from(self) -> frozenset[WorkerId]:
-        """Return the workers of ends taken in since the last call."""
-        workers, self.heard_from = frozenset(self.heard_from), set()
-        return workers
+    def take_open_ends(self) -> tuple[EndRef, ...]:
+        """Return the ends taken in since the last call."""
+        ends, self.open_ends = tuple(self.open_ends), []
+        return ends
 
     def begin(self, occurrence: int) -> list[ActiveStep]:
         """Return the steps of an occurrence, made when first asked for."""
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -24,6 +24,7 @@
 )
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
+    EndRef,
     ListedEnd,
     ListedRun,
     Run,
@@ -67,12 +68,12 @@
 class JobChange:
     """A job's progress to be committed; a final one ends the job.
 
-    ``workers`` are those whose ends it takes in; they keep these until then.
+    ``ends`` are those that it takes in; workers keep them until then.
     """
 
     job: ActiveJob
     record: ProgressRecord
-    workers: frozenset[WorkerId] = frozenset()
+    ends: tuple[EndRef, ...] = ()
 
     @property
     def is_final(self) -> bool:
@@ -97,7 +98,8 @@
         self._fence_bump = 0
         self._orders: list[Order] = []
         self._notices: list[RunNotice] = []
-        self._changes: dict[JobId, JobChange] = {}
+        self._final: dict[JobId, tuple[ActiveJob, ProgressRecord]] = {}
+        self._ending: dict[JobId, ActiveJob] = {}  # final record not committed yet
         self._stops_sent_ms: dict[tuple[TaskRef, int], float] = {}
 
     # Inputs from the store.
@@ -250,7 +252,7 @@
                 self.unheard.discard(worker.info.worker)
             is_gone = not worker.is_listed and not worker.runs and lapsed
             if worker.is_silent and lapsed and not worker.is_listed:
-                worker.settled = worker.seen
+                worker.open_ends.clear()
             if is_gone and worker.seen == worker.settled:
                 del self.workers[worker.info.worker]
                 self.unheard.discard(worker.info.worker)
@@ -329,44 +331,48 @@
         notices, self._notices = self._notices, []
         return notices
 
-    def take_changes(self) -> tuple[list[JobChange], dict[WorkerId, tuple[str, int]]]:
-        """Return what is to be committed, and the ends that this settles.
-
-        The ends are given by worker: its life, and the last end taken in.
-        """
-        changes = list(self._changes.values())
+    def take_changes(self) -> list[JobChange]:
+        """Return what is to be committed, with the ends that each settles."""
+        changes = [
+            JobChange(job, record, job.take_open_ends())
+            for job, record in self._final.values()
+        ]
+        self._final = {}
         for job in self.jobs.values():
             if job.is_dirty:
                 job.is_dirty = False
-                changes.append(JobChange(job, job.record(), job.take_heard_from()))
-        self._changes = {}
-        ends = {
-            worker_id: (worker.life, worker.seen)
-            for worker_id, worker in self.workers.items()
-            if worker.life is not None and worker.seen != worker.settled
-        }
-        return changes, ends
+                changes.append(JobChange(job, job.record(), job.take_open_ends()))
+        return changes
 
     def keep_changes(self, changes: Iterable[JobChange]) -> None:
-        """Take back changes whose commit failed, to be committed again."""
+        """Take back changes whose commit failed, to be committed again.
+
+        The job may have ended since; its ends then wait for its final record.
+        """
         for change in changes:
+            job = change.job
+            job.open_ends = [*change.ends, *job.open_ends]
             if change.is_final:
-                self._changes.setdefault(change.job.job_id, change)
+                self._final.setdefault(job.job_id, (job, change.record))
             else:
-                change.job.is_dirty = True
-                change.job.heard_from |= change.workers
+                job.is_dirty = True
 
-    def settle_ends(self, ends: Mapping[WorkerId, tuple[str, int]]) -> None:
-        """Note that the effect of ends is committed; workers may forget them."""
-        for worker_id, (life, sequence) in ends.items():
-            worker = self.workers.get(worker_id)
-            if worker is not None and worker.life == life:
-                worker.settled = max(worker.settled, sequence)
+    def settle(self, changes: Iterable[JobChange]) -> None:
+        """Note that changes are committed; workers may forget their ends."""
+        for change in changes:
+            ends = change.ends
+            if change.is_final:
+                del self._ending[change.job.job_id]
+                ends += change.job.take_open_ends()
+            for end in ends:
+                worker = self.workers.get(end.worker)
+                if worker is not None and worker.life == end.life:
+                    worker.open_ends.discard(end.sequence)
 
     @property
     def has_final_changes(self) -> bool:
         """Tell whether the end of a job waits to be committed."""
-        return bool(self._changes)
+        return bool(self._final)
 
     # Transitions.
 
@@ -381,7 +387,8 @@
         """
         had_life = worker.life is not None
         worker.life = life
-        worker.seen = worker.settled = 0
+        worker.seen = 0
+        worker.open_ends.clear()
         worker.clock_ms = None
         worker.leased_until_ms = 0.0
         worker.failed_jobs.clear()
@@ -403,6 +410,7 @@
         run = worker.runs.get(end.task)
         if run is not None and run.number == end.number:
             worker.drop(run)
+        self._hold_end(worker, end)
         job = self.jobs.get(end.task.job_id)
         step = job.find(end.task) if job is not None else None
         if job is None or step is None:
@@ -412,7 +420,6 @@
             self._forget(step, run)
         if index in step.done:
             return
-        job.heard_from.add(worker.info.worker)
         self._changed(job)
         if end.kind is not EndKind.DONE:
             self._notice(worker, end.task, end.number, end.kind.value)
@@ -433,6 +440,16 @@
         if not step.runs.get(index):
             step.pending.add(index)
 
+    def _hold_end(self, worker: WorkerView, end: ListedEnd) -> None:
+        """Let a worker keep an end until the job that it concerns is committed."""
+        job_id = end.task.job_id
+        job = self.jobs.get(job_id) or self._ending.get(job_id)
+        if job is not None and worker.life is not None:
+            ref = EndRef(worker.info.worker, worker.life, end.sequence)
+            job.open_ends.append(ref)
+            job.is_dirty = True
+            worker.open_ends.add(end.sequence)
+
     def _finish(
         self, job: ActiveJob, step: ActiveStep, index: int, now_ms: float
     ) -> None:
@@ -571,7 +588,8 @@
         self.ended.add(job.job_id)
         job.state = state
         record = ProgressRecord(state, job.finished)
-        self._changes[job.job_id] = JobChange(job, record, job.take_heard_from())
+        self._final[job.job_id] = (job, record)
+        self._ending[job.job_id] = job
         for run in list(job.runs()):
             self._order_stop(run.worker, run.task, run.number)
             if run.state is not RunState.UNSETTLED:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -2,6 +2,7 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.workloads import TaskRef
@@ -67,6 +68,14 @@
     checkpoint: str
 
 
+class EndRef(NamedTuple):
+    """Names one end: the worker, its life, and the end's place in its list."""
+
+    worker: WorkerId
+    life: str
+    sequence: int
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerReport:
     """A worker's list, as of ``clock_ms`` of its own clock.
@@ -119,8 +128,8 @@
 class WorkerView:
     """A worker with everything that runs there or may run there.
 
-    ``seen`` is the last end taken in, ``settled`` the last one whose effect is
-    committed. A worker is given nothing before it is recorded in the store, so
+    ``seen`` is the last end taken in; ``open_ends`` are those whose effect is not
+    committed yet. A worker is given nothing before it is recorded in the store, so
     that a successor knows of every worker that may run something.
     ``fence_bump`` is added to the holder's fence number; raising it makes sure
     that orders still under way are refused.
@@ -134,7 +143,7 @@
     draining_since_ms: float | None = None
     life: str | None = None
     seen: int = 0
-    settled: int = 0
+    open_ends: set[int] = field(default_factory=set)
     fence_bump: int = 0
     runs: dict[TaskRef, Run] = field(default_factory=dict)
     free: Shape = field(init=False)
@@ -149,6 +158,11 @@
     def __post_init__(self):
         self.free = self.info.capacity
 
+    @property
+    def settled(self) -> int:
+        """Return the last end up to which the effects of all are committed."""
+        return min(self.open_ends) - 1 if self.open_ends else self.seen
+
     def clock_estimate_ms(self, now_ms: float) -> float | None:
         """Return a lower bound of the worker's clock, ``None`` if never heard."""
         if self.clock_ms is None:
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -162,7 +162,7 @@
         end = ListedEnd(1, order.task, order.number, EndKind.FAILED, "")
         report(scheduler, order.worker, ended=[end])
     assert len(set(workers)) == QUEUE.max_attempts
-    (change,), _ = scheduler.take_changes()
+    (change,) = scheduler.take_changes()
     assert change.record.state is JobState.FAILED
 
 
@@ -363,7 +363,7 @@
         scheduler.add_job(job)
         report(scheduler, "w1", ended=[end])
         assert scheduler.workers[WorkerId("w1")].seen == 1
-        (change,) = scheduler.take_changes()[0]
+        (change,) = scheduler.take_changes()
         assert change.record.state is JobState.DONE
 
     def test_a_job_that_is_read_late_waits_for_the_lists_of_all_workers(self):
@@ -428,3 +428,47 @@
         clock.advance(1000.0)
         assert commits.commit_all()
         assert len(job_rows(store)) == 2
+
+    def test_an_end_is_kept_while_a_later_end_of_its_job_is_not_committed(self):
+        """The job ends while the commit of its first end is under way, and fails."""
+        scheduler = make_scheduler()
+        scheduler.add_job(make_job(steps=(Step(2, Shape(3.0, 100), 100.0),)))
+        first, second = starts(scheduler)
+        report(scheduler, first.worker, ended=[done(first)])
+        changes = scheduler.take_changes()
+        report(scheduler, second.worker, ended=[done(second)])
+        scheduler.keep_changes(changes)
+        again = scheduler.take_changes()
+        assert [change.is_final for change in again] == [True]
+        scheduler.keep_changes(again)
+        settled = {order.worker: 0 for order in (first, second)}
+        assert settled == {w: v.settled for w, v in scheduler.workers.items()}
+        scheduler.settle(scheduler.take_changes())
+        assert all(worker.settled == 1 for worker in scheduler.workers.values())
+
+    def test_ends_of_a_job_whose_final_record_waits_are_kept(self):
+        """A successor that reads no final record must still see them."""
+        scheduler = make_scheduler()
+        scheduler.add_job(make_job(steps=(Step(2, Shape(3.0, 100), 100.0),)))
+        first, second = starts(scheduler)
+        scheduler.cancel_job(JobId("a"))
+        taken = scheduler.take_changes()
+        report(scheduler, second.worker, ended=[done(second)])
+        assert scheduler.workers[second.worker].settled == 0
+        scheduler.settle(taken)
+        assert scheduler.workers[second.worker].settled == 1
+
+    def test_a_later_end_is_kept_behind_an_open_one(self):
+        scheduler = make_scheduler(("w1",))
+        scheduler.add_job(make_job("a"))
+        scheduler.add_job(make_job("b"))
+        orders = starts(scheduler)
+        ends = [done(order, n + 1) for n, order in enumerate(orders)]
+        report(scheduler, "w1", ended=ends)
+        changes = {change.job.job_id: change for change in scheduler.take_changes()}
+        first, second = (changes[order.task.job_id] for order in orders)
+        scheduler.settle([second])
+        scheduler.keep_changes([first])
+        assert scheduler.workers[WorkerId("w1")].settled == 0
+        scheduler.settle(scheduler.take_changes())
+        assert scheduler.workers[WorkerId("w1")].settled == 2
--- a/packages/corianderpitch/tests/test_scheduler_rules.py
+++ b/packages/corianderpitch/tests/test_scheduler_rules.py
@@ -106,7 +106,7 @@
             self.scheduler.add_job(job)
 
     def commit(self) -> None:
-        changes, ends = self.scheduler.take_changes()
+        changes = self.scheduler.take_changes()
         if not self.is_current():
             self.scheduler.keep_changes(changes)
             self.scheduler.is_superseded = True
@@ -117,7 +117,7 @@
         for change in changes:
             self.store.progress[change.job.job_id] = change.record
         self.store.next_version()
-        self.scheduler.settle_ends(ends)
+        self.scheduler.settle(changes)
 
     def lease(self, worker: str, wanted_ms: float, now_ms: float) -> float | None:
         end_ms = ROLE_LEASE_MS + LEASE_MS - 500.0
