--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -188,8 +188,9 @@
         if gone:
             self._scheduler.take_gone(gone)
             self._wake()
-        if not self._gone.issuperset(gone):
-            log.info("Workers have ended.", workers=sorted(gone), at_ms=round(asked_ms))
+        fresh = sorted(set(gone) - self._gone)
+        if fresh:
+            log.info("Workers have ended.", workers=fresh, at_ms=round(asked_ms))
         self._gone = set(gone)
 
     def _take_moves(self) -> None:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -76,6 +76,12 @@
         """Tell whether all tasks are done."""
         return len(self.done) == self.step.count
 
+    def failures(self, index: int) -> int:
+        """Return how often a task has failed; a gang fails as a whole."""
+        if not self.step.is_gang:
+            return len(self.failed.get(index, ()))
+        return len(set().union(*self.failed.values()))
+
     def ticket_for(self, worker: WorkerId) -> str:
         """Return the ticket for a worker, empty where there is none."""
         ticket = self.tickets.get(worker)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -432,7 +432,7 @@
                 step.failed.setdefault(index, set()).add(end.number)
                 job.avoid(step.number, index, worker.info.worker)
                 self._blame(worker, job, now_ms)
-                if len(step.failed[index]) >= self._max_attempts(job):
+                if step.failures(index) >= self._max_attempts(job):
                     self._end_job(job, JobState.FAILED)
                     return
         if end.checkpoint:
