--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -19,6 +19,7 @@
 )
 from corianderpitch.domain.scheduling.pacing import needs_watching
 from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.errors import WorkerError, WorkerProblem
 from corianderpitch.ids import WorkerId
 from corianderpitch.ports import WorkerLink
@@ -71,8 +72,10 @@
 
     def watch(self) -> None:
         """Take the worker's list again and again, and renew its lease."""
+        info: WorkerInfo | None = None
         while self._worker_id in self._scheduler.workers:
             worker = self._scheduler.workers[self._worker_id]
+            info = worker.info
             wait_ms = LIST_WAIT_MS if worker.clock_ms is not None else 0
             if needs_watching(self._scheduler, worker):
                 wait_ms = min(wait_ms, PACE_WAIT_MS)
@@ -85,6 +88,8 @@
             elif worker.has_unread_ends:
                 eventlet.sleep(UNREAD_RETRY_MS / 1000.0)
         self._orders.put(None)
+        if info is not None:
+            self._link.forget(info)
 
     def carry_out(self) -> None:
         """Carry orders out, one after the other."""
--- a/tests/integration/test_userplatform.py
+++ b/tests/integration/test_userplatform.py
@@ -277,3 +277,21 @@
     other = next(name for name in place.entries if name != holder)
     job = place.submit(STEPS, other)
     wait_until(lambda: place.state(job, other) == "completed", 15.0, "completed")
+
+
+def test_settings_are_read_again_and_a_bad_file_changes_nothing(place):
+    process, _, ready = place.entries["e0"]
+    path, log = place.folder / "e0.toml", place.folder / "e0.log"
+    good = path.read_text()
+    path.write_text(good.replace("grace_s = 2", "grace_s = 3"))
+    process.send_signal(signal.SIGHUP)
+    said = '"message": "Settings read again.", "changed": ["grace_ms"]'
+    wait_until(lambda: said in log.read_text(), 5.0, "settings read again")
+    path.write_text("node = ")
+    process.send_signal(signal.SIGHUP)
+    refused = "Settings not taken over."
+    wait_until(lambda: refused in log.read_text(), 5.0, "settings refused")
+    path.write_text(good)
+    assert place.is_ready(ready)
+    job = place.submit(STEPS)
+    wait_until(lambda: place.state(job) == "completed", 15.0, "completed")
