Wait for a predecessor's lease of a worker that was heard once, then fell silent

A new holder that had a worker's list, but had given it no lease yet, took its lease for lapsed as soon as the worker fell silent, though the predecessor's might last for 6 s more, and started its tasks elsewhere.

The walks drive the machine that Hypothesis drives, 250 steps each, weighted towards takeovers, with a commit under way between rounds and jobs that the store does not answer for.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -169,15 +169,16 @@
             return None
         return self.clock_ms + (now_ms - self.clock_at_ms) * (1.0 - CLOCK_DRIFT)
 
-    def lease_end_ms(self, unknown_ms: float) -> float:
+    def lease_end_ms(self, predecessors_ms: float) -> float:
         """Return when the last lease has certainly lapsed, in the holder's time.
 
-        ``unknown_ms`` is the answer for a worker whose clock was never heard.
+        A predecessor may have given a lease until ``predecessors_ms``.
         """
         if self.clock_ms is None:
-            return unknown_ms
+            return predecessors_ms
         left_ms = max(0.0, self.leased_until_ms - self.clock_ms)
-        return self.clock_at_ms + left_ms / (1.0 - CLOCK_DRIFT) + LEASE_SLACK_MS
+        own_ms = self.clock_at_ms + left_ms / (1.0 - CLOCK_DRIFT) + LEASE_SLACK_MS
+        return max(own_ms, predecessors_ms)
 
     def add(self, run: Run) -> None:
         """Count a run against the worker's room."""
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -117,6 +117,23 @@
     assert again.number > order.number
 
 
+def test_a_predecessors_lease_counts_for_a_worker_that_was_heard_once():
+    """It answered a new holder, which gave it no lease yet, and fell silent."""
+    scheduler = Scheduler(Term(2, 5, NOW_MS + 6000.0))
+    scheduler.set_queues({QUEUE.name: QUEUE})
+    for name in ("w1", "w2"):
+        add_worker(scheduler, name)
+    job = make_job(version=2)
+    scheduler.add_job(job)
+    run = ListedRun(TaskRef(job.job_id, 0, 0, 0), 1, "", 50.0)
+    report(scheduler, "w1", running=[run])
+    scheduler.take_silence(WorkerId("w1"))
+    scheduler.expire(NOW_MS + 5900.0)
+    assert starts(scheduler, NOW_MS + 5900.0) == []
+    scheduler.expire(NOW_MS + 6100.0)
+    assert len(starts(scheduler, NOW_MS + 6100.0)) == 1
+
+
 def test_a_worker_that_has_certainly_ended_is_not_waited_for():
     scheduler = make_scheduler()
     scheduler.add_job(make_job())
--- a/packages/corianderpitch/tests/test_scheduler_rules.py
+++ b/packages/corianderpitch/tests/test_scheduler_rules.py
@@ -4,8 +4,10 @@
 workers raises where a task runs twice.
 """
 
+import random
 from dataclasses import dataclass, field
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
@@ -19,7 +21,7 @@
 )
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ActiveJob, ProgressRecord
-from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import JobChange, Scheduler, Term
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import Queue, Step, TaskRef, Workload
 from corianderpitch.ids import JobId, QueueName, ServiceName, VmId, WorkerId
@@ -32,6 +34,8 @@
 WORKERS = ("w1", "w2", "w3")
 DELIVERIES = ("prompt", "prompt", "answers_lost", "held")
 REACHES = (WORKERS, WORKERS, ("w1", "w2"), ("w2", "w3"), ("w1",), ())
+MAX_JOBS = 6
+LOST_JOBS = ((), (), ("job1",), ("job2", "job3"))
 RUN_MS = (100.0, 800.0, 3000.0, 9000.0)
 
 
@@ -84,6 +88,7 @@
         self.scheduler.unheard = set(store.recorded)
         self.known: set[str] = set()
         self.ended: set[str] = set()
+        self.under_way: list[JobChange] = []
         self.take_jobs(now_ms)
 
     def is_renewed(self, now_ms: float) -> bool:
@@ -105,12 +110,18 @@
                 job.restore(record)
             self.scheduler.add_job(job)
 
-    def commit(self) -> None:
-        changes = self.scheduler.take_changes()
+    def commit(self, lost: tuple[str, ...] = ()) -> None:
+        """Finish the commit that is under way, and begin the next one.
+
+        The store does not answer for the jobs that are ``lost``.
+        """
+        changes, self.under_way = self.under_way, []
         if not self.is_current():
             self.scheduler.keep_changes(changes)
             self.scheduler.is_superseded = True
             return
+        kept = [change for change in changes if change.job.job_id in lost]
+        changes = [change for change in changes if change.job.job_id not in lost]
         workers = self.scheduler.workers_to_record()
         self.store.recorded = set(workers)
         self.scheduler.note_recorded(workers)
@@ -118,6 +129,8 @@
             self.store.progress[change.job.job_id] = change.record
         self.store.next_version()
         self.scheduler.settle(changes)
+        self.scheduler.keep_changes(kept)
+        self.under_way = self.scheduler.take_changes()
 
     def lease(self, worker: str, wanted_ms: float, now_ms: float) -> float | None:
         end_ms = ROLE_LEASE_MS + LEASE_MS - 500.0
@@ -162,7 +175,7 @@
     @rule(count=st.integers(1, 3), steps=st.integers(1, 2))
     def submit(self, count, steps):
         self.jobs += 1
-        if self.jobs > 3:
+        if self.jobs > MAX_JOBS:
             return
         name = JobId(f"job{self.jobs}")
         shape = Shape(1.0, 100)
@@ -181,6 +194,7 @@
                 st.sampled_from([True, True, True, False]),
                 st.sampled_from(RUN_MS),
                 st.sampled_from([10.0, 50.0, 200.0, 900.0]),
+                st.sampled_from(LOST_JOBS),
             ),
             min_size=1,
             max_size=6,
@@ -188,12 +202,12 @@
     )
     def run_holders(self, rounds):
         """Let holders do rounds: lists of workers, orders, a commit, some time."""
-        for which, delivery, reach, reaches_store, run_ms, ms in rounds:
+        for which, delivery, reach, reaches_store, run_ms, ms, lost in rounds:
             holder = self.holders[which % len(self.holders)]
-            self._round(holder, delivery, reach, reaches_store, run_ms)
+            self._round(holder, delivery, reach, reaches_store, run_ms, lost)
             self.pass_time(ms)
 
-    def _round(self, holder, delivery, reach, reaches_store, run_ms) -> None:
+    def _round(self, holder, delivery, reach, reaches_store, run_ms, lost) -> None:
         """Do one round.
 
         Held calls wait for ``arrive``. Of calls whose answers are lost the
@@ -209,7 +223,7 @@
                 self._deliver(holder, "prompt", run_ms)
             else:
                 holder.scheduler.take_silence(WorkerId(name))
-        self._run(holder, reaches_store)
+        self._run(holder, reaches_store, lost)
         self._deliver(holder, delivery, run_ms)
 
     def _deliver(self, holder: Holder, delivery: str, run_ms: float) -> None:
@@ -225,14 +239,14 @@
             elif delivery == "answers_lost":
                 self._give_up(call)
 
-    def _run(self, holder: Holder, reaches_store: bool = True) -> None:
+    def _run(self, holder: Holder, reaches_store: bool, lost: tuple[str, ...]) -> None:
         if reaches_store and holder.is_renewed(self.now_ms):
             holder.take_jobs(self.now_ms)
             for name, worker in self.workers.items():
                 if worker.is_up:
                     self._list(holder, name)
         if reaches_store:
-            holder.commit()
+            holder.commit(lost)
         holder.scheduler.expire(self.now_ms)
         plan(holder.scheduler, self.now_ms, 0.0, holder.is_renewed(self.now_ms))
         for order in holder.scheduler.take_orders():
@@ -394,6 +408,51 @@
 )
 
 
+WALK_STEPS = 250
+
+
+@pytest.mark.parametrize("seed", range(1000))
+def test_no_task_runs_twice_on_a_long_walk(seed):
+    """Walks that are longer than examples, and weighted towards takeovers."""
+    draw = random.Random(seed)
+    machine = SchedulerRules()
+    machine.begin()
+    for _ in range(WALK_STEPS):
+        _walk(machine, draw)
+
+
+def _walk(machine, draw):
+    """Take one step: mostly rounds of the newest holder, at times of an old one."""
+    match draw.choices(range(7), (60, 8, 4, 8, 8, 6, 6))[0]:
+        case 0:
+            newest = len(machine.holders) - 1
+            which = newest if draw.random() < 0.8 else draw.randrange(newest + 1)
+            round_ = (
+                which,
+                draw.choice(DELIVERIES),
+                draw.choice(REACHES),
+                draw.random() < 0.8,
+                draw.choice(RUN_MS),
+                draw.choice((10.0, 50.0, 200.0, 900.0)),
+                draw.choice(LOST_JOBS),
+            )
+            machine.run_holders(rounds=[round_])
+        case 1:
+            machine.submit(count=draw.randint(1, 3), steps=draw.randint(1, 2))
+        case 2:
+            machine.crash(worker=draw.choice(WORKERS))
+        case 3:
+            machine.come_back(worker=draw.choice(WORKERS))
+        case 4:
+            machine.pass_time(ms=2500.0)
+            machine.take_over()
+        case 5 if machine.calls:
+            late = {"run_ms": draw.choice(RUN_MS), "fails": False}
+            machine.arrive(which=draw.randrange(51), **late)
+        case 6 if any(call.is_answered for call in machine.calls):
+            machine.answer(which=draw.randrange(51))
+
+
 def test_a_task_ref_names_its_job():
     assert TaskRef(JobId("a"), 0, 1, 2).job_id == "a"
 
