Leave a VM alone for a second that cannot be moved now, and take another one

It was also the first idle VM in the list, so that a pool that lacked one was given none.

Ruled out: reading that it is leaving from the list of VMs; the list says it is up.

A VM that was busy is left out for a second, by moves and by waves.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -128,7 +128,7 @@
         emptying: set[WorkerId] = set()
         orders: list[MaintainVm] = []
         pressed = pressed_services(self._scheduler)
-        held_back = self._orders.held_back()
+        held_back, busy = self._orders.held_back(), self._orders.busy()
         vms = {v: vm for v, vm in self._orders.vms.items() if v not in self._moves}
         for wave in self._waves.values():
             if wave.is_completed:
@@ -136,7 +136,7 @@
             steps, workers = next_steps(
                 wave, vms, self._scheduler.workers, standby, pressed, held_back, now_ms
             )
-            orders += steps
+            orders += [order for order in steps if order.vm not in busy]
             emptying |= workers
             if not wave.left(self._orders.vms) and self._report(
                 wave.order.number, True
@@ -165,7 +165,8 @@
             under_way = wave.asked_ms.keys() - wave.begun
             bound |= {vm: None for vm in under_way}
         bound |= {v: None for v, vm in vms.items() if vm.worker in emptying}
-        bound |= {vm: vms[vm].pool for vm in self._orders.held_back() if vm in vms}
+        kept = self._orders.held_back() | self._orders.busy()
+        bound |= {vm: vms[vm].pool for vm in kept if vm in vms}
         moves = plan_moves(vms, self._scheduler.workers, needs, standby, bound)
         return [move for move in moves if move not in self._refused]
 
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -22,6 +22,7 @@
 LIST_INTERVAL_MS = 400.0
 HOLDER_CHANGE_SLACK_MS = 500.0
 ROLE_MARGIN_MS = 500.0
+BUSY_REST_MS = 1000.0  # a VM that is leaving or on its way stays so for seconds
 
 log = logger("vms")
 
@@ -59,6 +60,7 @@
         self._predecessors: dict[VmId, float] = {}
         self._written: VmOrdersRecord | None = None
         self._ordered_ms: dict[VmId, float] = {}
+        self._busy_ms: dict[VmId, float] = {}
         self.begun: dict[int, set[VmId]] = {}
         self.vms: dict[VmId, PoolVm] = {}
 
@@ -86,6 +88,12 @@
         }
         return set(self._predecessors)
 
+    def busy(self) -> set[VmId]:
+        """Return the VMs that could not be ordered about a short while ago."""
+        oldest_ms = self._clock.now_ms() - BUSY_REST_MS
+        self._busy_ms = {vm: at for vm, at in self._busy_ms.items() if at > oldest_ms}
+        return set(self._busy_ms)
+
     def announce(self, vms: Iterable[VmId]) -> bool:
         """Name VMs in the store before orders about them are sent.
 
@@ -176,7 +184,9 @@
         fence = self._scheduler.term.fence + self._orders
         result = send(fence)
         log.info(what, vm=vm, **details, fence=fence, result=result.value)
-        if result is VmOrderResult.SUPERSEDED:
+        if result is VmOrderResult.BUSY:
+            self._busy_ms[vm] = self._clock.now_ms()
+        elif result is VmOrderResult.SUPERSEDED:
             self._scheduler.is_superseded = True
         return result
 
--- a/packages/corianderpitch/tests/test_sizing.py
+++ b/packages/corianderpitch/tests/test_sizing.py
@@ -65,6 +65,13 @@
     assert moves(vms, views, {QUIET: (0, 0, 0)}, bound) == []
 
 
+def test_another_vm_is_taken_in_place_of_one_that_cannot_move():
+    vms, views = make_pools(full=1)
+    bound = {VmId("rest-0"): REST}
+    found = moves(vms, views, {FULL: (2, 2, 2)}, bound)
+    assert found == [MoveVm(VmId("rest-1"), FULL)]
+
+
 def test_vms_that_are_on_their_way_count_and_lost_ones_do_not():
     vms, views = make_pools(full=2)
     vms[VmId("full-0")] = PoolVm(VmId("full-0"), FULL, VmCondition.MOVING, None)
--- a/packages/corianderpitch/tests/test_vmorders.py
+++ b/packages/corianderpitch/tests/test_vmorders.py
@@ -6,7 +6,7 @@
 from corianderpitch.adapters.partedtable import PartedTable
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.roles import RoleLease
-from corianderpitch.daemon.scheduling.vmorders import VmOrders
+from corianderpitch.daemon.scheduling.vmorders import BUSY_REST_MS, VmOrders
 from corianderpitch.domain.scheduling.catalog import WaveOrder
 from corianderpitch.domain.scheduling.maintenance import (
     PoolVm,
@@ -29,17 +29,18 @@
 
     def __init__(self):
         self.fences = []
+        self.result = VmOrderResult.DONE
 
     def list_vms(self):
         return Success((PoolVm(VM, POOL, VmCondition.UP, None),))
 
     def maintain(self, vm, wave, holder, fence):
         self.fences.append(fence)
-        return VmOrderResult.DONE
+        return self.result
 
     def move(self, vm, pool, holder, fence):
         self.fences.append(fence)
-        return VmOrderResult.DONE
+        return self.result
 
 
 class Place:
@@ -136,3 +137,15 @@
     assert steps == []
     steps, _ = next_steps(wave, vms, {}, {REST}, set(), set(), 0.0)
     assert [step.vm for step in steps] == ["a"]
+
+
+def test_a_vm_that_is_busy_is_left_alone_for_a_while():
+    """It was asked every 0.15 s for 3 s, and no other VM in its place."""
+    place = Place()
+    orders = place.holder("e1")
+    place.pools.result = VmOrderResult.BUSY
+    assert orders.announce([VM])
+    orders.move(VM, REST)
+    assert orders.busy() == {VM}
+    place.clock.advance(BUSY_REST_MS)
+    assert orders.busy() == set()
