Rank the workers once a step, and plan in rounds that grow with their cost

Cause: in the profile of the entry, planning ranks all workers for each task, looks through all leases and all runs for fillers at each wake-up, and the advice task walks all jobs fifty times a second where no queue has a policy. These grow with the fleet.

A step's tasks now share one ranking: what a worker is given moves it to the front of the best fit, so the order holds. Leases are checked every 50 ms, fillers looked for only where a job has some, jobs sorted only if something of them waits. Rounds gather for four times what the last one took, 2 to 20 ms. Workers without runs are listed every two seconds.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/advisors.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/advisors.py
@@ -12,6 +12,7 @@
 from corianderpitch.ports import AdviceService
 
 IDLE_S = 0.02
+POLICY_CHECK_S = 0.2
 RETRY_S = 0.1
 
 log = logger("advice")
@@ -35,7 +36,13 @@
     def run(self) -> None:
         """Ask until killed."""
         while True:
-            eventlet.sleep(IDLE_S if self.ask() else RETRY_S)
+            if self._has_policies():
+                eventlet.sleep(IDLE_S if self.ask() else RETRY_S)
+            else:
+                eventlet.sleep(POLICY_CHECK_S)
+
+    def _has_policies(self) -> bool:
+        return any(queue.advice for queue in self._scheduler.queues.values())
 
     def ask(self) -> bool:
         """Make the next call; returns whether there may be another one soon."""
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -25,6 +25,7 @@
 from corianderpitch.ports import WorkerLink
 
 LIST_WAIT_MS = 1000  # bounds how long a dead connection stays unnoticed
+IDLE_WAIT_MS = 2000  # of a worker on which nothing runs
 PACE_WAIT_MS = 400  # tails are figures of the last half second
 START_LEASE_MS = 2000.0  # a start carried out later than this is refused
 SETTLE_WAIT_MS = 150.0
@@ -76,7 +77,9 @@
         while self._worker_id in self._scheduler.workers:
             worker = self._scheduler.workers[self._worker_id]
             info = worker.info
-            wait_ms = LIST_WAIT_MS if worker.clock_ms is not None else 0
+            wait_ms = LIST_WAIT_MS if worker.runs else IDLE_WAIT_MS
+            if worker.clock_ms is None:
+                wait_ms = 0
             if needs_watching(self._scheduler, worker):
                 wait_ms = min(wait_ms, PACE_WAIT_MS)
             if worker.seen != worker.settled:
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -42,7 +42,10 @@
 READERS = 8  # partitions that are read at a time
 WORKERS_INTERVAL_S = 0.2  # workers renew their entries often; takes them in batches
 PLAN_IDLE_S = 0.1
-PLAN_GATHER_S = 0.002
+MIN_GATHER_MS = 2.0
+MAX_GATHER_MS = 20.0
+GATHER_PER_ROUND = 4.0  # planning takes a fifth of the processor at most
+EXPIRY_INTERVAL_MS = 50.0
 RENEW_CHECK_S = 0.1
 RESTART_PAUSE_S = 0.2
 
@@ -103,6 +106,7 @@
         self._jobs_version = 0
         self._unread: set[str] = set()
         self._workers_version = 0
+        self._next_expiry_ms = 0.0
 
     def run(self) -> None:
         """Serve until the role is lost."""
@@ -331,20 +335,30 @@
     # Planning.
 
     def _plan_loop(self) -> None:
+        """Plan when something has changed, in rounds that grow with their cost."""
+        gather_ms = MIN_GATHER_MS
         while True:
             with eventlet.Timeout(PLAN_IDLE_S, False):
                 self._wake_event.wait()
             self._wake_event = Event()
-            eventlet.sleep(PLAN_GATHER_S)
-            now_ms = self._clock.now_ms()
-            self.scheduler.set_queues(self._queues())
+            eventlet.sleep(gather_ms / 1000.0)
+            began_ms = self._clock.now_ms()
+            self._plan(began_ms)
+            took_ms = self._clock.now_ms() - began_ms
+            gather_ms = GATHER_PER_ROUND * took_ms
+            gather_ms = min(MAX_GATHER_MS, max(MIN_GATHER_MS, gather_ms))
+
+    def _plan(self, now_ms: float) -> None:
+        self.scheduler.set_queues(self._queues())
+        if now_ms >= self._next_expiry_ms:
+            self._next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS
             self.scheduler.expire(now_ms)
-            is_renewed = self._role.is_renewed
-            if is_renewed:
-                evacuate(self.scheduler, now_ms)
-            plan(self.scheduler, now_ms, self._clock.wall_ms(), is_renewed)
-            self._meters.set_open(len(self.scheduler.jobs))
-            self._hand_out()
+        is_renewed = self._role.is_renewed
+        if is_renewed:
+            evacuate(self.scheduler, now_ms)
+        plan(self.scheduler, now_ms, self._clock.wall_ms(), is_renewed)
+        self._meters.set_open(len(self.scheduler.jobs))
+        self._hand_out()
 
     def _drop_ended_threads(self) -> None:
         """Forget the threads of workers that are gone."""
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/pacing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/pacing.py
@@ -23,6 +23,8 @@
 def pace_fillers(scheduler: Scheduler, now_ms: float) -> list[PaceRun]:
     """Return the orders that are due, and note them at the runs."""
     orders: list[PaceRun] = []
+    if not scheduler.filler_jobs:
+        return orders
     for worker in scheduler.workers.values():
         fillers = [run for run in worker.runs.values() if _is_filler(scheduler, run)]
         if not fillers or worker.is_silent:
@@ -43,7 +45,7 @@
 
 def needs_watching(scheduler: Scheduler, worker: WorkerView) -> bool:
     """Tell whether a worker has fillers beside tasks that serve users."""
-    runs = worker.runs.values()
+    runs = worker.runs.values() if scheduler.filler_jobs else ()
     return any(_is_filler(scheduler, run) for run in runs) and any(
         _target_ms(scheduler, run) for run in runs
     )
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -42,29 +42,41 @@
     goes where the fewest tasks are that serve users. ``avoided`` lists workers
     that the task has failed on; they are taken only where no other would do.
     """
-    best: WorkerView | None = None
-    best_rank: tuple[float, ...] = ()
-    room = step.step.room
-    for worker in workers:
-        if not room.fits_in(worker.free):
-            continue
-        if not _is_allowed(step, index, worker):
-            continue
-        rank = (
-            worker.info.worker not in avoided,
-            not step.step.data_rack or step.step.data_rack in worker.info.labels,
-            -_neighbours(step, worker),
-            -worker.free.processors,
-        )
-        if best is None or rank > best_rank:
-            best, best_rank = worker, rank
-    return best
-
-
-def _is_allowed(step: ActiveStep, index: int, worker: WorkerView) -> bool:
-    if step.step.label and step.step.label not in worker.info.labels:
+    ranked = rank_workers(step, workers)
+    fitting = [w for w in ranked if may_take(step, index, w)]
+    fresh = (w for w in fitting if w.info.worker not in avoided)
+    return next(fresh, fitting[0] if fitting else None)
+
+
+def rank_workers(step: ActiveStep, workers: Iterable[WorkerView]) -> list[WorkerView]:
+    """Return the workers that have room for a task of a step, best first.
+
+    A task given to one of them moves it further to the front, so that the order
+    still holds for the step's next task.
+    """
+    label = step.step.label
+    fits_in = step.step.room.fits_in
+    fitting = [
+        worker
+        for worker in workers
+        if fits_in(worker.free) and (not label or label in worker.info.labels)
+    ]
+    fitting.sort(key=lambda worker: _rank(step, worker))
+    return fitting
+
+
+def _rank(step: ActiveStep, worker: WorkerView) -> tuple[bool, int, float]:
+    data_rack = step.step.data_rack
+    is_remote = bool(data_rack) and data_rack not in worker.info.labels
+    return (is_remote, _neighbours(step, worker), worker.free.processors)
+
+
+def may_take(step: ActiveStep, index: int, worker: WorkerView) -> bool:
+    """Tell whether a worker with the step's label can take one of its tasks now."""
+    if not step.step.room.fits_in(worker.free):
         return False
-    if any(run.worker == worker.info.worker for run in step.runs.get(index, ())):
+    runs = step.runs.get(index)
+    if runs and any(run.worker == worker.info.worker for run in runs):
         return False
     limit = per_worker_limit(step.step)
     return not limit or runs_on(step, worker.info.worker) < limit
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -1,12 +1,17 @@
 """One round of planning: which waiting tasks start where."""
 
 import math
-from collections import defaultdict
+from collections import defaultdict, deque
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.advice import permitted
 from corianderpitch.domain.scheduling.ordering import order_key
-from corianderpitch.domain.scheduling.placing import choose_worker, is_usable
+from corianderpitch.domain.scheduling.placing import (
+    choose_worker,
+    is_usable,
+    may_take,
+    rank_workers,
+)
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.workers import WorkerView
@@ -32,7 +37,7 @@
         if queue is None or not usable.get(queue.service):
             continue
         job.begin_due(wall_ms)
-        if scheduler.is_certain(job, now_ms):
+        if job.has_waiting_tasks and scheduler.is_certain(job, now_ms):
             waiting[queue.service].append((queue, job))
     for service, jobs in waiting.items():
         jobs.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
@@ -76,14 +81,31 @@
     workers: list[WorkerView],
     now_ms: float,
 ) -> None:
-    """Start the waiting tasks of a step while there is room."""
+    """Start the waiting tasks of a step while there is room.
+
+    Tasks that have not failed anywhere share one ranking of the workers, whose
+    first ones are dropped as they fill up.
+    """
+    ranked = deque(rank_workers(step, workers))
     for index in sorted(step.pending):
-        worker = choose_worker(step, index, workers, _avoided(job, step, index))
+        if avoided := _avoided(job, step, index):
+            worker = choose_worker(step, index, workers, avoided)
+        else:
+            worker = _first_able(step, index, ranked)
         if worker is None:
             return
         scheduler.start(job, step, index, worker, now_ms)
 
 
+def _first_able(
+    step: ActiveStep, index: int, ranked: deque[WorkerView]
+) -> WorkerView | None:
+    """Return the first worker that can take a task; drops those before it."""
+    while ranked and not may_take(step, index, ranked[0]):
+        ranked.popleft()
+    return ranked[0] if ranked else None
+
+
 def _avoided(job: ActiveJob, step: ActiveStep, index: int) -> frozenset[WorkerId]:
     return job.failed_on.get((step.number, index), NOTHING_TO_AVOID)
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -187,6 +187,11 @@
             for runs in step.runs.values():
                 yield from runs
 
+    @property
+    def has_waiting_tasks(self) -> bool:
+        """Tell whether tasks wait, for room or for steps before theirs."""
+        return any(step.pending for step in self.steps())
+
     def ready_steps(self, wall_ms: float) -> Iterable[ActiveStep]:
         """Return the steps whose predecessors are done and whose time has come."""
         for occurrence, steps in self.occurrences.items():
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -89,6 +89,7 @@
         self.queues: dict[QueueName, Queue] = {}
         self.jobs: dict[JobId, ActiveJob] = {}
         self.ended: set[JobId] = set()
+        self.filler_jobs: set[JobId] = set()
         self.workers: dict[WorkerId, WorkerView] = {}
         self.unheard: set[WorkerId] = set()
         self.is_superseded = False
@@ -117,6 +118,8 @@
             return
         job.is_uncertain = job.version < self.term.version
         self.jobs[job.job_id] = job
+        if job.workload.has_fillers:
+            self.filler_jobs.add(job.job_id)
 
     def cancel_job(self, job_id: JobId) -> None:
         """End a job at its caller's wish; its runs are stopped."""
@@ -586,6 +589,7 @@
         """End a job: its record is final, and its runs are stopped."""
         del self.jobs[job.job_id]
         self.ended.add(job.job_id)
+        self.filler_jobs.discard(job.job_id)
         job.state = state
         record = ProgressRecord(state, job.finished)
         self._final[job.job_id] = (job, record)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
@@ -103,6 +103,11 @@
         """Tell whether the job runs until it is cancelled."""
         return any(step.is_lasting for step in self.steps)
 
+    @property
+    def has_fillers(self) -> bool:
+        """Tell whether some of the job's tasks use what others leave idle."""
+        return any(step.is_filler for step in self.steps)
+
 
 @dataclass(frozen=True, slots=True)
 class AdvicePolicy:
