Let entries with room hold the scheduler's role, and the others stand by

Besides, every entry read the role's rows every 0.4 s: 240 reads a second from 97.

Entries now tell their cores in rows of their own, renewed every 8 s. Those with at least 0.7 of the largest live one seek as before; the others look every 2 s and take a role only after it has been free for 1.2 s more. A holder yields when a candidate with much more room was heard of since it took the role, after five seconds at least. At the first start of all, entries wait 1.5 s for each other's rows; after that they read them before they seek, so that a restart of all waits for nothing. Where all entries are of one size nothing changes but the rows.

Tests: standing among unlike entries, late taking of free, lapsed and never held roles, no yielding to rows of entries that are gone, dropped rows.

--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -63,6 +63,7 @@
         self._next_beat_ms = 0.0
         self._is_held = False
         self._renewed_ms = 0.0
+        self.taken_ms = 0.0  # in the table's time
 
     @property
     def is_held(self) -> bool:
@@ -97,11 +98,15 @@
         """Return the same check for a store that has partitions."""
         return Check(parted_key(self._epoch_key), self._epoch_version)
 
-    def seek(self) -> bool:
-        """Take the role if its lease has lapsed; returns whether it was taken."""
+    def seek(self, patience_ms: float = 0.0) -> bool:
+        """Take the role if its lease has lapsed; returns whether it was taken.
+
+        With ``patience_ms`` it must have been free for so much longer.
+        """
         match self._table.read({self._epoch_key: 0, self._beat_key: 0}):
             case Success(rows):
-                return self._has_lapsed(rows) and self._take(rows.get(self._epoch_key))
+                is_free = self._has_lapsed(rows, patience_ms)
+                return is_free and self._take(rows.get(self._epoch_key))
         return False
 
     def renew(self) -> bool:
@@ -141,7 +146,7 @@
                 if row is None or row.version != self._epoch_version:
                     self._lose()
 
-    def _has_lapsed(self, rows: Mapping[str, Row]) -> bool:
+    def _has_lapsed(self, rows: Mapping[str, Row], patience_ms: float) -> bool:
         now_ms = self._clock.now_ms()
         versions = (
             version_of(rows.get(self._epoch_key)),
@@ -150,24 +155,27 @@
         if versions != self._seen_versions:
             self._seen_versions = versions
             self._beat_seen_ms = now_ms
+        unchanged_ms = now_ms - self._beat_seen_ms
         epoch_row = rows.get(self._epoch_key)
         if epoch_row is None:
-            return True
+            return unchanged_ms >= patience_ms
         epoch = decode_row(RoleEpoch, epoch_row.value)
         beat_row = rows.get(self._beat_key)
         beat = decode_row(RoleBeat, beat_row.value) if beat_row else None
         is_beating = beat is not None and beat.epoch == epoch.epoch
         if is_beating and beat.sequence == RELEASED:
-            return True
+            return unchanged_ms >= patience_ms
         renewed_ms = beat.sent_ms if is_beating else epoch.taken_ms
-        return self._is_old(renewed_ms) or now_ms - self._beat_seen_ms >= self._lease_ms
+        free_after_ms = self._lease_ms + patience_ms
+        return unchanged_ms >= free_after_ms or self._is_older(
+            renewed_ms, free_after_ms
+        )
 
-    def _is_old(self, renewed_ms: float) -> bool:
-        """Tell whether a renewal at this time of the table's clock has lapsed."""
+    def _is_older(self, renewed_ms: float, age_ms: float) -> bool:
+        """Tell whether a renewal at a time of the table's clock is older than that."""
         if renewed_ms == 0.0:
             return False
-        age_ms = self._table_time_ms() - renewed_ms
-        return age_ms >= self._lease_ms + TABLE_TIME_SLACK_MS
+        return self._table_time_ms() - renewed_ms >= age_ms + TABLE_TIME_SLACK_MS
 
     def _take(self, epoch_row: Row | None) -> bool:
         old = decode_row(RoleEpoch, epoch_row.value) if epoch_row else None
@@ -178,6 +186,7 @@
         match self._table.commit((check,), (write,)):
             case Success(versions):
                 self._epoch = epoch.epoch
+                self.taken_ms = epoch.taken_ms
                 self._epoch_version = versions[self._epoch_key]
                 self._is_held = True
                 self._renewed_ms = self._clock.now_ms()
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/holder.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/holder.py
@@ -8,8 +8,9 @@
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.terms import SchedulerTerm
+from corianderpitch.domain.scheduling.candidates import Standing
 
-SEEK_INTERVAL_MS = 400.0
+UNKNOWN_INTERVAL_MS = 200.0
 
 log = logger("scheduler")
 
@@ -20,26 +21,38 @@
     def __init__(
         self,
         role: RoleLease,
-        new_term: Callable[[], SchedulerTerm],
+        new_term: Callable[[Callable[[], bool]], SchedulerTerm],
         clock: Clock,
-        is_able: Callable[[], bool],
+        standing: Callable[[], Standing | None],
     ):
         self._role = role
         self._new_term = new_term
         self._clock = clock
-        self._is_able = is_able
+        self._standing = standing
         self.term: SchedulerTerm | None = None
         self._is_leaving = False
 
     def run(self) -> None:
-        """Seek and serve the role until told to leave."""
+        """Seek and serve the role until told to leave.
+
+        An entry without a standing cannot serve yet.
+        """
         while not self._is_leaving:
-            if self._is_able() and self._role.seek():
+            standing = self._standing()
+            if standing is None:
+                eventlet.sleep(UNKNOWN_INTERVAL_MS / 1000.0)
+                continue
+            if self._role.seek(standing.patience_ms):
                 self._serve()
-            eventlet.sleep(SEEK_INTERVAL_MS / 1000.0)
+            eventlet.sleep(standing.interval_ms / 1000.0)
+
+    def _is_outclassed(self) -> bool:
+        """Tell whether a candidate with much more room has come since."""
+        standing = self._standing()
+        return standing is not None and standing.larger_sent_ms > self._role.taken_ms
 
     def _serve(self) -> None:
-        self.term = self._new_term()
+        self.term = self._new_term(self._is_outclassed)
         log.info(
             "Tenure begins.",
             term=self.term.scheduler.term.number,
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -47,6 +47,7 @@
 GATHER_PER_ROUND = 4.0  # planning takes a fifth of the processor at most
 EXPIRY_INTERVAL_MS = 50.0
 RENEW_CHECK_S = 0.1
+MIN_TENURE_MS = 5000.0  # a takeover costs all pools a pause
 RESTART_PAUSE_S = 0.2
 
 log = logger("scheduler")
@@ -75,6 +76,7 @@
         role_lease_ms: float,
         keep_ended_ms: float,
         companions: Sequence[Callable[[Scheduler, Callable[[], None]], TermTask]],
+        is_outclassed: Callable[[], bool],
     ):
         self._store = store
         self._workers = workers
@@ -85,6 +87,7 @@
         self._queues = queues
         self._lease_ms = lease_ms
         self._role_lease_ms = role_lease_ms
+        self._is_outclassed = is_outclassed
         began_ms = clock.now_ms()
         wait_ms = lease_ms * LEASE_END_SHARE
         term = Term(role.epoch, role.fence().version, began_ms + wait_ms)
@@ -135,8 +138,12 @@
                 thread.kill()
 
     def _hold(self) -> None:
+        yields_from_ms = self._clock.now_ms() + MIN_TENURE_MS
         while self._is_serving():
             self._role.renew()
+            if self._is_outclassed() and self._clock.now_ms() >= yields_from_ms:
+                log.info("Yielding to an entry with more room.")
+                self.stop()
             eventlet.sleep(RENEW_CHECK_S)
         log.info(
             "Tenure ends.",
--- a/packages/corianderpitch/corianderpitch/records.py
+++ b/packages/corianderpitch/corianderpitch/records.py
@@ -76,6 +76,14 @@
     sent_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class CandidateRecord:
+    """An entry that may hold a role, its cores, and the table's time of the row."""
+
+    processors: float
+    sent_ms: float
+
+
 @dataclass(frozen=True, slots=True)
 class MemberRecord:
     """An entry's lease; a row that stays unchanged has lapsed."""
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -12,6 +12,7 @@
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.rows import JOBS_TABLE, ended_job, job_part
 from corianderpitch.domain.jobs import JobState, Shape
+from corianderpitch.domain.scheduling.candidates import Standing
 from corianderpitch.domain.scheduling.catalog import WaveOrder
 from corianderpitch.domain.scheduling.evacuation import evacuate
 from corianderpitch.domain.scheduling.maintenance import (
@@ -335,7 +336,7 @@
         def stop(self):
             pass
 
-    task = SchedulerTask(role, Tenure, clock, lambda: True)
+    task = SchedulerTask(role, lambda _: Tenure(), clock, lambda: Standing(True))
     with eventlet.Timeout(5.0):
         task.run()
     assert epochs == [1, 2, 3]
