Let a pool give up as many VMs at a time as its wave needs

Cause: one VM of a pool was emptied at a time, whatever the pool's size. Ruled out: the cap (26 at once) and the rate of the VM service (215 orders a second).

What is left of a pool is now spread over the rounds of 5 s left until the wave is due. Tests: 18 VMs of one pool, three at a time with 30 s left and all in the last round (failed before: one); a pool of three still gives up one at a time.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
@@ -11,6 +11,7 @@
 
 import enum
 import math
+from collections import Counter
 from collections.abc import Iterable, Mapping, Set
 from dataclasses import dataclass, field
 
@@ -18,7 +19,6 @@
 from corianderpitch.domain.scheduling.workers import WorkerView
 from corianderpitch.ids import ServiceName, VmId, WorkerId
 
-MAX_EMPTYING_PER_POOL = 1  # a pool gives up little capacity at a time
 REPEAT_MS = 1000.0
 ROUND_MS = 5000.0  # emptying a VM and its maintenance, as a rule
 
@@ -104,6 +104,7 @@
     that a predecessor ordered about a short while ago.
     """
     may_wait = not wave.is_pressing(vms, now_ms)
+    limits = _emptying_limits(wave, vms, now_ms)
     orders: list[MaintainVm] = []
     emptying: set[WorkerId] = set()
     per_pool: dict[ServiceName, int] = {}
@@ -121,7 +122,7 @@
             orders.append(MaintainVm(vm_id, wave.order.number))
             room -= 1
             continue
-        if worker is None or per_pool.get(vm.pool, 0) >= MAX_EMPTYING_PER_POOL:
+        if worker is None or per_pool.get(vm.pool, 0) >= limits[vm.pool]:
             continue
         if vm.pool in pressed and may_wait and not worker.is_evacuated:
             continue
@@ -133,6 +134,19 @@
     return orders, emptying
 
 
+def _emptying_limits(
+    wave: WaveProgress, vms: Mapping[VmId, PoolVm], now_ms: float
+) -> dict[ServiceName, int]:
+    """Return how many VMs each pool gives up at a time.
+
+    As few as will do: what is left of a pool is spread over the rounds that are
+    left until the wave is due.
+    """
+    rounds = max(1, math.floor((wave.due_ms - now_ms) / ROUND_MS))
+    left = Counter(vms[vm].pool for vm in wave.left(vms))
+    return {pool: math.ceil(count / rounds) for pool, count in left.items()}
+
+
 def is_empty(worker: WorkerView) -> bool:
     """Tell whether nothing runs on a worker, and all its ends are committed."""
     is_heard = worker.life is not None and not worker.is_silent
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -231,6 +231,35 @@
     assert next_steps(wave, *arguments, pressed, set(), late_ms)[1] == {WorkerId("w1")}
 
 
+def busy_wave(count, time_left_ms):
+    """Return the workers of one busy pool that a wave empties at once."""
+    names = [f"w{n:02}" for n in range(count)]
+    scheduler = make_scheduler(names)
+    for number in range(count):
+        scheduler.add_job(make_job(f"{number:016x}", [Step(1, Shape(3.0, 1), 1.0)]))
+    starts(scheduler)
+    vms = {
+        VmId(f"vm-{name}"): PoolVm(
+            VmId(f"vm-{name}"), QUEUE.service, VmCondition.UP, WorkerId(name)
+        )
+        for name in names
+    }
+    order = WaveOrder(1, tuple(vms), time_left_ms, 100, 1)
+    wave = WaveProgress(order, due_ms=NOW_MS + time_left_ms)
+    arguments = (vms, scheduler.workers, frozenset(), frozenset(), set())
+    return next_steps(wave, *arguments, NOW_MS)[1]
+
+
+def test_a_large_pool_gives_up_as_many_vms_at_once_as_its_wave_needs():
+    """A wave of 18 VMs of one pool was late, for one was emptied at a time."""
+    assert len(busy_wave(18, time_left_ms=30_000.0)) == 3
+    assert len(busy_wave(18, time_left_ms=6_000.0)) == 18
+
+
+def test_a_small_pool_gives_up_one_vm_at_a_time():
+    assert len(busy_wave(3, time_left_ms=30_000.0)) == 1
+
+
 def job_rows(store):
     """Return the rows of all jobs."""
     parts = store.list_parts(JOBS_TABLE).unwrap()
