Refuse callers at once while the store does not answer

Callers' reads and commits now pass a circuit breaker: after four failures in a row it lets one call through each 250 ms and refuses the others with 503 and Retry-After. That is true, for nothing was sent; a write that may have arrived still ends as unknown. Four, because fewer may be one partition that is away. A state that cannot be read is 503 too.

Tests (the first failed before, with 0.6 s a call): no waiting and no calls while the store is known to be silent, nothing of what was refused ever stored, taken again one rest after the store is back, one lost answer holds nobody back.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -5,7 +5,9 @@
 
 from returns.result import Failure, Success
 
+from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.scheduling.guardedstore import GuardedStore
 from corianderpitch.daemon.scheduling.rows import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
@@ -55,8 +57,8 @@
 class Intake:
     """Calls of callers, each answered from the store."""
 
-    def __init__(self, store: RowStore):
-        self._store = store
+    def __init__(self, store: RowStore, clock: Clock):
+        self._store = GuardedStore(store, clock)
 
     def submit(self, workload: Workload) -> IntakeResult:
         """Accept a job: it is stored before the caller is told so.
@@ -159,10 +161,7 @@
 
     def _not_done(self, call: str, job_id: JobId, error: PlatformError) -> IntakeResult:
         log.warning("Not done.", call=call, job=job_id, cause=repr(error))
-        kind = IntakeKind.NOT_DONE
-        if call == "show" or call == "count":
-            kind = IntakeKind.UNKNOWN
-        return IntakeResult(kind, retry_after_ms=STORE_AWAY_RETRY_MS)
+        return IntakeResult(IntakeKind.NOT_DONE, retry_after_ms=STORE_AWAY_RETRY_MS)
 
 
 def _count_waiting(rows: tuple[Row, ...]) -> int:
