Send orders about VMs side by side, as the service's rate allows

Cause: orders went one after the other, some 14 ms each, so that the sixty VMs that a turn asks for took most of a second to order, and the last ones came that much later. The service takes 64 orders a second on small deployments, 215 and 310 on larger ones.

As many orders are now under way as the rate allows at 14 ms an order: one on the small deployments, as before, three or four on the others. Those under way end with the tenure; a failure still reaches the log.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -30,10 +30,20 @@
 
 ROUND_S = 0.1
 LOAD_RETRY_S = 0.2
+ORDER_TIME_MS = 14.0  # from sending an order to its answer, as a rule
 
 log = logger("maintenance")
 
 
+def orders_at_once(orders_per_s: float) -> int:
+    """Return how many orders may be under way without passing a rate.
+
+    >>> orders_at_once(64.0), orders_at_once(215.0)
+    (1, 3)
+    """
+    return max(1, int(orders_per_s * ORDER_TIME_MS / 1000.0))
+
+
 @dataclass(slots=True)
 class PendingMove:
     """A move whose order got no answer, and that the list does not show yet."""
@@ -53,7 +63,9 @@
         scheduler: Scheduler,
         clock: Clock,
         wake: Callable[[], None],
+        orders_per_s: float,
     ):
+        self._orders_per_s = orders_per_s
         self._orders = orders
         self._operators = operators
         self._catalogs = catalogs
@@ -117,10 +129,22 @@
         self._mark(emptying)
         named = {order.vm for order in maintains} | {move.vm for move in moves}
         if (named or not self._orders.is_written) and self._orders.announce(named):
+            self._carry_out(maintains, moves)
+
+    def _carry_out(self, maintains: list[MaintainVm], moves: list[MoveVm]) -> None:
+        """Send orders side by side, as many as the service's rate allows."""
+        pool = eventlet.GreenPool(orders_at_once(self._orders_per_s))
+        threads: list[eventlet.greenthread.GreenThread] = []
+        try:
             for order in maintains:
-                self._maintain(order)
+                threads.append(pool.spawn(self._maintain, order))
             for move in moves:
-                self._move(move)
+                threads.append(pool.spawn(self._move, move))
+            for thread in threads:
+                thread.wait()
+        finally:
+            for thread in threads:
+                thread.kill()  # a tenure that ends gives no more orders
 
     def _plan_waves(
         self, standby: frozenset[ServiceName], now_ms: float
