Bench the processor time of an entry for a task, without the users' bench

`make bench`, part `tasks`: a real entry with the scheduler's role against the stand-in of the platform with 30, 180 and 276 workers, jobs of eight tasks at a fixed rate. The stand-in waited for ends by looking every 10 ms at each worker, which took all of its processor at 180 workers; it is now told of ends.

--- a/packages/corianderpitch-standins/corianderpitch_standins/bench.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/bench.py
@@ -20,6 +20,7 @@
 )
 from corianderpitch_standins.benchreport import Report
 from corianderpitch_standins.benchroles import bench_roles
+from corianderpitch_standins.benchtasks import bench_tasks
 
 PARTS = {
     "sharing": bench_sharing,
@@ -32,6 +33,7 @@
     "control": bench_control_cost,
     "wave": bench_wave,
     "roles": bench_roles,
+    "tasks": bench_tasks,
 }
 
 
--- /dev/null
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchtasks.py
@@ -0,0 +1,189 @@
+"""Bench of a real entry on the users' platform: processor time of a task.
+
+One entry with the scheduler's role runs as a process of its own, against the
+stand-in of the platform in another. Jobs of eight tasks are handed in at a fixed
+rate; the kernel's count of the entry's processor time is divided by the tasks done.
+"""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import psutil
+import urllib3
+
+from corianderpitch_standins.benchreport import Report
+from corianderpitch_standins.localfleet import wait_until
+
+ROOT = Path(__file__).resolve().parents[3]
+HOST = "127.0.0.1"
+WORKER_COUNTS = (30, 180, 276)
+JOBS_PER_S = 15.0
+TASKS_PER_JOB = 8
+LOAD_S = 6.0
+REST_S = 3.0
+START_S = 30.0
+TARGET_MS = 1.0
+FLAT_SHARE = 0.2
+SERVICE = "counter"
+CALLER_HEADERS = {"Host": "shop.example", "Content-Type": "application/json"}
+
+_CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "quotes",
+            "host": "shop.example",
+            "prefix": "/quotes/",
+            "service": SERVICE,
+            "max_attempts": 2,
+            "stretch": 1.6,
+            "target_duration_ms": 600,
+        }
+    ],
+    "services": [{"name": SERVICE, "standby": False}],
+    "limits": {"header_bytes": 16384, "body_bytes": 4096},
+}
+_SETTINGS = """
+node = "e0"
+ip = "127.0.0.1"
+zone = "here"
+region = "r"
+[listen]
+front = "{front}"
+ready = "{ready}"
+[bounds]
+hold_max_ms = 6000
+grace_s = 1
+status_s = 120
+lease_ms = 3000
+[platform]
+address = "{store}"
+[cloud]
+address = "{machines}"
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskCost:
+    """What an entry took: of a core at rest, and for each task beyond that."""
+
+    rest_share: float
+    task_ms: float
+    tasks: int
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return f"{HOST}:{probe.getsockname()[1]}"
+
+
+class _Place:
+    """The stand-in of the platform, and one entry on it."""
+
+    def __init__(self, folder: Path, workers: int):
+        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
+        self._jobs = 0
+        command = [sys.executable, "-W", "ignore", "-m"]
+        command += ["corianderpitch_standins.userplatform", json.dumps(_CONFIG)]
+        self._platform = subprocess.Popen(
+            [*command, str(workers)], stdout=subprocess.PIPE, text=True
+        )
+        self._addresses = json.loads(self._platform.stdout.readline())
+        self._front, ready = _free_address(), _free_address()
+        settings = folder / "entry.toml"
+        settings.write_text(
+            _SETTINGS.format(front=self._front, ready=ready, **self._addresses)
+        )
+        environment = os.environ | {"CORIANDERPITCH_SETTINGS": str(settings)}
+        self._entry = subprocess.Popen(
+            [sys.executable, str(ROOT / "platform" / "serve.py")],
+            env=environment,
+            stdout=subprocess.DEVNULL,
+        )
+        self._process = psutil.Process(self._entry.pid)
+        wait_until(lambda: self._is_ready(ready), START_S, "the entry is ready")
+
+    def _is_ready(self, address: str) -> bool:
+        try:
+            url = f"http://{address}/corianderpitch/ready"
+            return self._http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def processor_s(self) -> float:
+        """Return the processor time that the entry has taken."""
+        times = self._process.cpu_times()
+        return times.user + times.system
+
+    def done(self) -> int:
+        """Return how many tasks the workers have done."""
+        url = f"http://{self._addresses['control']}/seen"
+        return json.loads(self._http.request("POST", url, body=b"{}").data)["done"]
+
+    def submit(self) -> None:
+        """Hand a job in."""
+        self._jobs += 1
+        step: dict[str, Any] = {"count": TASKS_PER_JOB, "cpu": 1000, "mem_mb": 100}
+        body = {"spec": "x", "steps": [step | {"estimate_ms": 150}]}
+        url = f"http://{self._front}/quotes/{self._jobs:016x}"
+        answer = self._http.request(
+            "POST", url, body=json.dumps(body).encode(), headers=CALLER_HEADERS
+        )
+        if answer.status != 200:
+            raise RuntimeError(f"a job was answered {answer.status}")
+
+    def close(self) -> None:
+        """End both processes."""
+        self._entry.terminate()
+        self._entry.wait(timeout=10.0)
+        self._platform.kill()
+        self._platform.wait(timeout=10.0)
+
+
+def bench_tasks(report: Report) -> None:
+    """Measure an entry's processor time for a task, by the number of workers."""
+    report.heading("processor time of an entry for a task")
+    costs = [_measure(workers) for workers in WORKER_COUNTS]
+    for workers, cost in zip(WORKER_COUNTS, costs, strict=True):
+        name = f"{workers} workers, {cost.tasks} tasks"
+        report.note(f"{name}, at rest", f"{100.0 * cost.rest_share:.1f} % of a core")
+        report.at_most(f"{name}, for a task", cost.task_ms, TARGET_MS, "ms")
+    growth = costs[-1].task_ms / costs[0].task_ms - 1.0
+    report.at_most("growth to the most workers", growth, FLAT_SHARE, "of it")
+
+
+def _measure(workers: int) -> TaskCost:
+    with tempfile.TemporaryDirectory() as folder:
+        place = _Place(Path(folder), workers)
+        try:
+            return _load(place, workers)
+        finally:
+            place.close()
+
+
+def _load(place: _Place, workers: int) -> TaskCost:
+    time.sleep(REST_S)
+    before_s = place.processor_s()
+    time.sleep(REST_S)
+    rest_share = (place.processor_s() - before_s) / REST_S
+    before_s, done, began_s = place.processor_s(), place.done(), time.monotonic()
+    jobs = int(JOBS_PER_S * LOAD_S)
+    for number in range(jobs):
+        due_s = began_s + number / JOBS_PER_S
+        time.sleep(max(0.0, due_s - time.monotonic()))
+        place.submit()
+    wanted = done + jobs * TASKS_PER_JOB
+    wait_until(lambda: place.done() >= wanted, START_S, "all tasks are done")
+    took_s = time.monotonic() - began_s
+    used_s = place.processor_s() - before_s - rest_share * took_s
+    tasks = jobs * TASKS_PER_JOB
+    return TaskCost(rest_share, 1000.0 * used_s / tasks, tasks)
--- a/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
@@ -14,6 +14,7 @@
 
 import eventlet
 from eventlet import wsgi
+from eventlet.event import Event
 from returns.result import Failure, Success
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
@@ -66,6 +67,7 @@
         self.control_address = self._serve(self._serve_control)
         self.workers: dict[str, SimulatedWorker] = {}
         self.addresses: dict[str, str] = {}
+        self._changed: dict[str, Event] = {}
         self.maintained: set[str] = set()
         self._service = config["services"][0]["name"]
         for number in range(workers):
@@ -190,8 +192,13 @@
         return Reply(409, clock | {"reason": _REASONS[result]})
 
     def _hold(self, worker: SimulatedWorker, body: dict[str, Any]) -> Reply:
-        """Answer with both lists, when there is an end or the wait is over."""
+        """Answer with both lists, when there is an end or the wait is over.
+
+        Waiting looks at the ends, not at the whole report: hundreds of workers
+        are waited for at a time.
+        """
         until_ms = self.clock.now_ms() + body.get("wait_ms", 0)
+        settled = body["last_seen"]
         while True:
             report = worker.report(
                 body["fence_token"],
@@ -203,7 +210,7 @@
                 return Reply(409, {"reason": "fence", "clock_ms": 0})
             if report.ended or self.clock.now_ms() >= until_ms:
                 break
-            eventlet.sleep(STEP_S)
+            self._await_end(worker, settled, until_ms)
         running = [
             [_task_name(r.task), r.number, r.checkpoint, int(r.percent), 0]
             for r in report.running
@@ -222,12 +229,24 @@
             },
         )
 
+    def _await_end(
+        self, worker: SimulatedWorker, settled: int, until_ms: float
+    ) -> None:
+        while self.clock.now_ms() < until_ms:
+            changed = self._changed.setdefault(worker.name, Event())
+            with eventlet.Timeout((until_ms - self.clock.now_ms()) / 1000.0, False):
+                changed.wait()
+            if any(end.sequence > settled for end in worker.ends):
+                return
+
     def _pass_time(self) -> None:
         while True:
             eventlet.sleep(STEP_S)
             for worker in self.workers.values():
                 if worker.is_up:
                     worker.advance(self.clock.now_ms())
+                if worker.ends and worker.name in self._changed:
+                    self._changed.pop(worker.name).send()
 
     def _beat(self) -> None:
         while True:
