Hold callers back by partition, or where nothing of the store has been heard

A breaker now serves one partition, and opens after two failures; the store counts as silent as a whole only when nothing of it was heard for 1.5 s, followers' answers included. A rest begins when a probe has failed, not when it is sent.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/guardedstore.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/guardedstore.py
@@ -7,7 +7,7 @@
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
-from corianderpitch.domain.breaker import Breaker
+from corianderpitch.domain.breaker import REST_MS, Breaker
 from corianderpitch.errors import (
     CommitError,
     OutcomeLost,
@@ -17,6 +17,7 @@
 )
 from corianderpitch.ports import Check, RowStore, Snapshot, Write
 
+SILENT_MS = 1500.0  # followers hear of a quiet store each second
 BREAKER_OPEN = PlatformUnavailable("breaker open")
 
 log = logger("intake")
@@ -26,12 +27,17 @@
 
 
 class GuardedStore:
-    """Reads and commits behind a circuit breaker."""
+    """Reads and commits behind circuit breakers, one for each partition.
+
+    The store may not answer for some of its partitions only. That it is silent as a
+    whole shows where nothing of it has been heard, also by those who follow it.
+    """
 
     def __init__(self, store: RowStore, clock: Clock):
         self._store = store
         self._clock = clock
-        self._breaker = Breaker()
+        self._breakers: dict[str, Breaker] = {}
+        self._next_probe_ms = 0.0
 
     def time_ms(self) -> float:
         """Return the store's steady clock, as estimated."""
@@ -41,24 +47,38 @@
         self, table: str, part: str, first: str = "", end: str = ""
     ) -> Result[Snapshot, PlatformError]:
         """Read the rows of a partition."""
-        return self._guard(lambda: self._store.read(table, part, first, end))
+        return self._guard(part, lambda: self._store.read(table, part, first, end))
 
     def commit(
         self, checks: tuple[Check, ...], writes: tuple[Write, ...]
     ) -> Result[int, CommitError]:
         """Write all rows if every check holds."""
-        return self._guard(lambda: self._store.commit(checks, writes))
+        part = checks[0].key.part
+        return self._guard(part, lambda: self._store.commit(checks, writes))
 
-    def _guard(self, call: Callable[[], Result[Answer, Error]]) -> Result:
-        if not self._breaker.allows(self._clock.now_ms()):
+    def _guard(self, part: str, call: Callable[[], Result[Answer, Error]]) -> Result:
+        now_ms = self._clock.now_ms()
+        breaker = self._breakers.setdefault(part, Breaker())
+        if self._is_silent(now_ms) or not breaker.allows(now_ms):
             return Failure(BREAKER_OPEN)
-        was_open = self._breaker.is_open
+        was_open = breaker.is_open
         result = call()
         match result:
             case Failure(OutcomeLost() | PlatformUnavailable() | RateLimited()):
-                self._breaker.fail(self._clock.now_ms())
+                breaker.fail(self._clock.now_ms())
+                self._next_probe_ms = self._clock.now_ms() + REST_MS
             case _:
-                self._breaker.succeed()
-        if self._breaker.is_open != was_open:
-            log.warning("Store.", away=self._breaker.is_open, detail=repr(result))
+                breaker.succeed()
+        if breaker.is_open != was_open:
+            log.warning("Store.", part=part, away=not was_open, detail=repr(result))
         return result
+
+    def _is_silent(self, now_ms: float) -> bool:
+        """Tell whether the store is silent; one call a rest finds out more."""
+        answered_ms = self._store.answered_ms
+        if answered_ms is None or now_ms - answered_ms < SILENT_MS:
+            return False
+        if now_ms < self._next_probe_ms:
+            return True
+        self._next_probe_ms = now_ms + REST_MS
+        return False
--- a/packages/corianderpitch/corianderpitch/domain/breaker.py
+++ b/packages/corianderpitch/corianderpitch/domain/breaker.py
@@ -6,7 +6,7 @@
 nothing was done; one call after each rest finds out whether the dependency is back.
 """
 
-FAILURES_TO_OPEN = 4  # in a row; fewer may be one partition that is away
+FAILURES_TO_OPEN = 2
 REST_MS = 250.0
 
 
@@ -14,8 +14,8 @@
     """Opens after failures in a row, and closes with the first success.
 
     >>> breaker = Breaker()
-    >>> for now_ms in (0.0, 1.0, 1.0, 1.0):
-    ...     breaker.fail(now_ms)
+    >>> breaker.fail(0.0), breaker.fail(1.0)
+    (None, None)
     >>> breaker.allows(2.0), breaker.allows(260.0), breaker.allows(261.0)
     (False, True, False)
     >>> breaker.succeed()
@@ -48,5 +48,5 @@
     def fail(self, now_ms: float) -> None:
         """Note a call that was not answered, or refused for trouble over there."""
         self._failures += 1
-        if self._failures == FAILURES_TO_OPEN:
+        if self.is_open:
             self._next_probe_ms = now_ms + REST_MS
