Take in the ends behind one of a job that could not be read yet

The store did not answer for 29 % of its partitions when that tenure began. A worker's list of ends was read up to the first one of a job in an unread partition; runs whose ends stood behind it were neither running nor ended, so they counted as lost and were started again, and jobs whose tasks had ended stood still.

Ends behind one that must wait are now taken in ahead of it. What the worker may forget still ends before the one that waits.

Ruled out: two holders (one tenure's run numbers), late answers to starts, reborn workers.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -164,15 +164,7 @@
         worker.clock_ms = report.clock_ms
         worker.clock_at_ms = now_ms
         worker.is_silent = False
-        worker.has_unread_ends = False
-        for end in sorted(report.ended, key=lambda e: e.sequence):
-            if end.sequence <= worker.seen:
-                continue
-            if self._may_be_unread(end.task.job_id):
-                worker.has_unread_ends = True  # it lists them again
-                break
-            self._take_end(worker, end, now_ms)
-            worker.seen = end.sequence
+        self._take_ends(worker, report.ended, now_ms)
         listed = {(run.task, run.number) for run in report.running}
         for run in report.running:
             self._take_run(worker, run, now_ms)
@@ -391,6 +383,7 @@
         had_life = worker.life is not None
         worker.life = life
         worker.seen = 0
+        worker.taken_ahead.clear()
         worker.open_ends.clear()
         worker.clock_ms = None
         worker.leased_until_ms = 0.0
@@ -408,6 +401,29 @@
         self._fence_bump += 1
         worker.fence_bump = self._fence_bump
 
+    def _take_ends(
+        self, worker: WorkerView, ends: Iterable[ListedEnd], now_ms: float
+    ) -> None:
+        """Take in the ends that are new.
+
+        One of a job that is not read yet waits; the worker lists it again, with all
+        behind it. These are taken in meanwhile, for their runs are not lost.
+        """
+        worker.has_unread_ends = False
+        for end in sorted(ends, key=lambda e: e.sequence):
+            if end.sequence <= worker.seen:
+                continue
+            if self._may_be_unread(end.task.job_id):
+                worker.has_unread_ends = True
+                continue
+            if end.sequence not in worker.taken_ahead:
+                self._take_end(worker, end, now_ms)
+            if worker.has_unread_ends:
+                worker.taken_ahead.add(end.sequence)
+            else:
+                worker.taken_ahead.discard(end.sequence)
+                worker.seen = end.sequence
+
     def _take_end(self, worker: WorkerView, end: ListedEnd, now_ms: float) -> None:
         self._stops_sent_ms.pop((end.task, end.number), None)
         run = worker.runs.get(end.task)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -128,9 +128,10 @@
 class WorkerView:
     """A worker with everything that runs there or may run there.
 
-    ``seen`` is the last end taken in; ``open_ends`` are those whose effect is not
-    committed yet. A worker is given nothing before it is recorded in the store, so
-    that a successor knows of every worker that may run something.
+    ``seen`` is the end up to which all are taken in, ``taken_ahead`` are those behind
+    one that must wait; ``open_ends`` are those whose effect is not committed yet. A
+    worker is given nothing before it is recorded in the store, so that a successor
+    knows of every worker that may run something.
     ``fence_bump`` is added to the holder's fence number; raising it makes sure
     that orders still under way are refused.
     """
@@ -143,6 +144,7 @@
     draining_since_ms: float | None = None
     life: str | None = None
     seen: int = 0
+    taken_ahead: set[int] = field(default_factory=set)
     open_ends: set[int] = field(default_factory=set)
     fence_bump: int = 0
     runs: dict[TaskRef, Run] = field(default_factory=dict)
@@ -161,7 +163,7 @@
     @property
     def settled(self) -> int:
         """Return the last end up to which the effects of all are committed."""
-        return min(self.open_ends) - 1 if self.open_ends else self.seen
+        return min(self.seen, min(self.open_ends, default=self.seen + 1) - 1)
 
     def clock_estimate_ms(self, now_ms: float) -> float | None:
         """Return a lower bound of the worker's clock, ``None`` if never heard."""
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -231,6 +231,51 @@
     assert next_steps(wave, *arguments, pressed, set(), late_ms)[1] == {WorkerId("w1")}
 
 
+def end_of(job_id, sequence):
+    """Return the end of a run that a predecessor has started."""
+    return ListedEnd(
+        sequence, TaskRef(JobId(job_id), 0, 0, 0), 1, EndKind.DONE, "saved"
+    )
+
+
+class TestEndsOfUnreadJobs:
+    """A holder that took over while the store was silent for some partitions."""
+
+    def test_an_end_behind_one_of_an_unread_job_is_no_lost_run(self):
+        """The run was started again, and its first end was taken note of later."""
+        scheduler = make_scheduler(("w1",))
+        scheduler.is_whole = False
+        scheduler.add_job(make_job())
+        (order,) = starts(scheduler)
+        scheduler.take_result(order, OrderResult.DONE, NOW_MS)
+        ended = [end_of("unread", 1), done(order, 2)]
+        report(scheduler, "w1", ended=ended, asked_ms=NOW_MS + 10.0)
+        assert starts(scheduler, NOW_MS + 20.0) == []
+        assert JobId("a") in scheduler.ended
+
+    def test_an_end_of_an_unread_job_is_kept_until_the_job_is_read(self):
+        scheduler = make_scheduler(("w1",))
+        scheduler.is_whole = False
+        ended = [end_of("late", 1)]
+        report(scheduler, "w1", ended=ended)
+        worker = scheduler.workers[WorkerId("w1")]
+        assert worker.settled == 0
+        scheduler.add_job(make_job("late", version=1))
+        scheduler.is_whole = True
+        report(scheduler, "w1", ended=ended)
+        assert JobId("late") in scheduler.ended
+        scheduler.settle(scheduler.take_changes())
+        assert worker.settled == 1
+
+    def test_an_end_of_a_job_that_is_nowhere_is_let_go_once_all_is_read(self):
+        scheduler = make_scheduler(("w1",))
+        scheduler.is_whole = False
+        report(scheduler, "w1", ended=[end_of("gone", 1)])
+        scheduler.is_whole = True
+        report(scheduler, "w1", ended=[end_of("gone", 1)])
+        assert scheduler.workers[WorkerId("w1")].settled == 1
+
+
 def busy_wave(count, time_left_ms):
     """Return the workers of one busy pool that a wave empties at once."""
     names = [f"w{n:02}" for n in range(count)]
