--- a/packages/corianderpitch/tests/conftest.py
+++ b/packages/corianderpitch/tests/conftest.py
@@ -2,9 +2,16 @@
 
 import os
 import sys
+import tempfile
 import warnings
 from pathlib import Path
 
+# Hypothesis keeps its caches outside of the tree, which others copy whole.
+os.environ.setdefault(
+    "HYPOTHESIS_STORAGE_DIRECTORY",
+    str(Path(tempfile.gettempdir()) / "corianderpitch-hypothesis"),
+)
+
 from hypothesis import HealthCheck, settings
 
 sys.path.insert(0, str(Path(__file__).parent))
