--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/guardedstore.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/guardedstore.py
@@ -70,7 +70,9 @@
             case _:
                 breaker.succeed()
         if breaker.is_open != was_open:
-            log.warning("Store.", part=part, away=not was_open, detail=repr(result))
+            log.warning(
+                "Store.", partition=part, away=not was_open, detail=repr(result)
+            )
         return result
 
     def _is_silent(self, now_ms: float) -> bool:
