Name the partition of a call that the store did not take

The lines of a refused job told its id and the store's answer, not which partition was asked. Whether the whole store is away or the partitions of some ids could only be worked out from the hash of each id.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -74,7 +74,11 @@
         match self._store.commit(checks, (Write(key, value),)):
             case Success(version):
                 log.info(
-                    "Accepted.", job=workload.job_id, queue=workload.queue, at=version
+                    "Accepted.",
+                    job=workload.job_id,
+                    queue=workload.queue,
+                    partition=key.part,
+                    at=version,
                 )
                 return IntakeResult(IntakeKind.DONE)
             case Failure(RowConflict()):
@@ -83,7 +87,7 @@
             case Failure(OutcomeLost() as error):
                 return self._look_after_loss(workload, error)
             case Failure(error):
-                return self._not_done("submit", workload.job_id, error)
+                return self._not_done("submit", workload.job_id, key.part, error)
 
     def _look_after_loss(self, workload: Workload, error: OutcomeLost) -> IntakeResult:
         rows = self._rows(workload.queue, workload.job_id)
@@ -104,7 +108,7 @@
             case Success(rows):
                 return IntakeResult(IntakeKind.DONE, _state(rows))
             case Failure(error):
-                return self._not_done("show", job_id, error)
+                return self._not_done("show", job_id, job_part(queue, job_id), error)
 
     def cancel(self, queue: QueueName, job_id: JobId) -> IntakeResult:
         """Cancel a job; one that has ended stays as it is.
@@ -116,7 +120,7 @@
             case Success(rows):
                 return self._cancel_found(queue, job_id, rows)
             case Failure(error):
-                return self._not_done("cancel", job_id, error)
+                return self._not_done("cancel", job_id, job_part(queue, job_id), error)
 
     def _cancel_found(
         self, queue: QueueName, job_id: JobId, rows: dict[str, Row]
@@ -136,7 +140,7 @@
             case Failure(OutcomeLost()):
                 return IntakeResult(IntakeKind.UNKNOWN)
             case Failure(error):
-                return self._not_done("cancel", job_id, error)
+                return self._not_done("cancel", job_id, job_part(queue, job_id), error)
 
     def count_waiting(self, queue: QueueName) -> IntakeResult:
         """Return how many accepted jobs of a queue have not begun."""
@@ -146,7 +150,7 @@
                 case Success(snapshot):
                     waiting += _count_waiting(snapshot.rows)
                 case Failure(error):
-                    return self._not_done("count", JobId(""), error)
+                    return self._not_done("count", JobId(""), part, error)
         return IntakeResult(IntakeKind.DONE, waiting=waiting)
 
     def _rows(self, queue: QueueName, job_id: JobId):
@@ -159,8 +163,12 @@
             }
         )
 
-    def _not_done(self, call: str, job_id: JobId, error: PlatformError) -> IntakeResult:
-        log.warning("Not done.", call=call, job=job_id, cause=repr(error))
+    def _not_done(
+        self, call: str, job_id: JobId, part: str, error: PlatformError
+    ) -> IntakeResult:
+        log.warning(
+            "Not done.", call=call, job=job_id, partition=part, cause=repr(error)
+        )
         return IntakeResult(IntakeKind.NOT_DONE, retry_after_ms=STORE_AWAY_RETRY_MS)
 
 
