Take a job in at a fallback partition while its own one refuses

What callers saw: while some partitions of the store refuse for seconds, each caller whose job's id belongs to one of them is refused again and again, by every entry, and gives up after some five tries; all others are served.

Cause: a job's partition follows from its id alone, so that there is nowhere else to go. The class of fault: placement by a fixed hash without a second choice.

A job now goes to its fallback partition, which its id names too. The reading of jobs moves out of the tenure into a module of its own.

The test of one partition that is away asked for the refusals; it now asks that every job is taken, and a second one that only jobs without any partition that answers are refused.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -4,11 +4,12 @@
 
 import eventlet
 from eventlet.event import Event
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.holderrow import HolderRow
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.rows import (
     JOBS_TABLE,
@@ -16,14 +17,15 @@
     cancel_key,
     ended_job,
     job_key,
-    job_part,
+    job_places,
     pack_progress,
     pack_workers,
     progress_key,
+    unpack_workers,
 )
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.scheduler import JobChange, Scheduler
-from corianderpitch.errors import CommitError, RowConflict
+from corianderpitch.errors import CommitError, PlatformError, RowConflict
 from corianderpitch.ids import WorkerId
 from corianderpitch.ports import Check, PartedKey, RowStore, Write
 
@@ -65,6 +67,7 @@
         self._on_settled = on_settled
         self._event = Event()
         self._settled = Event()
+        self._workers_row = HolderRow(store, role, WORKERS_KEY)
         self._recorded: set[WorkerId] | None = None
         self._rest_until_ms: dict[str, float] = {}
         self._keep_ended_ms = keep_ended_ms
@@ -109,9 +112,15 @@
                 for key in old:
                     del self.ended[key]
                     self._scheduler.ended.discard(ended_job(key))
+                    self._scheduler.diverted.discard(ended_job(key))
             case Failure(error):
                 log.warning("Ended jobs not forgotten.", cause=repr(error))
 
+    def recorded_workers(self) -> Result[tuple[WorkerId, ...], PlatformError]:
+        """Return the workers that a predecessor may have given something to."""
+        found = self._workers_row.read()
+        return found.map(lambda value: unpack_workers(value) if value else ())
+
     def _record_workers(self) -> bool:
         """Name in the store which workers may be given something."""
         workers = self._scheduler.workers_to_record()
@@ -146,15 +155,19 @@
         and one that fails rests for a while: it must not hold up the others.
         """
         now_ms = self._clock.now_ms()
-        kept = [c for c in changes if self._rest_until_ms.get(_part(c), 0) > now_ms]
-        awake = [c for c in changes if self._rest_until_ms.get(_part(c), 0) <= now_ms]
+        kept = [
+            c for c in changes if self._rest_until_ms.get(self._part(c), 0) > now_ms
+        ]
+        awake = [
+            c for c in changes if self._rest_until_ms.get(self._part(c), 0) <= now_ms
+        ]
         for start in range(0, len(awake), MAX_CHANGES):
             chunk = awake[start : start + MAX_CHANGES]
             if self._commit(chunk):
                 continue
             by_part: dict[str, list[JobChange]] = {}
             for change in chunk:
-                by_part.setdefault(_part(change), []).append(change)
+                by_part.setdefault(self._part(change), []).append(change)
             for part, group in by_part.items():
                 if len(by_part) > 1 and self._commit(group):
                     continue
@@ -168,8 +181,7 @@
         checks = [self._role.parted_fence()]
         writes: list[Write] = []
         for change in changes:
-            workload = change.job.workload
-            key = progress_key(workload.queue, workload.job_id)
+            key = progress_key(self._part(change), change.job.job_id)
             checks.append(Check(key, change.job.progress_version))
             writes += self._writes(change, key)
         began_ms = self._clock.now_ms()
@@ -185,17 +197,16 @@
         return False
 
     def _writes(self, change: JobChange, key) -> list[Write]:
-        workload = change.job.workload
         record = change.record
         if not change.is_final:
             return [Write(key, pack_progress(record))]
         final = type(record)(record.state, record.finished, {}, self._store.time_ms())
         writes = [
             Write(key, pack_progress(final)),
-            Write(job_key(workload.queue, workload.job_id), None),
+            Write(job_key(key.part, change.job.job_id), None),
         ]
         if record.state is JobState.CANCELLED:
-            writes.append(Write(cancel_key(workload.queue, workload.job_id), None))
+            writes.append(Write(cancel_key(key.part, change.job.job_id), None))
         return writes
 
     def _note_written(self, changes: Sequence[JobChange], version: int) -> None:
@@ -203,12 +214,11 @@
         for change in changes:
             change.job.progress_version = version
             if change.is_final:
-                workload = change.job.workload
-                key = progress_key(workload.queue, workload.job_id)
+                key = progress_key(self._part(change), change.job.job_id)
                 self.ended[key] = self._store.time_ms()
                 took_ms = self._clock.now_ms() - change.job.accepted_ms
                 state = change.record.state.value
-                self._meters.record_end(workload.queue, state, took_ms)
+                self._meters.record_end(change.job.workload.queue, state, took_ms)
                 log.info(
                     "Ended.",
                     job=change.job.job_id,
@@ -226,14 +236,14 @@
         if not self._role.is_held:
             return
         for change in changes:
-            workload = change.job.workload
-            key = progress_key(workload.queue, workload.job_id)
+            key = progress_key(self._part(change), change.job.job_id)
             rows = self._store.read(JOBS_TABLE, key.part, key.name, key.name + "/")
             if isinstance(rows, Success):
                 found = rows.unwrap().rows
                 change.job.progress_version = found[0].version if found else 0
 
-
-def _part(change: JobChange) -> str:
-    workload = change.job.workload
-    return job_part(workload.queue, workload.job_id)
+    def _part(self, change: JobChange) -> str:
+        """Return the partition that a job is served from."""
+        home, fallback = job_places(change.job.workload.queue, change.job.job_id)
+        is_diverted = change.job.job_id in self._scheduler.diverted
+        return fallback if is_diverted else home
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
@@ -17,17 +17,25 @@
     job_key,
     job_part,
     job_parts,
+    job_places,
     pack_workload,
     progress_key,
     unpack_progress,
 )
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.workloads import Workload
-from corianderpitch.errors import OutcomeLost, PlatformError, RowConflict
+from corianderpitch.errors import (
+    CommitError,
+    OutcomeLost,
+    PlatformError,
+    PlatformUnavailable,
+    RowConflict,
+)
 from corianderpitch.ids import JobId, QueueName
 from corianderpitch.ports import Check, Row, RowStore, Write
 
 STORE_AWAY_RETRY_MS = 1000
+CANCEL_TRIES = 3
 
 log = logger("intake")
 
@@ -63,31 +71,47 @@
     def submit(self, workload: Workload) -> IntakeResult:
         """Accept a job: it is stored before the caller is told so.
 
-        A job that is there already is the same job handed in again. After a
-        lost answer the store is asked whether the job is there; where it is
-        not, a write still under way may bring it, so that the outcome is unknown.
+        A job that its home partition does not take is stored in its fallback
+        partition. One that is there already is the same job handed in again. After
+        a lost answer the store is asked whether the job is there; where it is not,
+        a write still under way may bring it, so that the outcome is unknown.
         """
-        key = job_key(workload.queue, workload.job_id)
-        ended = progress_key(workload.queue, workload.job_id)
         value = pack_workload(workload, self._store.time_ms())
-        checks = (Check(key, 0), Check(ended, 0))
+        lost: OutcomeLost | None = None
+        for part in job_places(workload.queue, workload.job_id):
+            result = self._store_job(workload, part, value)
+            match result:
+                case Success(version):
+                    log.info(
+                        "Accepted." if version is not None else "Accepted before.",
+                        job=workload.job_id,
+                        queue=workload.queue,
+                        partition=part,
+                        at=version,
+                    )
+                    return IntakeResult(IntakeKind.DONE)
+                case Failure(OutcomeLost() as error):
+                    lost = error
+                case Failure(PlatformUnavailable()):
+                    pass
+                case Failure(_):
+                    break
+        if lost is not None:
+            return self._look_after_loss(workload, lost)
+        home = job_part(workload.queue, workload.job_id)
+        return self._not_done("submit", workload.job_id, home, result.failure())
+
+    def _store_job(
+        self, workload: Workload, part: str, value: bytes
+    ) -> Result[int | None, CommitError]:
+        """Store a job; returns its row's version, ``None`` if it is there already."""
+        key = job_key(part, workload.job_id)
+        checks = (Check(key, 0), Check(progress_key(part, workload.job_id), 0))
         match self._store.commit(checks, (Write(key, value),)):
-            case Success(version):
-                log.info(
-                    "Accepted.",
-                    job=workload.job_id,
-                    queue=workload.queue,
-                    partition=key.part,
-                    at=version,
-                )
-                return IntakeResult(IntakeKind.DONE)
             case Failure(RowConflict()):
-                log.info("Accepted before.", job=workload.job_id, queue=workload.queue)
-                return IntakeResult(IntakeKind.DONE)
-            case Failure(OutcomeLost() as error):
-                return self._look_after_loss(workload, error)
-            case Failure(error):
-                return self._not_done("submit", workload.job_id, key.part, error)
+                return Success(None)
+            case result:
+                return result
 
     def _look_after_loss(self, workload: Workload, error: OutcomeLost) -> IntakeResult:
         rows = self._rows(workload.queue, workload.job_id)
@@ -114,33 +138,37 @@
         """Cancel a job; one that has ended stays as it is.
 
         The write is conditional on the job's row, so that no cancelling is
-        left behind for a job that ends at the same moment.
+        left behind for a job that ends at the same moment. A row that is gone since
+        it was read may only have been a double: the job is looked for again.
         """
-        match self._rows(queue, job_id):
-            case Success(rows):
-                return self._cancel_found(queue, job_id, rows)
-            case Failure(error):
-                return self._not_done("cancel", job_id, job_part(queue, job_id), error)
+        home = job_part(queue, job_id)
+        for _ in range(CANCEL_TRIES):
+            match self._rows(queue, job_id):
+                case Success(rows) if not rows:
+                    return IntakeResult(IntakeKind.NO_SUCH_JOB)
+                case Success(rows) if _is_final(rows):
+                    return IntakeResult(IntakeKind.DONE, _state(rows))
+                case Success(rows):
+                    result = self._cancel_row(rows[""])
+                case Failure(error):
+                    return self._not_done("cancel", job_id, home, error)
+            match result:
+                case Success(version):
+                    log.info("Cancelled.", job=job_id, queue=queue, at=version)
+                    return IntakeResult(IntakeKind.DONE, JobState.CANCELLED)
+                case Failure(RowConflict()):
+                    continue
+                case Failure(OutcomeLost()):
+                    return IntakeResult(IntakeKind.UNKNOWN)
+                case Failure(error):
+                    return self._not_done("cancel", job_id, home, error)
+        return self._not_done("cancel", job_id, home, result.failure())
 
-    def _cancel_found(
-        self, queue: QueueName, job_id: JobId, rows: dict[str, Row]
-    ) -> IntakeResult:
-        if not rows:
-            return IntakeResult(IntakeKind.NO_SUCH_JOB)
-        if "" not in rows or CANCEL_SUFFIX in rows:
-            return IntakeResult(IntakeKind.DONE, _state(rows))
-        checks = (Check(job_key(queue, job_id), rows[""].version),)
-        writes = (Write(cancel_key(queue, job_id), b""),)
-        match self._store.commit(checks, writes):
-            case Success(version):
-                log.info("Cancelled.", job=job_id, queue=queue, at=version)
-                return IntakeResult(IntakeKind.DONE, JobState.CANCELLED)
-            case Failure(RowConflict()):
-                return self.show(queue, job_id)
-            case Failure(OutcomeLost()):
-                return IntakeResult(IntakeKind.UNKNOWN)
-            case Failure(error):
-                return self._not_done("cancel", job_id, job_part(queue, job_id), error)
+    def _cancel_row(self, row: Row) -> Result[int, CommitError]:
+        """Write a job's cancelling beside its row, if that is still there."""
+        checks = (Check(row.key, row.version),)
+        key = cancel_key(row.key.part, JobId(row.key.name))
+        return self._store.commit(checks, (Write(key, b""),))
 
     def count_waiting(self, queue: QueueName) -> IntakeResult:
         """Return how many accepted jobs of a queue have not begun."""
@@ -153,9 +181,32 @@
                     return self._not_done("count", JobId(""), part, error)
         return IntakeResult(IntakeKind.DONE, waiting=waiting)
 
-    def _rows(self, queue: QueueName, job_id: JobId):
-        """Read all rows of a job, by their suffix."""
-        part = job_part(queue, job_id)
+    def _rows(
+        self, queue: QueueName, job_id: JobId
+    ) -> Result[dict[str, Row], PlatformError]:
+        """Read all rows of a job, by their suffix.
+
+        Where its home partition has no progress, the job may be served from its
+        fallback partition; the rows there then go before a double in the home one.
+        That a job is nowhere is certain only where both have answered.
+        """
+        home, fallback = job_places(queue, job_id)
+        at_home = self._rows_in(home, job_id)
+        if isinstance(at_home, Success) and PROGRESS_SUFFIX in at_home.unwrap():
+            return at_home
+        elsewhere = self._rows_in(fallback, job_id)
+        match at_home, elsewhere:
+            case Success(rows), Success(others):
+                return Success(rows | others)
+            case (Success(rows), _) | (_, Success(rows)) if rows:
+                return Success(rows)
+            case (Failure(_), _):
+                return at_home
+        return elsewhere
+
+    def _rows_in(
+        self, part: str, job_id: JobId
+    ) -> Result[dict[str, Row], PlatformError]:
         found = self._store.read(JOBS_TABLE, part, job_id, job_id + RANGE_END)
         return found.map(
             lambda snapshot: {
@@ -183,6 +234,11 @@
     )
 
 
+def _is_final(rows: dict[str, Row]) -> bool:
+    """Tell whether nothing is left of a job to cancel."""
+    return "" not in rows or CANCEL_SUFFIX in rows or _state(rows).has_ended
+
+
 def _state(rows: dict[str, Row]) -> JobState:
     """Return the state that a job's rows stand for."""
     progress = rows.get(PROGRESS_SUFFIX)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -3,7 +3,8 @@
 A job has a row with what was handed in, at most one row that asks for its
 cancelling, and, once it has begun, one with its progress. When it has ended
 only the progress row is left, as its final state. The jobs of a queue are spread
-over some partitions, so that the loss of one takes away a part of each queue.
+over some partitions, so that the loss of one takes away a part of each queue. A
+job that its home partition does not take goes to its fallback partition.
 """
 
 import zlib
@@ -25,6 +26,7 @@
 SCHEDULER_TABLE = "scheduler"
 WORKERS_KEY = PartedKey(SCHEDULER_TABLE, "", "workers")
 VM_ORDERS_KEY = PartedKey(SCHEDULER_TABLE, "", "vms")
+DIVERTED_KEY = PartedKey(SCHEDULER_TABLE, "", "diverted")
 JOB_PARTS = 4  # of a queue; more would make counting and taking over slower
 PART_SEPARATOR = "/"
 RANGE_END = "/"  # sorts behind the dot of every suffix
@@ -35,9 +37,23 @@
 
 
 def job_part(queue: QueueName, job_id: JobId) -> str:
-    """Return the partition of a job's rows."""
-    number = zlib.crc32(job_id.encode()) % JOB_PARTS
-    return f"{queue}{PART_SEPARATOR}{number}"
+    """Return the home partition of a job's rows."""
+    return job_places(queue, job_id)[0]
+
+
+def job_places(queue: QueueName, job_id: JobId) -> tuple[str, str]:
+    """Return a job's home partition and its fallback partition.
+
+    The jobs of one home have fallbacks in all other partitions of the queue.
+
+    >>> job_places(QueueName("q"), JobId("5c0e7a21d94b36f8"))
+    ('q/0', 'q/2')
+    """
+    number = zlib.crc32(job_id.encode())
+    home = number % JOB_PARTS
+    step = 1 + number // JOB_PARTS % (JOB_PARTS - 1)
+    parts = job_parts(queue)
+    return parts[home], parts[(home + step) % JOB_PARTS]
 
 
 def job_parts(queue: QueueName) -> tuple[str, ...]:
@@ -50,24 +66,44 @@
     return QueueName(part.rpartition(PART_SEPARATOR)[0])
 
 
-def job_key(queue: QueueName, job_id: JobId) -> PartedKey:
+def job_key(part: str, job_id: JobId) -> PartedKey:
     """Return the key of what was handed in."""
-    return PartedKey(JOBS_TABLE, job_part(queue, job_id), job_id)
+    return PartedKey(JOBS_TABLE, part, job_id)
 
 
-def cancel_key(queue: QueueName, job_id: JobId) -> PartedKey:
+def cancel_key(part: str, job_id: JobId) -> PartedKey:
     """Return the key of a job's cancelling."""
-    return PartedKey(JOBS_TABLE, job_part(queue, job_id), job_id + CANCEL_SUFFIX)
+    return PartedKey(JOBS_TABLE, part, job_id + CANCEL_SUFFIX)
 
 
-def progress_key(queue: QueueName, job_id: JobId) -> PartedKey:
+def progress_key(part: str, job_id: JobId) -> PartedKey:
     """Return the key of a job's progress."""
-    return PartedKey(JOBS_TABLE, job_part(queue, job_id), job_id + PROGRESS_SUFFIX)
+    return PartedKey(JOBS_TABLE, part, job_id + PROGRESS_SUFFIX)
+
+
+def split_name(name: str) -> tuple[JobId, str]:
+    """Return the job that a row is about, and the suffix of the row's name.
+
+    >>> split_name("5c0e7a21d94b36f8.cancel")
+    ('5c0e7a21d94b36f8', '.cancel')
+    """
+    job_id, dot, suffix = name.partition(".")
+    return JobId(job_id), dot + suffix
 
 
 def ended_job(key: PartedKey) -> JobId:
     """Return the job whose progress a key names."""
-    return JobId(key.name.removesuffix(PROGRESS_SUFFIX))
+    return split_name(key.name)[0]
+
+
+def pack_job_ids(job_ids: Iterable[JobId]) -> bytes:
+    """Encode a set of jobs."""
+    return msgpack.packb(sorted(job_ids))
+
+
+def unpack_job_ids(value: bytes) -> set[JobId]:
+    """Decode a set of jobs."""
+    return {JobId(name) for name in msgpack.unpackb(value)}
 
 
 def pack_workers(worker_ids: Iterable[WorkerId]) -> bytes:
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -1,6 +1,6 @@
 """One tenure of the scheduler's role: what it reads, follows and keeps running."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
 import eventlet
@@ -11,35 +11,24 @@
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.commits import CommitTask
+from corianderpitch.daemon.scheduling.jobreader import JobReader
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
-from corianderpitch.daemon.scheduling.rows import (
-    CANCEL_SUFFIX,
-    JOBS_TABLE,
-    PROGRESS_SUFFIX,
-    WORKERS_KEY,
-    unpack_progress,
-    unpack_workers,
-    unpack_workload,
-)
 from corianderpitch.daemon.supervision import keep_running
 from corianderpitch.domain.scheduling.evacuation import evacuate
 from corianderpitch.domain.scheduling.pacing import pace_fillers
 from corianderpitch.domain.scheduling.planning import plan
-from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import Queue
 from corianderpitch.errors import HistoryLost
-from corianderpitch.ids import JobId, QueueName, WorkerId
-from corianderpitch.ports import Row, RowStore, WorkerChanges, WorkerLink, WorkerList
+from corianderpitch.ids import QueueName, WorkerId
+from corianderpitch.ports import RowStore, WorkerChanges, WorkerLink, WorkerList
 
 FOLLOW_WAIT_MS = 1000
 FOLLOW_RETRY_S = 0.1
 LOAD_RETRY_S = 0.1
-REST_INTERVAL_S = 0.5
 LEASE_END_SHARE = 1.05  # workers' clocks may be 2 % slow
-READERS = 8  # partitions that are read at a time
 WORKERS_INTERVAL_S = 0.2  # workers renew their entries often; takes them in batches
 PLAN_IDLE_S = 0.1
 MIN_GATHER_MS = 2.0
@@ -101,13 +90,20 @@
             self._plan_soon,
             keep_ended_ms,
         )
+        self._jobs = JobReader(
+            store,
+            role,
+            self.scheduler,
+            self._commits,
+            clock,
+            wait_ms,
+            self.wake,
+        )
         self._companions = [new(self.scheduler, self.wake) for new in companions]
         self._tasks: dict[WorkerId, WorkerTask] = {}
         self._threads: list[eventlet.greenthread.GreenThread] = []
         self._wake_event = Event()
         self._is_stopped = False
-        self._jobs_version = 0
-        self._unread: set[str] = set()
         self._workers_version = 0
         self._next_expiry_ms = 0.0
 
@@ -121,10 +117,11 @@
                 self._role.renew()
                 if not (self._is_serving() and self._role.is_renewed):
                     return
-            loops = (self._follow_jobs, self._follow_workers, self._plan_loop)
+            loops = (self._jobs.follow, self._follow_workers, self._plan_loop)
             for loop in (
                 *loops,
-                self._read_rest,
+                self._jobs.read_rest,
+                self._jobs.divert,
                 self._commits.run,
                 *(task.run for task in self._companions),
             ):
@@ -174,119 +171,16 @@
 
     def _load(self) -> bool:
         self.scheduler.set_queues(self._queues())
-        return self._load_recorded() and self._load_jobs() and self._load_workers()
+        return self._load_recorded() and self._jobs.load() and self._load_workers()
 
     def _load_recorded(self) -> bool:
         """Learn which workers a predecessor may have given something to."""
-        key = WORKERS_KEY
-        match self._store.read(key.table, key.part, key.name, key.name + "/"):
-            case Success(snapshot):
-                for row in snapshot.rows:
-                    self.scheduler.unheard |= set(unpack_workers(row.value))
+        match self._commits.recorded_workers():
+            case Success(worker_ids):
+                self.scheduler.unheard |= set(worker_ids)
                 return True
         return False
 
-    def _load_jobs(self) -> bool:
-        """Read all jobs; partitions that cannot be read are left for later.
-
-        The store may not answer for some of its partitions. The others are
-        served meanwhile.
-        """
-        parts = self._store.list_parts(JOBS_TABLE)
-        if not isinstance(parts, Success):
-            return False
-        versions = self._read_parts(parts.unwrap())
-        if parts.unwrap() and not versions:
-            return False
-        self._jobs_version = min(versions, default=self._jobs_version)
-        log.info(
-            "Jobs read.",
-            jobs=len(self.scheduler.jobs),
-            version=self._jobs_version,
-            unread=sorted(self._unread),
-        )
-        return True
-
-    def _read_parts(self, parts: Iterable[str]) -> list[int]:
-        """Take partitions in; returns the versions at which they were read."""
-        versions: list[int] = []
-        self._unread |= set(parts)
-        pool = eventlet.GreenPool(READERS)
-        for part, snapshot in pool.imap(self._read_part, sorted(self._unread)):
-            if isinstance(snapshot, Success):
-                self._take_snapshot(snapshot.unwrap().rows)
-                versions.append(snapshot.unwrap().version)
-                self._unread.discard(part)
-        self.scheduler.is_whole = not self._unread
-        return versions
-
-    def _read_part(self, part: str):
-        return part, self._store.read(JOBS_TABLE, part)
-
-    def _read_rest(self) -> None:
-        """Read the partitions that could not be read, until all have been."""
-        while True:
-            eventlet.sleep(REST_INTERVAL_S)
-            if self._unread and self._role.is_renewed:
-                now_ms = self._clock.now_ms()
-                self.scheduler.hear_again(now_ms + self._lease_ms * LEASE_END_SHARE)
-                self._read_parts(())
-                log.info("Partitions still unread.", unread=sorted(self._unread))
-                self.wake()
-
-    def _take_snapshot(self, rows: tuple[Row, ...]) -> None:
-        by_name = {row.key.name: row for row in rows}
-        for name, row in by_name.items():
-            if name.endswith(PROGRESS_SUFFIX):
-                self._note_ended(row)
-            if "." in name:
-                continue
-            job = self._make_job(row)
-            progress = by_name.get(name + PROGRESS_SUFFIX)
-            if progress is not None and job.job_id not in self.scheduler.jobs:
-                job.restore(unpack_progress(progress.value))
-                job.progress_version = progress.version
-            self.scheduler.add_job(job)
-            if name + CANCEL_SUFFIX in by_name:
-                self.scheduler.cancel_job(job.job_id)
-
-    def _note_ended(self, row: Row) -> None:
-        """Remember a job that has ended, to be forgotten in its time."""
-        record = unpack_progress(row.value)
-        if record.state.has_ended:
-            self._commits.ended.setdefault(row.key, record.ended_ms)
-
-    def _make_job(self, row: Row) -> ActiveJob:
-        workload, accepted_ms = unpack_workload(row.key, row.value)
-        age_ms = max(0.0, self._store.time_ms() - accepted_ms)
-        return ActiveJob(workload, self._clock.now_ms() - age_ms, row.version)
-
-    def _follow_jobs(self) -> None:
-        while True:
-            match self._store.follow(JOBS_TABLE, self._jobs_version, FOLLOW_WAIT_MS):
-                case Success(_) if not self._role.is_renewed:
-                    eventlet.sleep(FOLLOW_RETRY_S)  # a successor may serve already
-                case Success(changes):
-                    for row in changes.rows:
-                        self._take_job_row(row)
-                    self._jobs_version = max(self._jobs_version, changes.version)
-                    if changes.rows:
-                        self.wake()
-                case Failure(HistoryLost()):
-                    log.warning("History of jobs lost; reading them anew.")
-                    self._load_jobs()
-                    self.wake()
-                case Failure(error):
-                    log.debug("Jobs not followed.", cause=repr(error))
-                    eventlet.sleep(FOLLOW_RETRY_S)
-
-    def _take_job_row(self, row: Row) -> None:
-        name = row.key.name
-        if name.endswith(CANCEL_SUFFIX):
-            self.scheduler.cancel_job(JobId(name.removesuffix(CANCEL_SUFFIX)))
-        elif "." not in name and name not in self.scheduler.jobs:
-            self.scheduler.add_job(self._make_job(row))
-
     def _load_workers(self) -> bool:
         match self._workers.read():
             case Success(changes):
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -89,6 +89,7 @@
         self.queues: dict[QueueName, Queue] = {}
         self.jobs: dict[JobId, ActiveJob] = {}
         self.ended: set[JobId] = set()
+        self.diverted: set[JobId] = set()  # served from their fallback partitions
         self.filler_jobs: set[JobId] = set()
         self.workers: dict[WorkerId, WorkerView] = {}
         self.unheard: set[WorkerId] = set()
