Let no late write undo what the holder named in the store since

Found while looking for what a successor relies on: the rows that name the workers that may run something, and the VMs that orders are under way to, were written under the role's fence alone. A write whose answer was lost is repeated; the first one may be carried out seconds later and put the older names back. A successor would then take a worker for free of runs that it must wait for, or order about a VM too early.

Both rows now go through HolderRow, which writes on the version seen last. Both tests failed before. Ruled out: jobs' progress, which has always been conditional on its version.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -126,8 +126,7 @@
         workers = self._scheduler.workers_to_record()
         if workers == self._recorded:
             return True
-        write = Write(WORKERS_KEY, pack_workers(workers))
-        match self._store.commit((self._role.parted_fence(),), (write,)):
+        match self._workers_row.write(pack_workers(workers)):
             case Success(_):
                 self._recorded = workers
                 self._scheduler.note_recorded(workers)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -8,6 +8,7 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.holderrow import HolderRow
 from corianderpitch.daemon.scheduling.rows import (
     VM_ORDERS_KEY,
     VmOrdersRecord,
@@ -17,7 +18,7 @@
 from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.ids import EntryId, ServiceName, VmId
-from corianderpitch.ports import RowStore, VmOrderResult, VmPools, Write
+from corianderpitch.ports import RowStore, VmOrderResult, VmPools
 
 LIST_INTERVAL_MS = 400.0
 HOLDER_CHANGE_SLACK_MS = 500.0
@@ -50,6 +51,7 @@
         self._entry = entry
         self._pools = pools
         self._store = store
+        self._row = HolderRow(store, role, VM_ORDERS_KEY)
         self._scheduler = scheduler
         self._role = role
         self._clock = clock
@@ -68,11 +70,9 @@
         """Read what predecessors have ordered; returns whether that is known."""
         if self._written is not None:
             return True
-        key = VM_ORDERS_KEY
-        match self._store.read(key.table, key.part, key.name, key.name + "/"):
-            case Success(snapshot):
-                rows = [unpack_vm_orders(row.value) for row in snapshot.rows]
-                self._written = rows[0] if rows else VmOrdersRecord()
+        match self._row.read():
+            case Success(value):
+                self._written = unpack_vm_orders(value) if value else VmOrdersRecord()
                 self._predecessors = dict(self._written.ordered_ms)
                 self.begun = {w: set(vms) for w, vms in self._written.begun.items()}
                 return True
@@ -105,8 +105,7 @@
         ordered_ms |= {vm: now_ms for vm in vms}
         begun = {wave: set(done) for wave, done in self.begun.items()}
         record = VmOrdersRecord(self._predecessors | ordered_ms, begun)
-        write = Write(VM_ORDERS_KEY, pack_vm_orders(record))
-        match self._store.commit((self._role.parted_fence(),), (write,)):
+        match self._row.write(pack_vm_orders(record)):
             case Success(_):
                 self._written = record
                 self._ordered_ms = ordered_ms
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -223,6 +223,23 @@
     assert row.read().unwrap() == b"new"
 
 
+def test_workers_that_are_recorded_stay_so_when_a_write_is_carried_out_late(
+    store, clock
+):
+    """A successor would give leases of a worker that it never heard of no time."""
+    tenure = Tenure(store, clock, "e1").load()
+    tenure.commits.recorded_workers()
+    tenure.scheduler.unheard = {"w1"}
+    store.late = []
+    tenure.commits._record_workers()
+    late, store.late = store.late, None
+    tenure.scheduler.unheard = {"w1", "w2"}
+    assert tenure.commits._record_workers()
+    for checks, writes in late:
+        store.commit(checks, writes)
+    assert set(tenure.commits.recorded_workers().unwrap()) == {"w1", "w2"}
+
+
 @pytest.mark.parametrize("seed", range(150))
 def test_no_job_is_served_from_both_partitions_on_a_long_walk(seed, store, clock):
     """Callers repeat, partitions go away, and holders change, in any order."""
--- a/packages/corianderpitch/tests/test_vmorders.py
+++ b/packages/corianderpitch/tests/test_vmorders.py
@@ -15,7 +15,7 @@
     next_steps,
 )
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
-from corianderpitch.errors import PlatformUnavailable
+from corianderpitch.errors import OutcomeLost, PlatformUnavailable
 from corianderpitch.ids import EntryId, ServiceName, VmId
 from corianderpitch.ports import VmOrderResult, VmPools
 
@@ -149,3 +149,22 @@
     assert orders.busy() == {VM}
     place.clock.advance(BUSY_REST_MS)
     assert orders.busy() == set()
+
+
+def test_a_vm_stays_named_when_an_older_write_is_carried_out_late():
+    """A successor would order about a VM that an order is under way to."""
+    place = Place()
+    orders = place.holder("e1")
+    plain, late = place.store.commit, []
+
+    def lose(checks, writes):
+        late.append((checks, writes))
+        return Failure(OutcomeLost("late"))
+
+    place.store.commit = lose
+    assert not orders.announce([])
+    place.store.commit = plain
+    assert orders.announce([VM])
+    for checks, writes in late:
+        plain(checks, writes)
+    assert place.holder("e2").held_back() == {VM}
