Commit ends in the fallback partition while the home one refuses

What callers saw: a job that was done in time was shown as running until its partition answered again, for up to the seven seconds of such an outage, and its workers kept its ends meanwhile.

Cause: the same as that of the refusals: a job's rows have one place. The holder knows the whole state of a job that has ended. Where the home partition has refused twice it now writes the final state in the fallback partition, in one transaction with the row of diverted jobs, so that a successor goes by it; what is left at home is deleted when the partition is back, and with the job at the latest. A final state goes before all else where a job is shown.

With it: a caller waits for one call at most where the store cannot be reached at all; the second partition is asked only where something of the store has answered.

Tests: an end that is shown while the partition is away, a successor with the home rows still there and away, a lost answer of the move, and the walks with moves. Broken variants found: a move that names nothing, home shown first, rows left when forgotten.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/guardedstore.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/guardedstore.py
@@ -1,6 +1,7 @@
 """The store as callers' calls see it: refused at once while it does not answer."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TypeVar
 
 from returns.result import Failure, Result
@@ -26,6 +27,14 @@
 Error = TypeVar("Error")
 
 
+@dataclass(frozen=True, slots=True)
+class CallFailure:
+    """The last call about a partition that failed; it may have been answered."""
+
+    began_ms: float
+    was_answered: bool
+
+
 class GuardedStore:
     """Reads and commits behind circuit breakers, one for each partition.
 
@@ -37,6 +46,7 @@
         self._store = store
         self._clock = clock
         self._breakers: dict[str, Breaker] = {}
+        self._failures: dict[str, CallFailure] = {}
         self._next_probe_ms = 0.0
 
     def time_ms(self) -> float:
@@ -64,7 +74,13 @@
         was_open = breaker.is_open
         result = call()
         match result:
-            case Failure(OutcomeLost() | PlatformUnavailable() | RateLimited()):
+            case Failure(
+                OutcomeLost() | PlatformUnavailable() | RateLimited() as error
+            ):
+                was_answered = (
+                    isinstance(error, PlatformUnavailable) and error.was_answered
+                )
+                self._failures[part] = CallFailure(now_ms, was_answered)
                 breaker.fail(self._clock.now_ms())
                 self._next_probe_ms = self._clock.now_ms() + REST_MS
             case _:
@@ -75,6 +91,18 @@
             )
         return result
 
+    def answers_elsewhere(self, part: str) -> bool:
+        """Tell whether it was not the whole store that a call last failed for.
+
+        A store that cannot be reached answers for none of its partitions; asking
+        for another one would only let a caller wait longer.
+        """
+        failure = self._failures.get(part)
+        if failure is None or failure.was_answered:
+            return True
+        answered_ms = self._store.answered_ms
+        return answered_ms is not None and answered_ms > failure.began_ms
+
     def _is_silent(self, now_ms: float) -> bool:
         """Tell whether the store is silent; one call a rest finds out more."""
         answered_ms = self._store.answered_ms
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/holderrow.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/holderrow.py
@@ -31,17 +31,23 @@
                 return Success(rows[0].value if rows else None)
         return found
 
-    def write(self, value: bytes) -> Result[int, CommitError | PlatformError]:
+    def write(
+        self,
+        value: bytes,
+        checks: tuple[Check, ...] = (),
+        writes: tuple[Write, ...] = (),
+    ) -> Result[int, CommitError | PlatformError]:
         """Write the row if nothing has changed since it was seen last.
 
+        ``checks`` and ``writes`` of other rows become part of the transaction.
         After a conflict the row is read again, so that the next write can succeed.
         """
         if self._version is None:
             match self.read():
                 case Failure(_) as failure:
                     return failure
-        checks = (self._role.parted_fence(), Check(self._key, self._version))
-        result = self._store.commit(checks, (Write(self._key, value),))
+        own = (self._role.parted_fence(), Check(self._key, self._version))
+        result = self._store.commit((*own, *checks), (Write(self._key, value), *writes))
         match result:
             case Success(version):
                 self._version = version
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -28,7 +28,7 @@
     CommitError,
     OutcomeLost,
     PlatformError,
-    PlatformUnavailable,
+    RateLimited,
     RowConflict,
 )
 from corianderpitch.ids import JobId, QueueName
@@ -92,10 +92,10 @@
                     return IntakeResult(IntakeKind.DONE)
                 case Failure(OutcomeLost() as error):
                     lost = error
-                case Failure(PlatformUnavailable()):
-                    pass
-                case Failure(_):
+                case Failure(RateLimited()):
                     break
+            if not self._store.answers_elsewhere(part):
+                break
         if lost is not None:
             return self._look_after_loss(workload, lost)
         home = job_part(workload.queue, workload.job_id)
@@ -186,16 +186,22 @@
     ) -> Result[dict[str, Row], PlatformError]:
         """Read all rows of a job, by their suffix.
 
-        Where its home partition has no progress, the job may be served from its
-        fallback partition; the rows there then go before a double in the home one.
-        That a job is nowhere is certain only where both have answered.
+        A final state goes before all else, then progress at home; without either the
+        job may be served from its fallback partition, and that row goes first.
+        That a job is nowhere is certain only where both partitions have answered.
         """
         home, fallback = job_places(queue, job_id)
         at_home = self._rows_in(home, job_id)
-        if isinstance(at_home, Success) and PROGRESS_SUFFIX in at_home.unwrap():
+        if isinstance(at_home, Success) and _has_ended(at_home.unwrap()):
+            return at_home
+        if isinstance(at_home, Failure) and not self._store.answers_elsewhere(home):
             return at_home
         elsewhere = self._rows_in(fallback, job_id)
         match at_home, elsewhere:
+            case Success(rows), Success(others) if _has_ended(others):
+                return Success(others)
+            case Success(rows), Success(others) if PROGRESS_SUFFIX in rows:
+                return Success(others | rows)
             case Success(rows), Success(others):
                 return Success(rows | others)
             case (Success(rows), _) | (_, Success(rows)) if rows:
@@ -236,7 +242,13 @@
 
 def _is_final(rows: dict[str, Row]) -> bool:
     """Tell whether nothing is left of a job to cancel."""
-    return "" not in rows or CANCEL_SUFFIX in rows or _state(rows).has_ended
+    return "" not in rows or CANCEL_SUFFIX in rows or _has_ended(rows)
+
+
+def _has_ended(rows: dict[str, Row]) -> bool:
+    """Tell whether a job's rows hold its final state."""
+    progress = rows.get(PROGRESS_SUFFIX)
+    return progress is not None and unpack_progress(progress.value).state.has_ended
 
 
 def _state(rows: dict[str, Row]) -> JobState:
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -10,17 +10,15 @@
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.commits import CommitTask
-from corianderpitch.daemon.scheduling.holderrow import HolderRow
+from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.rows import (
     CANCEL_SUFFIX,
-    DIVERTED_KEY,
     JOBS_TABLE,
     PROGRESS_SUFFIX,
+    job_keys,
     job_places,
-    pack_job_ids,
     queue_of,
     split_name,
-    unpack_job_ids,
     unpack_progress,
     unpack_workload,
 )
@@ -36,8 +34,8 @@
 REST_INTERVAL_S = 0.5
 DIVERT_INTERVAL_S = 0.05
 READERS = 8  # partitions that are read at a time
-MAX_DIVERTED = 5000  # jobs that one row can name
 MAX_STRAYS = 20  # rows deleted in one round
+MAX_LEFT_BEHIND = 30  # jobs of three rows each, within a transaction's hundred
 
 log = logger("scheduler")
 
@@ -58,6 +56,7 @@
         role: RoleLease,
         scheduler: Scheduler,
         commits: CommitTask,
+        diverted: DivertedJobs,
         clock: Clock,
         leases_last_ms: float,
         wake: Callable[[], None],
@@ -66,6 +65,7 @@
         self._role = role
         self._scheduler = scheduler
         self._commits = commits
+        self._diverted = diverted
         self._clock = clock
         self._leases_last_ms = leases_last_ms
         self._wake = wake
@@ -73,20 +73,13 @@
         self._unread: set[str] = set()
         self._found: dict[JobId, dict[str, RowsBySuffix]] = {}
         self._to_divert: set[JobId] = set()
-        self._recorded: set[JobId] = set()
-        self._diverted_row = HolderRow(store, role, DIVERTED_KEY)
         self._strays: dict[PartedKey, int] = {}
 
     # Reading.
 
     def load(self) -> bool:
         """Read all jobs; returns whether the store answers."""
-        match self._diverted_row.read():
-            case Success(value):
-                self._recorded = unpack_job_ids(value) if value is not None else set()
-                self._scheduler.diverted |= self._recorded
-                return self.load_jobs()
-        return False
+        return isinstance(self._diverted.load(), Success) and self.load_jobs()
 
     def load_jobs(self) -> bool:
         """Read all partitions; those that cannot be read are left for later.
@@ -201,7 +194,7 @@
         place = choose_place(
             self._view(home, by_part),
             self._view(fallback, by_part),
-            job_id in self._scheduler.diverted or job_id in self._recorded,
+            self._diverted.may_be_named(job_id),
         )
         match place:
             case Place.HOME:
@@ -265,29 +258,47 @@
 
     def record_diverted(self) -> None:
         """Name diverted jobs in the store, then serve them."""
-        room = max(0, MAX_DIVERTED - len(self._scheduler.diverted))
-        fresh = set(sorted(self._to_divert)[:room])
-        wanted = self._scheduler.diverted | fresh
-        if wanted == self._recorded:
+        fresh = set(sorted(self._to_divert)[: self._diverted.room])
+        if not fresh and self._diverted.is_recorded:
             return
-        match self._diverted_row.write(pack_job_ids(wanted)):
-            case Success(version):
-                log.info("Diverted.", fresh=len(fresh), jobs=len(wanted), at=version)
-                self._recorded = wanted
-                self._scheduler.diverted |= fresh
-                for job_id in list(self._found):
-                    self._settle(job_id)
-                self._wake()
-            case Failure(error):
-                log.warning("Diversions not recorded.", cause=repr(error))
+        if isinstance(self._diverted.record(fresh), Success):
+            for job_id in list(self._found):
+                self._settle(job_id)
+            self._wake()
 
     def delete_strays(self) -> None:
-        """Delete rows that are not where their jobs are served from."""
+        """Delete rows that are not where their jobs are served from.
+
+        A partition that does not take one call is left alone until the next round.
+        """
+        self._delete_left_behind()
+        away: set[str] = set()
         for key, version in list(self._strays.items())[:MAX_STRAYS]:
+            if key.part in away:
+                continue
             checks = (self._role.parted_fence(), Check(key, version))
             match self._store.commit(checks, (Write(key, None),)):
                 case Success(_) | Failure(RowConflict()):
                     del self._strays[key]
                     log.info("Stray row deleted.", row=key.name, partition=key.part)
                 case Failure(error):
+                    away.add(key.part)
                     log.debug("Stray row not deleted.", cause=repr(error))
+
+    def _delete_left_behind(self) -> None:
+        """Delete the home rows of jobs that were moved when they had ended."""
+        left = self._commits.left_behind
+        by_part: dict[str, list[JobId]] = defaultdict(list)
+        for job_id, part in left.items():
+            by_part[part].append(job_id)
+        for part, job_ids in by_part.items():
+            batch = job_ids[:MAX_LEFT_BEHIND]
+            keys = [key for job_id in batch for key in job_keys(part, job_id)]
+            writes = tuple(Write(key, None) for key in keys)
+            match self._store.commit((self._role.parted_fence(),), writes):
+                case Success(_):
+                    for job_id in batch:
+                        del left[job_id]
+                    log.info("Left rows deleted.", jobs=len(batch), partition=part)
+                case Failure(error):
+                    log.debug("Left rows not deleted.", cause=repr(error))
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -81,6 +81,15 @@
     return PartedKey(JOBS_TABLE, part, job_id + PROGRESS_SUFFIX)
 
 
+def job_keys(part: str, job_id: JobId) -> tuple[PartedKey, ...]:
+    """Return the keys of all rows that a job may have in a partition."""
+    return (
+        job_key(part, job_id),
+        progress_key(part, job_id),
+        cancel_key(part, job_id),
+    )
+
+
 def split_name(name: str) -> tuple[JobId, str]:
     """Return the job that a row is about, and the suffix of the row's name.
 
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -11,6 +11,7 @@
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.commits import CommitTask
+from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.jobreader import JobReader
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
@@ -81,10 +82,12 @@
         wait_ms = lease_ms * LEASE_END_SHARE
         term = Term(role.epoch, role.fence().version, began_ms + wait_ms)
         self.scheduler = Scheduler(term)
+        diverted = DivertedJobs(store, role, self.scheduler)
         self._commits = CommitTask(
             store,
             role,
             self.scheduler,
+            diverted,
             clock,
             meters,
             self._plan_soon,
@@ -95,6 +98,7 @@
             role,
             self.scheduler,
             self._commits,
+            diverted,
             clock,
             wait_ms,
             self.wake,
--- a/packages/corianderpitch/corianderpitch/errors.py
+++ b/packages/corianderpitch/corianderpitch/errors.py
@@ -38,9 +38,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformUnavailable:
-    """The platform did not take the request; it had no effect."""
+    """The platform did not take the request; it had no effect.
+
+    ``was_answered`` tells a refusal of the platform from one that it never got.
+    """
 
     detail: str
+    was_answered: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/corianderpitch/tests/test_intake.py
+++ b/packages/corianderpitch/tests/test_intake.py
@@ -53,6 +53,8 @@
             self.heard_ms = self.clock.now_ms()
             return call()
         self.clock.advance(TIMEOUT_MS)
+        if self.away is not None:
+            self.heard_ms = self.clock.now_ms()  # of another partition
         return Failure(self.error)
 
 
@@ -118,7 +120,7 @@
 
 def test_a_state_that_cannot_be_read_is_told_with_when_to_come_back(place):
     _, store, intake = place
-    store.error = PlatformUnavailable("status 503")
+    store.error = PlatformUnavailable("status 503", was_answered=True)
     result = intake.show(QueueName(QUEUE.name), JobId(f"{1:016x}"))
     assert result.kind is IntakeKind.NOT_DONE
     assert result.retry_after_ms > 0
@@ -130,7 +132,7 @@
     Jobs of the partition that was away were refused until their callers gave up.
     """
     clock, store, intake = place
-    store.error = PlatformUnavailable("status 503")
+    store.error = PlatformUnavailable("status 503", was_answered=True)
     store.away = {job_part(QUEUE.name, JobId(f"{1:016x}"))}
     parts = set()
     for number in range(60):
@@ -144,7 +146,7 @@
 
 def test_only_jobs_without_a_partition_that_answers_are_refused(place):
     clock, store, intake = place
-    store.error = PlatformUnavailable("status 503")
+    store.error = PlatformUnavailable("status 503", was_answered=True)
     store.away = set(job_places(QUEUE.name, JobId(f"{1:016x}")))
     kinds = set()
     for number in range(60):
@@ -170,11 +172,23 @@
     assert intake.submit(job).kind is IntakeKind.DONE
 
 
+@pytest.mark.parametrize(
+    "error", [OutcomeLost("timeout"), PlatformUnavailable("refused")]
+)
+def test_a_caller_waits_for_one_call_at_most_to_a_store_out_of_reach(place, error):
+    """An entry that is cut off can reach no partition."""
+    clock, store, intake = place
+    store.error = error
+    began_ms = clock.now_ms()
+    intake.show(QUEUE.name, JobId(f"{1:016x}"))
+    assert clock.now_ms() == began_ms + TIMEOUT_MS
+
+
 def test_a_job_in_its_fallback_partition_is_cancelled_there(place):
     _, store, intake = place
     job = workload(1)
     home, fallback = job_places(job.queue, job.job_id)
-    store.error = PlatformUnavailable("status 503")
+    store.error = PlatformUnavailable("status 503", was_answered=True)
     store.away = {home}
     intake.submit(job)
     assert intake.cancel(job.queue, job.job_id).kind is IntakeKind.DONE
@@ -206,7 +220,7 @@
 def test_a_job_is_not_said_to_be_unknown_while_one_partition_is_away(place):
     _, store, intake = place
     job = workload(1)
-    store.error = PlatformUnavailable("status 503")
+    store.error = PlatformUnavailable("status 503", was_answered=True)
     for part in job_places(job.queue, job.job_id):
         store.away = {part}
         assert intake.show(job.queue, job.job_id).kind is IntakeKind.NOT_DONE
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -4,13 +4,14 @@
 
 import pytest
 from returns.result import Failure, Success
-from test_scheduler import QUEUE, make_job
+from test_scheduler import QUEUE, add_worker, done, make_job, report, starts
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.adapters.partedtable import PartedTable
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.commits import CommitTask
+from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.holderrow import HolderRow
 from corianderpitch.daemon.scheduling.intake import Intake, IntakeKind
 from corianderpitch.daemon.scheduling.jobreader import JobReader
@@ -25,7 +26,7 @@
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
 from corianderpitch.errors import OutcomeLost, PlatformUnavailable
-from corianderpitch.ids import EntryId, JobId
+from corianderpitch.ids import EntryId, JobId, WorkerId
 
 LEASE_MS = 2000.0
 RESTING_MS = 600.0  # longer than a breaker and a partition rest
@@ -41,12 +42,12 @@
 
     def read(self, table, part, first="", end=""):
         if part in self.away:
-            return Failure(PlatformUnavailable("status 503"))
+            return Failure(PlatformUnavailable("status 503", was_answered=True))
         return super().read(table, part, first, end)
 
     def commit(self, checks, writes):
         if {entry.key.part for entry in (*checks, *writes)} & self.away:
-            return Failure(PlatformUnavailable("status 503"))
+            return Failure(PlatformUnavailable("status 503", was_answered=True))
         if self.late is not None:
             self.late.append((checks, writes))
             return Failure(OutcomeLost("late"))
@@ -67,17 +68,26 @@
         term = Term(self.role.epoch, self.role.fence().version, clock.now_ms())
         self.scheduler = Scheduler(term)
         self.scheduler.set_queues({QUEUE.name: QUEUE})
+        diverted = DivertedJobs(store, self.role, self.scheduler)
         self.commits = CommitTask(
             store,
             self.role,
             self.scheduler,
+            diverted,
             clock,
             JobMeters(),
             lambda: None,
             120_000.0,
         )
         self.reader = JobReader(
-            store, self.role, self.scheduler, self.commits, clock, 6000.0, lambda: None
+            store,
+            self.role,
+            self.scheduler,
+            self.commits,
+            diverted,
+            clock,
+            6000.0,
+            lambda: None,
         )
         self.version = 0
 
@@ -209,6 +219,98 @@
     assert shown.state is JobState.CANCELLED
 
 
+def refuse_twice(tenure, clock):
+    """Let a commit fail until a partition counts as away."""
+    for _ in range(2):
+        tenure.commits.commit_all()
+        clock.advance(RESTING_MS)
+
+
+def test_an_end_is_shown_while_the_partition_of_its_job_is_away(store, clock):
+    """Jobs that were done in time were shown as running for seven seconds."""
+    tenure = Tenure(store, clock, "e1").load()
+    home, fallback = job_places(QUEUE.name, JobId("a"))
+    submit(store, clock)
+    tenure.follow()
+    add_worker(tenure.scheduler, "w1")
+    (order,) = starts(tenure.scheduler)
+    assert tenure.commits.commit_all()
+    store.away = {home}
+    report(tenure.scheduler, "w1", ended=[done(order)])
+    refuse_twice(tenure, clock)
+    assert tenure.commits.commit_all()
+    assert tenure.scheduler.workers[WorkerId("w1")].settled == 1
+    shown = Intake(store, clock).show(QUEUE.name, JobId("a"))
+    assert shown.state is JobState.DONE
+    store.away = set()
+    shown = Intake(store, clock).show(QUEUE.name, JobId("a"))
+    assert shown.state is JobState.DONE
+    assert (home, "a") in rows_of(store)
+    tenure.follow()
+    assert rows_of(store) == [(fallback, "a.progress")]
+
+
+@pytest.mark.parametrize("is_home_back", [True, False])
+def test_a_successor_does_not_begin_a_job_again_that_ended_elsewhere(
+    store, clock, is_home_back
+):
+    """What was left at home still says that it runs."""
+    tenure = Tenure(store, clock, "e1").load()
+    home, _ = job_places(QUEUE.name, JobId("a"))
+    submit(store, clock)
+    tenure.follow()
+    store.away = {home}
+    tenure.scheduler.cancel_job(JobId("a"))
+    refuse_twice(tenure, clock)
+    assert tenure.commits.commit_all()
+    store.away = set() if is_home_back else {home}
+    successor = Tenure(store, clock, "e2").load()
+    assert not successor.scheduler.jobs
+    assert JobId("a") in successor.scheduler.ended
+
+
+def test_a_move_whose_answer_was_lost_is_made_again(store, clock):
+    tenure = Tenure(store, clock, "e1").load()
+    home, _ = job_places(QUEUE.name, JobId("a"))
+    submit(store, clock)
+    tenure.follow()
+    store.away = {home}
+    tenure.scheduler.cancel_job(JobId("a"))
+    plain = store.commit
+
+    def lose(checks, writes):
+        result = plain(checks, writes)
+        return Failure(OutcomeLost("lost")) if isinstance(result, Success) else result
+
+    store.commit = lose
+    refuse_twice(tenure, clock)
+    assert not tenure.commits.commit_all()
+    store.commit = plain
+    for _ in range(3):
+        clock.advance(RESTING_MS)
+        is_done = tenure.commits.commit_all()
+    assert is_done
+    assert JobId("a") in tenure.scheduler.diverted
+
+
+def test_what_a_moved_job_left_at_home_is_forgotten_with_it(store, clock):
+    tenure = Tenure(store, clock, "e1").load()
+    home, _ = job_places(QUEUE.name, JobId("a"))
+    submit(store, clock)
+    tenure.follow()
+    store.away = {home}
+    tenure.scheduler.cancel_job(JobId("a"))
+    refuse_twice(tenure, clock)
+    assert tenure.commits.commit_all()
+    clock.advance(300_000.0)
+    tenure.commits.forget_ended()
+    assert len(rows_of(store)) == 2
+    store.away = set()
+    tenure.commits.forget_ended()
+    assert rows_of(store) == []
+    assert not tenure.scheduler.diverted
+
+
 @pytest.mark.parametrize("key", [DIVERTED_KEY, WORKERS_KEY])
 def test_a_write_that_is_carried_out_late_does_not_undo_a_newer_one(store, clock, key):
     role = Tenure(store, clock, "e1").role
@@ -267,6 +369,7 @@
             case 6 if tenure.scheduler.jobs:
                 name = draw.choice(sorted(tenure.scheduler.jobs))
                 tenure.scheduler.cancel_job(JobId(name))
+                refuse_twice(tenure, clock)
                 if tenure.commits.commit_all():
                     ended.add(name)
             case _:
@@ -276,6 +379,8 @@
         for name in tenure.scheduler.jobs:
             assert name not in ended, "begun again after its end"
             is_diverted = name in tenure.scheduler.diverted
+            if draw.random() < 0.2:
+                tenure.scheduler.jobs[JobId(name)].is_dirty = True
             assert begun.setdefault(name, is_diverted) == is_diverted
     store.away = set()
     clock.advance(RESTING_MS)
@@ -283,3 +388,6 @@
     tenure.follow()
     known = set(tenure.scheduler.jobs) | tenure.scheduler.ended
     assert accepted <= known, "a job that was accepted is lost"
+    for name in ended:
+        shown = Intake(store, clock).show(QUEUE.name, JobId(name))
+        assert shown.state is JobState.CANCELLED
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -8,6 +8,7 @@
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.commits import CommitTask
+from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.holder import SchedulerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.rows import JOBS_TABLE, ended_job, job_part
@@ -321,7 +322,14 @@
     assert role.seek()
     scheduler = make_scheduler()
     commits = CommitTask(
-        store, role, scheduler, clock, JobMeters(), lambda: None, 120_000.0
+        store,
+        role,
+        scheduler,
+        DivertedJobs(store, role, scheduler),
+        clock,
+        JobMeters(),
+        lambda: None,
+        120_000.0,
     )
     return clock, store, scheduler, commits
 
