--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/diversions.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/diversions.py
@@ -16,7 +16,7 @@
 from corianderpitch.ids import JobId
 from corianderpitch.ports import Check, RowStore, Write
 
-MAX_DIVERTED = 5000  # jobs that one row can name
+MAX_DIVERTED = 3500  # of 17 bytes each, in a row of 64 KiB
 
 log = logger("scheduler")
 
