Take a worker that runs tasks of unread jobs for what it is, in use

Cause: a new holder that cannot read some partitions leaves runs of jobs it does not know alone, but counted a worker with nothing but such runs as empty. For the same reason such a worker's lease was not renewed.

Ruled out: stops (no order in the log), a store that does not list partitions that are away (they are named as unread).

A worker is now running while it lists runs that may be of unread jobs: its VM stays, its lease is renewed, and it is asked as often as others. Both tests failed before.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -77,7 +77,7 @@
         while self._worker_id in self._scheduler.workers:
             worker = self._scheduler.workers[self._worker_id]
             info = worker.info
-            wait_ms = LIST_WAIT_MS if worker.runs else IDLE_WAIT_MS
+            wait_ms = LIST_WAIT_MS if worker.is_running else IDLE_WAIT_MS
             if worker.clock_ms is None:
                 wait_ms = 0
             if needs_watching(self._scheduler, worker):
@@ -116,7 +116,7 @@
         now_ms = self._clock.now_ms()
         length_ms = self._allowed_lease_ms(self._lease_ms)
         until_ms = None
-        if length_ms > 0 and worker.runs and not worker.is_silent:
+        if length_ms > 0 and worker.is_running and not worker.is_silent:
             until_ms = self._scheduler.lease(self._worker_id, length_ms, now_ms)
         fence = self._scheduler.fence_of(self._worker_id)
         result = self._link.report(
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -197,4 +197,4 @@
             return False
         worker_id = self.vms[vm].worker
         worker = self._scheduler.workers.get(worker_id) if worker_id else None
-        return worker is None or not worker.runs
+        return worker is None or not worker.is_running
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
@@ -151,7 +151,7 @@
     """Tell whether nothing runs on a worker, and all its ends are committed."""
     is_heard = worker.life is not None and not worker.is_silent
     is_settled = worker.seen == worker.settled and not worker.has_unread_ends
-    return is_heard and not worker.runs and is_settled
+    return is_heard and not worker.is_running and is_settled
 
 
 def _rank(
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -167,6 +167,9 @@
         worker.is_silent = False
         self._take_ends(worker, report.ended, now_ms)
         listed = {(run.task, run.number) for run in report.running}
+        worker.has_unread_runs = any(
+            self._may_be_unread(run.task.job_id) for run in report.running
+        )
         for run in report.running:
             self._take_run(worker, run, now_ms)
         if not report.is_whole:
@@ -211,6 +214,7 @@
             self.unheard.discard(worker_id)
             worker = self.workers.get(worker_id)
             if worker is not None and worker.is_silent:
+                worker.has_unread_runs = False
                 for run in list(worker.runs.values()):
                     self._lose(worker, run)
 
@@ -243,10 +247,11 @@
         for worker in list(self.workers.values()):
             lapsed = worker.lease_end_ms(self.leases_end_ms) <= now_ms
             if lapsed and worker.is_silent:
+                worker.has_unread_runs = False
                 for run in list(worker.runs.values()):
                     self._lose(worker, run)
                 self.unheard.discard(worker.info.worker)
-            is_gone = not worker.is_listed and not worker.runs and lapsed
+            is_gone = not worker.is_listed and not worker.is_running and lapsed
             if worker.is_silent and lapsed and not worker.is_listed:
                 worker.open_ends.clear()
             if is_gone and worker.seen == worker.settled:
@@ -386,6 +391,7 @@
         worker.seen = 0
         worker.taken_ahead.clear()
         worker.open_ends.clear()
+        worker.has_unread_runs = False
         worker.clock_ms = None
         worker.leased_until_ms = 0.0
         worker.failed_jobs.clear()
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -154,12 +154,18 @@
     leased_until_ms: float = 0.0
     is_silent: bool = False
     has_unread_ends: bool = False
+    has_unread_runs: bool = False  # of jobs that could not be read yet
     rest_until_ms: float = 0.0
     failed_jobs: list[str] = field(default_factory=list)
 
     def __post_init__(self):
         self.free = self.info.capacity
 
+    @property
+    def is_running(self) -> bool:
+        """Tell whether anything runs there, or may run there."""
+        return bool(self.runs) or self.has_unread_runs
+
     @property
     def settled(self) -> int:
         """Return the last end up to which the effects of all are committed."""
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -1,5 +1,7 @@
 """Single decisions of the scheduler, each from a day on which it was wrong."""
 
+from types import SimpleNamespace
+
 import eventlet
 from returns.result import Failure
 
@@ -10,6 +12,7 @@
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.holder import SchedulerTask
+from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.rows import JOBS_TABLE, ended_job, job_part
 from corianderpitch.domain.jobs import JobState, Shape
@@ -20,6 +23,7 @@
     PoolVm,
     VmCondition,
     WaveProgress,
+    is_empty,
     next_steps,
 )
 from corianderpitch.domain.scheduling.orders import OrderResult, StartRun, StopRun
@@ -34,7 +38,7 @@
     WorkerReport,
 )
 from corianderpitch.domain.scheduling.workloads import Queue, Step, TaskRef, Workload
-from corianderpitch.errors import OutcomeLost
+from corianderpitch.errors import OutcomeLost, WorkerError, WorkerProblem
 from corianderpitch.ids import (
     EntryId,
     JobId,
@@ -435,6 +439,17 @@
     assert starts(scheduler, NOW_MS + 3.0) == []
 
 
+class LinkThatNotes:
+    """A link to workers that fails, and notes until when they are leased."""
+
+    def __init__(self):
+        self.leases = []
+
+    def report(self, info, fence, settled, until_ms, wait_ms):
+        self.leases.append(until_ms)
+        return Failure(WorkerError(WorkerProblem.SILENT))
+
+
 class TestUnreadPartitions:
     """The store answers for some of its partitions only, at a takeover."""
 
@@ -453,6 +468,47 @@
         report(scheduler, "w1", running=[run], asked_ms=NOW_MS + 600.0)
         assert [type(order) for order in scheduler.take_orders()] == [StopRun]
 
+    def test_a_worker_that_runs_an_unread_job_counts_as_running(self):
+        """Its VM was moved, and nine lasting tasks ended with it."""
+        scheduler = make_scheduler(("w1",))
+        worker = scheduler.workers[WorkerId("w1")]
+        assert is_empty(worker)
+        scheduler.is_whole = False
+        job, run = self.run_of()
+        report(scheduler, "w1", running=[run])
+        assert not is_empty(worker)
+        scheduler.add_job(job)
+        scheduler.is_whole = True
+        report(scheduler, "w1", running=[run], asked_ms=NOW_MS + 1.0)
+        assert not is_empty(worker)
+        end = ListedEnd(1, run.task, run.number, EndKind.DONE, "")
+        report(scheduler, "w1", ended=[end], asked_ms=NOW_MS + 2.0)
+        scheduler.settle(scheduler.take_changes())
+        assert is_empty(worker)
+
+    def test_the_lease_of_a_run_of_an_unread_job_is_renewed(self):
+        scheduler = make_scheduler(("w1",))
+        scheduler.is_whole = False
+        _, run = self.run_of()
+        report(scheduler, "w1", running=[run])
+        link = LinkThatNotes()
+        role = SimpleNamespace(renewed_age_ms=0.0)
+        WorkerTask(
+            WorkerId("w1"),
+            scheduler,
+            link,
+            role,
+            None,
+            ManualClock(NOW_MS),
+            None,
+            6000.0,
+            2000.0,
+            lambda: None,
+        )._look(0)
+        (until_ms,) = link.leases
+        assert until_ms is not None
+        assert until_ms > 1000.0
+
     def test_an_end_of_a_job_that_is_not_read_yet_is_kept_by_the_worker(self):
         scheduler = make_scheduler(("w1",))
         scheduler.is_whole = False
