--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -226,6 +226,18 @@
         clock.advance(RESTING_MS)
 
 
+def tenure_with_an_end_elsewhere(store, clock):
+    """Begin a tenure, and end job ``a`` in it while its home partition is away."""
+    tenure = Tenure(store, clock, "e1").load()
+    submit(store, clock)
+    tenure.follow()
+    store.away = {job_places(QUEUE.name, JobId("a"))[0]}
+    tenure.scheduler.cancel_job(JobId("a"))
+    refuse_twice(tenure, clock)
+    assert tenure.commits.commit_all()
+    return tenure
+
+
 def test_an_end_is_shown_while_the_partition_of_its_job_is_away(store, clock):
     """Jobs that were done in time were shown as running for seven seconds."""
     tenure = Tenure(store, clock, "e1").load()
@@ -255,15 +267,9 @@
     store, clock, is_home_back
 ):
     """What was left at home still says that it runs."""
-    tenure = Tenure(store, clock, "e1").load()
-    home, _ = job_places(QUEUE.name, JobId("a"))
-    submit(store, clock)
-    tenure.follow()
-    store.away = {home}
-    tenure.scheduler.cancel_job(JobId("a"))
-    refuse_twice(tenure, clock)
-    assert tenure.commits.commit_all()
-    store.away = set() if is_home_back else {home}
+    tenure_with_an_end_elsewhere(store, clock)
+    if is_home_back:
+        store.away = set()
     successor = Tenure(store, clock, "e2").load()
     assert not successor.scheduler.jobs
     assert JobId("a") in successor.scheduler.ended
@@ -294,14 +300,7 @@
 
 
 def test_what_a_moved_job_left_at_home_is_forgotten_with_it(store, clock):
-    tenure = Tenure(store, clock, "e1").load()
-    home, _ = job_places(QUEUE.name, JobId("a"))
-    submit(store, clock)
-    tenure.follow()
-    store.away = {home}
-    tenure.scheduler.cancel_job(JobId("a"))
-    refuse_twice(tenure, clock)
-    assert tenure.commits.commit_all()
+    tenure = tenure_with_an_end_elsewhere(store, clock)
     clock.advance(300_000.0)
     tenure.commits.forget_ended()
     assert len(rows_of(store)) == 2
