Serve nobody from either partition while the record of its diversion is under way

The holder then served it from home, and counted it as diverted when the write was through: its progress went to the fallback partition, where its own row was deleted as a stray. A successor would have dropped the job. After a lost answer of that write a successor could even have begun it a second time.

Such jobs are now undecided: nobody serves them until a write of the row has been confirmed, and it then names them. What the row may name, lost writes included, counts as named until then. The test fails for both endings of the write on the code before.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/diversions.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/diversions.py
@@ -25,32 +25,37 @@
     """Keeps a row with all diverted jobs, one write at a time.
 
     A job counts as diverted, in ``scheduler.diverted``, once the row names it.
+    ``undecided`` are those that a write names which is under way, or whose answer
+    was lost: a successor may take them for diverted, and nobody may serve them yet.
     """
 
     def __init__(self, store: RowStore, role: RoleLease, scheduler: Scheduler):
         self._row = HolderRow(store, role, DIVERTED_KEY)
         self._scheduler = scheduler
-        self._recorded: set[JobId] | None = None
+        self._named: set[JobId] = set()  # by the row, or by writes that were lost
+        self._is_certain = False
+        self.undecided: set[JobId] = set()
         self._lock = Semaphore()
 
     def load(self) -> Result[None, PlatformError]:
         """Take over what predecessors have recorded."""
         match self._row.read():
             case Success(value):
-                self._recorded = unpack_job_ids(value) if value is not None else set()
-                self._scheduler.diverted |= self._recorded
+                self._named = unpack_job_ids(value) if value is not None else set()
+                self._is_certain = True
+                self._scheduler.diverted |= self._named
                 return Success(None)
             case failure:
                 return failure
 
     def may_be_named(self, job_id: JobId) -> bool:
         """Tell whether a successor may take a job for diverted."""
-        return job_id in self._scheduler.diverted or job_id in (self._recorded or ())
+        return job_id in self._scheduler.diverted or job_id in self._named
 
     @property
     def is_recorded(self) -> bool:
         """Tell whether the row names just the diverted jobs."""
-        return self._recorded == self._scheduler.diverted
+        return self._is_certain and self._named == self._scheduler.diverted
 
     @property
     def room(self) -> int:
@@ -70,15 +75,19 @@
         """
         with self._lock:
             wanted = self._scheduler.diverted | fresh
+            self.undecided |= fresh
+            self._named |= wanted
+            self._is_certain = False
             result = self._row.write(pack_job_ids(wanted), checks, writes)
             match result:
                 case Success(version):
-                    self._recorded = wanted
+                    self._named = wanted
+                    self._is_certain = True
                     self._scheduler.diverted |= fresh
+                    self.undecided.clear()
                     log.info(
                         "Diverted.", fresh=len(fresh), jobs=len(wanted), at=version
                     )
                 case Failure(error):
-                    self._recorded = None
                     log.warning("Diversions not recorded.", cause=repr(error))
         return result
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -189,6 +189,8 @@
 
     def _settle(self, job_id: JobId) -> None:
         """Serve a job if it is known where from."""
+        if job_id in self._diverted.undecided:
+            return
         by_part = self._found[job_id]
         home, fallback = job_places(queue_of(next(iter(by_part))), job_id)
         place = choose_place(
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -165,6 +165,38 @@
     assert successor.scheduler.diverted == {"a"}
 
 
+@pytest.mark.parametrize("is_answered", [True, False])
+def test_a_job_that_comes_home_while_it_is_recorded_stays_diverted(
+    store, clock, is_answered
+):
+    """The row that names it may be written already, or be written late."""
+    tenure = Tenure(store, clock, "e1").load()
+    home, fallback = job_places(QUEUE.name, JobId("a"))
+    store.away = {home}
+    submit(store, clock)
+    store.away = set()
+    clock.advance(RESTING_MS)
+    plain = store.commit
+
+    def come_home_meanwhile(checks, writes):
+        if writes[0].key != DIVERTED_KEY:
+            return plain(checks, writes)
+        store.commit = plain
+        result = plain(checks, writes)
+        assert submit(store, clock) is IntakeKind.DONE
+        rows = store.read(JOBS_TABLE, home).unwrap().rows
+        tenure.reader.take_rows(rows)
+        assert not tenure.scheduler.jobs
+        return result if is_answered else Failure(OutcomeLost("lost"))
+
+    store.commit = come_home_meanwhile
+    for _ in range(4):
+        tenure.follow()
+    assert tenure.scheduler.diverted == {"a"}
+    assert set(tenure.scheduler.jobs) == {"a"}
+    assert rows_of(store) == [(fallback, "a")]
+
+
 def test_a_job_that_has_ended_is_not_begun_again_from_its_other_partition(store, clock):
     """Its caller repeats it while the partition with its final state is away."""
     tenure = Tenure(store, clock, "e1").load()
