Count no list that came while a late partition was read

Cause: a new holder asks all workers again before it serves jobs of a partition that it reads late. It marked the workers as unheard, then read; lists that came meanwhile left the runs of jobs not known yet alone, and still counted as heard, so that the jobs were taken for certain with their runs unknown.

Partitions are now read first; then, without a wait between, the workers count as unheard and the jobs are served. That holds wherever a partition is read late, also after a lost history. The test failed before.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -27,7 +27,7 @@
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.errors import HistoryLost, RowConflict
 from corianderpitch.ids import JobId
-from corianderpitch.ports import Check, PartedKey, Row, RowStore, Write
+from corianderpitch.ports import Check, PartedKey, Row, RowStore, Snapshot, Write
 
 FOLLOW_WAIT_MS = 1000
 FOLLOW_RETRY_S = 0.1
@@ -104,20 +104,29 @@
         return True
 
     def _read_parts(self, parts: Iterable[str]) -> list[int]:
-        """Take partitions in; returns the versions at which they were read."""
-        versions: list[int] = []
+        """Take partitions in; returns the versions at which they were read.
+
+        Nothing waits once they are read: a list that a worker gives before its jobs
+        are known must not count as one that names their runs.
+        """
+        late = set(self._unread)
         self._unread |= set(parts)
         pool = eventlet.GreenPool(READERS)
+        read: dict[str, Snapshot] = {}
         for part, snapshot in pool.imap(self._read_part, sorted(self._unread)):
             if isinstance(snapshot, Success):
-                for row in snapshot.unwrap().rows:
-                    self._note(row)
-                versions.append(snapshot.unwrap().version)
-                self._unread.discard(part)
+                read[part] = snapshot.unwrap()
+        if late & read.keys():
+            now_ms = self._clock.now_ms()
+            self._scheduler.hear_again(now_ms + self._leases_last_ms)
+        for snapshot in read.values():
+            for row in snapshot.rows:
+                self._note(row)
+        self._unread -= read.keys()
         for job_id in list(self._found):
             self._settle(job_id)
         self._scheduler.is_whole = not self._unread
-        return versions
+        return [snapshot.version for snapshot in read.values()]
 
     def _read_part(self, part: str):
         return part, self._store.read(JOBS_TABLE, part)
@@ -129,13 +138,15 @@
             if not self._role.is_renewed:
                 continue
             if self._unread:
-                now_ms = self._clock.now_ms()
-                self._scheduler.hear_again(now_ms + self._leases_last_ms)
-                self._read_parts(())
-                log.info("Partitions still unread.", unread=sorted(self._unread))
-                self._wake()
+                self.read_unread()
             self.delete_strays()
 
+    def read_unread(self) -> None:
+        """Try once more to read the partitions that could not be read."""
+        self._read_parts(())
+        log.info("Partitions still unread.", unread=sorted(self._unread))
+        self._wake()
+
     def follow(self) -> None:
         """Take in what is handed in and cancelled, until killed."""
         while True:
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -25,6 +25,7 @@
 )
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.workers import ListedRun
 from corianderpitch.errors import OutcomeLost, PlatformUnavailable
 from corianderpitch.ids import EntryId, JobId, WorkerId
 
@@ -104,7 +105,7 @@
         self.reader.delete_strays()
 
     def read_rest(self):
-        self.reader._read_parts(())
+        self.reader.read_unread()
         self.reader.record_diverted()
 
 
@@ -373,6 +374,38 @@
     assert set(tenure.commits.recorded_workers().unwrap()) == {"w1", "w2"}
 
 
+def test_a_list_given_while_a_partition_is_read_does_not_count_for_its_jobs(
+    store, clock
+):
+    """Two lasting tasks were started beside their own runs after a takeover."""
+    tenure = Tenure(store, clock, "e1").load()
+    home, _ = job_places(QUEUE.name, JobId("a"))
+    other = next(f"j{n}" for n in range(99) if not is_home(f"j{n}", home))
+    submit(store, clock)
+    submit(store, clock, other)
+    tenure.follow()
+    add_worker(tenure.scheduler, "w1")
+    orders = starts(tenure.scheduler)
+    runs = [ListedRun(order.task, order.number, "", 50.0) for order in orders]
+    store.away = {home}
+    successor = Tenure(store, clock, "e2").load()
+    add_worker(successor.scheduler, "w1")
+    store.away = set()
+    plain = store.read
+
+    def list_meanwhile(*where):
+        report(successor.scheduler, "w1", running=runs)
+        return plain(*where)
+
+    store.read = list_meanwhile
+    successor.read_rest()
+    store.read = plain
+    assert JobId("a") in successor.scheduler.jobs
+    assert starts(successor.scheduler, clock.now_ms()) == []
+    report(successor.scheduler, "w1", running=runs)
+    assert starts(successor.scheduler, clock.now_ms()) == []
+
+
 @pytest.mark.parametrize("seed", range(150))
 def test_no_job_is_served_from_both_partitions_on_a_long_walk(seed, store, clock):
     """Callers repeat, partitions go away, and holders change, in any order."""
