Refuse tickets and numbers that are not ASCII instead of failing with 500

Cause: hmac.compare_digest takes ASCII texts only and raised TypeError for a ticket id with another character behind the dot. The same kind of fault stood where texts are read as numbers: str.isdigit() accepts superscript digits, which int() refuses, and int() refuses more than 4,300 digits (X-Timeout-Ms, Content-Length, numbers of revisions).

Ruled out: workers' rows, workers' reports and peers' messages; their parsers turn ValueError and TypeError into typed errors.

One parser, parse_count, now reads the numbers of all interfaces.

--- a/packages/corianderpitch/corianderpitch/daemon/callers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/callers.py
@@ -11,6 +11,7 @@
 from eventlet import Timeout
 
 from corianderpitch.daemon.documents import DocumentTask
+from corianderpitch.daemon.httpprotocol import parse_count
 from corianderpitch.daemon.metrics import Metrics
 from corianderpitch.daemon.requests import Request, RequestRunner
 from corianderpitch.daemon.tickets import TicketService
@@ -246,15 +247,11 @@
 
 
 def _timeout_ms(environ: Environ, default_ms: int) -> int:
-    text = environ.get("HTTP_X_TIMEOUT_MS", str(default_ms))
-    if (
-        not text.isascii()
-        or not text.isdigit()
-        or not (1 <= int(text) <= MAX_TIMEOUT_MS)
-    ):
+    timeout_ms = parse_count(environ.get("HTTP_X_TIMEOUT_MS", str(default_ms)))
+    if timeout_ms is None or not 1 <= timeout_ms <= MAX_TIMEOUT_MS:
         detail = f"X-Timeout-Ms must be 1 to {MAX_TIMEOUT_MS}"
         raise BadRequest(HTTPStatus.BAD_REQUEST, detail)
-    return int(text)
+    return timeout_ms
 
 
 def _content_type(environ: Environ) -> str:
@@ -276,9 +273,9 @@
     text = environ.get("CONTENT_LENGTH") or ""
     if not text:
         raise BadRequest(HTTPStatus.LENGTH_REQUIRED, "Content-Length is required")
-    if not text.isascii() or not text.isdigit():
+    length = parse_count(text)
+    if length is None:
         raise BadRequest(HTTPStatus.BAD_REQUEST, "Content-Length is not a number")
-    length = int(text)
     if length > max_bytes:
         detail = f"the body may have {max_bytes} bytes"
         raise BadRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, detail)
--- a/packages/corianderpitch/corianderpitch/daemon/httpprotocol.py
+++ b/packages/corianderpitch/corianderpitch/daemon/httpprotocol.py
@@ -14,6 +14,7 @@
 
 from corianderpitch.domain.outcomes import OutcomeKind
 
+MAX_COUNT_DIGITS = 18  # fits into 64 bits
 _TOKEN_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 
 
@@ -23,6 +24,21 @@
     wsgi.MAX_HEADER_LINE = total_bytes
 
 
+def parse_count(text: str) -> int | None:
+    """Return the number in a header or path, or ``None`` if the text is no number.
+
+    A number consists of at most ``MAX_COUNT_DIGITS`` ASCII digits.
+
+    >>> parse_count("120")
+    120
+    >>> parse_count("-1") is None
+    True
+    """
+    if len(text) > MAX_COUNT_DIGITS or not (text.isascii() and text.isdigit()):
+        return None
+    return int(text)
+
+
 def framing_problem(headers: Message) -> str | None:
     """Return why the end of a request is ambiguous, or ``None`` if it is not.
 
@@ -40,7 +56,7 @@
     lengths = headers.get_all("Content-Length", [])
     if len(lengths) > 1:
         return "Content-Length is given twice"
-    if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
+    if lengths and parse_count(lengths[0]) is None:
         return "Content-Length is not a number"
     if lengths and "Transfer-Encoding" in headers:
         return "Content-Length and Transfer-Encoding are given together"
--- a/packages/corianderpitch/corianderpitch/daemon/operators.py
+++ b/packages/corianderpitch/corianderpitch/daemon/operators.py
@@ -21,6 +21,7 @@
     FleetVm,
     WaveRequest,
 )
+from corianderpitch.daemon.httpprotocol import parse_count
 from corianderpitch.daemon.joboperations import JobOperations, JobRequest
 from corianderpitch.daemon.statuses import StatusCollector
 from corianderpitch.domain.problems import Problem
@@ -165,11 +166,12 @@
                 return _response(self._configs.config_head())
             case ("GET", "history"):
                 return _response(self._configs.config_history())
-            case ("GET", "revisions", number) if number.isdigit():
-                revision = Revision(int(number))
+            case ("GET", "revisions", number):
+                revision = _parse_revision(number)
                 return _response(self._configs.config_revision(revision))
-            case ("GET", "diff", old, new) if old.isdigit() and new.isdigit():
-                return _response(self._difference(int(old), int(new)))
+            case ("GET", "diff", old, new):
+                revisions = _parse_revision(old), _parse_revision(new)
+                return _response(self._difference(*revisions))
             case ("POST", "check"):
                 texts = _parse_body(environ, FleetTexts)
                 checked = self._configs.check_config(
@@ -184,9 +186,11 @@
             HTTPStatus.NOT_FOUND, "unknown request under /v1/config"
         )
 
-    def _difference(self, old: int, new: int) -> Result[dict[str, str], OperationError]:
-        old_record = self._configs.config_revision(Revision(old))
-        new_record = self._configs.config_revision(Revision(new))
+    def _difference(
+        self, old: Revision, new: Revision
+    ) -> Result[dict[str, str], OperationError]:
+        old_record = self._configs.config_revision(old)
+        new_record = self._configs.config_revision(new)
         return old_record.bind(
             lambda old_config: new_record.map(
                 lambda new_config: {
@@ -264,16 +268,24 @@
     return DataCenterId(query.get("site", [own])[0])
 
 
+def _parse_revision(text: str) -> Revision:
+    number = parse_count(text)
+    if number is None:
+        detail = "the number of a revision consists of digits"
+        raise BadOperatorRequest(HTTPStatus.NOT_FOUND, detail)
+    return Revision(number)
+
+
 def _parse_body(environ: Environ, body_type: type) -> Any:
     """Return a request's body as ``body_type``.
 
     Raise ``BadOperatorRequest`` if the body is too large or malformed.
     """
-    length = environ.get("CONTENT_LENGTH") or "0"
-    if not length.isdigit() or int(length) > MAX_BODY_BYTES:
+    length = parse_count(environ.get("CONTENT_LENGTH") or "0")
+    if length is None or length > MAX_BODY_BYTES:
         detail = f"Content-Length must be a number of at most {MAX_BODY_BYTES} bytes"
         raise BadOperatorRequest(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, detail)
-    data = environ["wsgi.input"].read(int(length))
+    data = environ["wsgi.input"].read(length)
     try:
         return pydantic.TypeAdapter(body_type).validate_json(data)
     except pydantic.ValidationError as error:
--- a/packages/corianderpitch/corianderpitch/domain/tickets.py
+++ b/packages/corianderpitch/corianderpitch/domain/tickets.py
@@ -191,6 +191,8 @@
             self._retained_bytes += _answer_bytes(outcome)
 
     def _verify(self, ticket_id: TicketId) -> Ticket | None:
+        if not ticket_id.isascii():
+            return None
         text, _, mac = ticket_id.partition(".")
         if not hmac.compare_digest(mac, self._mac(text)):
             return None
--- a/packages/corianderpitch/tests/test_callers.py
+++ b/packages/corianderpitch/tests/test_callers.py
@@ -9,6 +9,7 @@
 from corianderpitch.daemon.callers import CallerApp
 from corianderpitch.domain.fleetfile import check_fleet
 from corianderpitch.domain.outcomes import Answered, NotRun, Reason, Unknown
+from corianderpitch.domain.tickets import Invalid, TicketStore
 
 FLEET = (
     BASE_FLEET
@@ -116,3 +117,18 @@
     config = check_fleet(FLEET, {})
     assert config.base.other_sites_in_region("a") == {"b"}
     assert config.base.other_sites_in_region("unknown") == frozenset()
+
+
+def test_a_ticket_that_is_not_ascii_is_refused_as_unknown():
+    """A comparison that takes ASCII only raised an error, which callers saw as 500."""
+    store = TicketStore("e1", "i1", b"k" * 32)
+    ticket_id = store.issue("s", "t", "c", 0.0).partition(".")[0] + ".\x80"
+    assert isinstance(store.begin(ticket_id, 0.0), Invalid)
+
+
+@pytest.mark.parametrize("text", ["\xb2", "9" * 5000])
+def test_a_number_that_cannot_be_read_is_refused_as_a_bad_request(caller, text):
+    caller.call(HTTP_X_TIMEOUT_MS=text)
+    assert caller.status.startswith("400")
+    caller.call(CONTENT_LENGTH=text)
+    assert caller.status.startswith("400")
--- a/packages/corianderpitch/tests/test_tickets.py
+++ b/packages/corianderpitch/tests/test_tickets.py
@@ -1,6 +1,6 @@
 """Tickets start their request at most once, also across a hand-over."""
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
@@ -90,6 +90,7 @@
 
 
 @given(st.text(max_size=40), st.integers(0, 200))
+@example(".\x80", 0)
 def test_forged_or_changed_ticket_is_invalid(text, position):
     store = new_store()
     ticket = store.issue("s", "t", "c", 0.0)
--- a/tests/integration/test_interface.py
+++ b/tests/integration/test_interface.py
@@ -74,7 +74,12 @@
 
 @pytest.mark.parametrize(
     ("path", "status"),
-    [("/v1/services/none/requests", 404), ("/x", 404), ("/v1/tickets/forged", 404)],
+    [
+        ("/v1/services/none/requests", 404),
+        ("/x", 404),
+        ("/v1/tickets/forged", 404),
+        ("/v1/tickets/forged.%C2%80", 404),
+    ],
 )
 def test_unknown_paths_are_404(fleet, entry, path, status):
     response = fleet.http.request("POST", entry.url + path, body="{}")
