Keep waiting for recorded workers when a partition is read before the workers

If its first attempt to load read only some partitions of jobs and the second one read the rest, request_fresh_reports replaced that set by the workers known so far: none, as workers are loaded last. All older jobs then counted as safe to start at once, although a recorded worker could still run their tasks or begin them on an order carried out late.

Ruled out: run numbers and fences repeat in no term; the set of recorded workers is written before a worker's first order.

The walks missed it because each takeover listed all workers at once. A test of the job reader shows the same sequence without the walks.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -247,9 +247,10 @@
         """Require a new report from all workers, for jobs that are read late.
 
         Runs of these jobs were not touched so far, and are leased like all others.
-        They may therefore last until ``leases_end_ms``.
+        They may therefore last until ``leases_end_ms``. Recorded workers that are
+        not listed yet remain awaited.
         """
-        self.awaiting_report = set(self.workers)
+        self.awaiting_report |= self.workers.keys()
         self.leases_end_ms = leases_end_ms
 
     def mark_recorded(self, worker_ids: Iterable[WorkerId]) -> None:
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -409,6 +409,34 @@
     assert starts(successor.scheduler, clock.now_ms()) == []
 
 
+def test_a_partition_read_before_the_workers_does_not_clear_the_expected_reports(
+    store, clock
+):
+    """A task of a predecessor ran on while a successor started it on another worker.
+
+    The successor's first attempt to load read only some partitions. Its second one
+    read the others, before any worker was listed, and dropped the recorded workers
+    whose reports it had to wait for.
+    """
+    holder = TermHarness(store, clock, "e1").load()
+    home, _ = job_partitions(QUEUE.name, JobId("a"))
+    other = next(f"j{n}" for n in range(99) if not is_home(f"j{n}", home))
+    submit(store, clock)
+    submit(store, clock, other)
+    holder.follow()
+    add_worker(holder.scheduler, "w1")
+    assert starts(holder.scheduler)
+    store.unavailable = {home}
+    successor = TermHarness(store, clock, "e2")
+    successor.scheduler.awaiting_report = {"w1"}
+    successor.scheduler.leases_end_ms = clock.now_ms() + 6000.0
+    successor.load()
+    store.unavailable = set()
+    successor.load()
+    add_worker(successor.scheduler, "w2")
+    assert starts(successor.scheduler, clock.now_ms()) == []
+
+
 @pytest.mark.parametrize("seed", range(150))
 def test_no_job_is_served_from_both_partitions_in_random_sequences(seed, store, clock):
     """Resubmissions, outages and changes of the holder come in any order."""
--- a/packages/corianderpitch/tests/test_scheduler_rules.py
+++ b/packages/corianderpitch/tests/test_scheduler_rules.py
@@ -405,17 +405,18 @@
         if not self.workers[worker].is_up:
             self.workers[worker].start_incarnation(self.now_ms)
 
-    @rule(unread=st.sampled_from(UNAVAILABLE_JOBS))
-    def take_over(self, unread):
+    @rule(unread=st.sampled_from(UNAVAILABLE_JOBS), lists_workers=st.booleans())
+    def take_over(self, unread, lists_workers):
         """Let another entry acquire the role after its lease has expired.
 
-        The store does not answer for the ``unread`` jobs.
+        The store does not answer for the ``unread`` jobs, and for the list of workers
+        only later if ``lists_workers`` is false.
         """
         if len(self.holders) > 3 or self.now_ms - self.store.beat_ms < ROLE_LEASE_MS:
             return
         holder = Holder(self.store, self.now_ms, unread)
         for name, worker in self.workers.items():
-            if worker.is_up:
+            if worker.is_up and lists_workers:
                 self._list(holder, name)
         self.holders.append(holder)
 
@@ -446,6 +447,13 @@
     return rng.choice(UNAVAILABLE_JOBS)
 
 
+def _recovery_rounds(machine, rng):
+    """Return rounds of the newest holder in which the store answers for all jobs."""
+    which = len(machine.holders) - 1
+    reach = rng.choice((("w1",), ("w1", "w2"), ("w2", "w3")))
+    return [(which, "prompt", reach, True, rng.choice(RUN_MS), 10.0, ())] * 3
+
+
 def _walk(machine, rng):
     """Take one step: mostly a round of the newest holder, sometimes of an old one."""
     match rng.choices(range(7), (60, 8, 4, 8, 8, 6, 6))[0]:
@@ -470,7 +478,11 @@
             machine.restart(worker=rng.choice(WORKERS))
         case 4:
             machine.pass_time(ms=2500.0)
-            machine.take_over(unread=rng.choice(UNAVAILABLE_JOBS))
+            machine.take_over(
+                unread=rng.choice(UNAVAILABLE_JOBS), lists_workers=rng.random() < 0.5
+            )
+            if rng.random() < 0.5:  # the store answers before all workers do
+                machine.run_holders(rounds=_recovery_rounds(machine, rng))
         case 5 if machine.calls:
             late = {"run_ms": rng.choice(RUN_MS), "fails": False}
             machine.arrive(which=rng.randrange(51), **late)
