Never let a late renewal make a role's lease look lapsed

One that got no answer could be applied seconds later, over newer ones, and put its old time back. Another entry then saw a lapsed lease and acquired the role of a holder that went on serving by its own clock. A job accepted after that is newer than the successor's term, which starts it at once, while the former holder had read and started it too.

A renewal now also requires the version of the heartbeat row; after a failure the version is read again with the epoch. The lease of a role just acquired counts from before the store was asked, as renewals do.

Ruled out: releases, which end the epoch; time estimates, within their 300 ms. Before: two of the three new tests of roles fail. After: all pass.

--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -67,6 +67,7 @@
         self._heartbeat_key = f"role/{name}/beat"
         self._epoch = 0
         self._epoch_version = 0
+        self._heartbeat_version = 0
         self._heartbeat_sequence = 0
         self._observed_versions: tuple[int, int] | None = None
         self._last_change_ms = clock.now_ms()
@@ -123,13 +124,15 @@
         match self._table.read({self._epoch_key: 0, self._heartbeat_key: 0}):
             case Success(rows):
                 is_free = self._is_free(rows, min_free_ms)
-                return is_free and self._acquire(rows.get(self._epoch_key))
+                return is_free and self._acquire(rows)
         return False
 
     def renew(self) -> bool:
         """Renew the lease if that is due; return ``False`` if the renewal failed.
 
-        A renewal is due once the renewal interval has passed since the last one.
+        A renewal is due once the renewal interval has passed since the last one. It
+        requires that the heartbeat row has not changed since: if the store applies
+        an earlier renewal late, the row must not show an older time again.
         """
         now_ms = self._clock.now_ms()
         if now_ms < self._next_renewal_ms:
@@ -139,8 +142,10 @@
             RoleHeartbeat(self._epoch, self._heartbeat_sequence, self._table_time_ms())
         )
         write = Write(self._heartbeat_key, heartbeat)
-        match self._table.commit((self.fence(),), (write,)):
-            case Success(_):
+        checks = (self.fence(), Check(self._heartbeat_key, self._heartbeat_version))
+        match self._table.commit(checks, (write,)):
+            case Success(versions):
+                self._heartbeat_version = versions[self._heartbeat_key]
                 self._next_renewal_ms = now_ms + self._renew_interval_ms
                 self._renewed_ms = now_ms
                 return True
@@ -159,14 +164,14 @@
         self._mark_lost()
 
     def verify_holder(self) -> None:
-        """Read the epoch row, and mark the role as lost if another entry holds it.
+        """Read the role's rows, and mark the role as lost if another entry holds it.
 
         The holder calls this after a failed transaction.
         """
-        match self._table.read({self._epoch_key: 0}):
+        match self._table.read({self._epoch_key: 0, self._heartbeat_key: 0}):
             case Success(rows):
-                row = rows.get(self._epoch_key)
-                if row is None or row.version != self._epoch_version:
+                self._heartbeat_version = version_of(rows.get(self._heartbeat_key))
+                if version_of(rows.get(self._epoch_key)) != self._epoch_version:
                     self._mark_lost()
 
     def _is_free(self, rows: Mapping[str, Row], min_free_ms: float) -> bool:
@@ -206,7 +211,9 @@
             return False
         return self._table_time_ms() - renewed_ms >= age_ms + TABLE_TIME_MAX_LAG_MS
 
-    def _acquire(self, epoch_row: Row | None) -> bool:
+    def _acquire(self, rows: Mapping[str, Row]) -> bool:
+        began_ms = self._clock.now_ms()
+        epoch_row = rows.get(self._epoch_key)
         previous = decode_row(RoleEpoch, epoch_row.value) if epoch_row else None
         epoch_number = previous.epoch + 1 if previous else 1
         epoch = RoleEpoch(self._entry, epoch_number, self._table_time_ms())
@@ -217,8 +224,9 @@
                 self._epoch = epoch.epoch
                 self.acquired_ms = epoch.taken_ms
                 self._epoch_version = versions[self._epoch_key]
+                self._heartbeat_version = version_of(rows.get(self._heartbeat_key))
                 self._is_held = True
-                self._renewed_ms = self._clock.now_ms()
+                self._renewed_ms = began_ms
                 self._next_renewal_ms = 0.0
                 log.info("Acquired role {}, epoch {}.", self._name, epoch.epoch)
                 return True
--- a/packages/corianderpitch/tests/fakes.py
+++ b/packages/corianderpitch/tests/fakes.py
@@ -3,6 +3,7 @@
 from returns.result import Failure
 
 from corianderpitch.adapters.memory import MemoryTable
+from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.errors import OutcomeLost
 
 BASE_FLEET = """
@@ -55,3 +56,26 @@
             self.sent.append((entry, message))
         elif type(message) in self.handlers:
             self.handlers[type(message)](entry, message)
+
+
+class DeferringStore(MemoryRowStore):
+    """A store that can apply commits late, without an answer, or take its time."""
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.clock = clock
+        self.is_deferring = False
+        self.commit_ms = 0.0
+        self._deferred = []
+
+    def commit(self, checks, writes):
+        if self.is_deferring:
+            self._deferred.append((checks, writes))
+            return Failure(OutcomeLost("deferred"))
+        self.clock.advance(self.commit_ms)
+        return super().commit(checks, writes)
+
+    def apply_deferred(self):
+        deferred, self._deferred = self._deferred, []
+        for checks, writes in deferred:
+            super().commit(checks, writes)
--- a/packages/corianderpitch/tests/test_roles.py
+++ b/packages/corianderpitch/tests/test_roles.py
@@ -1,6 +1,7 @@
 """Acquisition of roles by entries that have just started, in a table with a clock."""
 
-from corianderpitch.adapters.memorystore import MemoryRowStore
+from fakes import DeferringStore
+
 from corianderpitch.adapters.partedtable import PartitionedTable
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.roles import RoleLease
@@ -9,10 +10,10 @@
 LEASE_MS = 2000.0
 
 
-def make_leases(*entries):
+def make_leases(*entries, store=None):
     """Return a clock and the entries' leases of one role, in a shared table."""
-    clock = ManualClock(1000.0)
-    store = MemoryRowStore(clock)
+    clock = store.clock if store else ManualClock(1000.0)
+    store = store or DeferringStore(clock)
     table = PartitionedTable(store)
     leases = [
         RoleLease(
@@ -50,3 +51,46 @@
         clock.advance(500.0)
         assert holder.renew()
     assert not started.try_acquire()
+
+
+def test_a_renewal_applied_late_does_not_make_the_lease_look_lapsed():
+    """A renewal without an answer was applied after newer ones, with its old time.
+
+    An entry that has just started then acquired the role of a live holder, and both
+    started the tasks of a job that was accepted in between.
+    """
+    store = DeferringStore(ManualClock(1000.0))
+    clock, (holder, started) = make_leases("e1", "e2", store=store)
+    assert holder.try_acquire()
+    store.is_deferring = True
+    assert not holder.renew()
+    store.is_deferring = False
+    for _ in range(6):
+        clock.advance(500.0)
+        assert holder.renew()
+    store.apply_deferred()
+    assert holder.has_valid_lease
+    assert not started.try_acquire()
+
+
+def test_a_renewal_without_an_answer_that_was_applied_is_followed_by_the_next():
+    store = DeferringStore(ManualClock(1000.0))
+    clock, (holder,) = make_leases("e1", store=store)
+    assert holder.try_acquire()
+    assert holder.renew()
+    clock.advance(500.0)
+    store.is_deferring = True
+    holder.renew()
+    store.is_deferring = False
+    store.apply_deferred()
+    holder.renew()
+    assert holder.renew()
+    assert holder.renewal_age_ms == 0.0
+
+
+def test_an_acquired_lease_counts_from_before_the_store_was_asked():
+    store = DeferringStore(ManualClock(1000.0))
+    clock, (holder,) = make_leases("e1", store=store)
+    store.commit_ms = 700.0
+    assert holder.try_acquire()
+    assert holder.renewal_age_ms == 700.0
