Count a VM as down for a wave only until it is up, and keep a wave's due time

With a hundred moves a second all places of the wave were taken, and emptying stopped and began six times within eight seconds. Besides, each new holder counted the deadline from its own first sight of the wave.

Change: a VM that was seen up again is finished for good; the due time of a wave is recorded with the orders about VMs, by the store's time.

Ruled out: the rate of orders; nothing was refused for it.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -111,6 +111,8 @@
             if self._orders.refresh():
                 self._detect_ended_workers(self._orders.listed_ms)
                 self._drop_finished_moves()
+                for wave in self._waves.values():
+                    wave.update_finished(self._orders.vms)
             if self._orders.vms:
                 self._run_round()
             eventlet.sleep(ROUND_INTERVAL_S)
@@ -125,7 +127,7 @@
                     vms=len(order.vms),
                     cap=order.max_concurrent,
                 )
-                due_ms = self._clock.now_ms() + order.deadline_ms
+                due_ms = self._orders.wave_due_ms(number, order.deadline_ms)
                 begun = self._orders.begun.get(number, set())
                 self._waves[number] = WaveProgress(order, due_ms, set(begun))
                 self._report_wave(number, False)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -139,24 +139,31 @@
         recent orders are kept.
     begun : dict of int to set of VmId
         The VMs that have had their maintenance, by the number of the wave.
+    due_ms : dict of int to float
+        The store's time at which each wave is due, by the number of the wave.
     """
 
     ordered_ms: dict[VmId, float] = field(default_factory=dict)
     begun: dict[int, set[VmId]] = field(default_factory=dict)
+    due_ms: dict[int, float] = field(default_factory=dict)
 
 
 def pack_vm_orders(record: VmOrdersRecord) -> bytes:
     """Encode the record of the orders about VMs."""
     begun = {wave: sorted(vms) for wave, vms in record.begun.items()}
-    return msgpack.packb([record.ordered_ms, begun])
+    return msgpack.packb([record.ordered_ms, begun, record.due_ms])
 
 
 def unpack_vm_orders(value: bytes) -> VmOrdersRecord:
-    """Decode the record of a predecessor's orders about VMs."""
-    ordered_ms, begun = msgpack.unpackb(value, strict_map_key=False)
+    """Decode the record of a predecessor's orders about VMs.
+
+    Records of earlier versions have no due times.
+    """
+    ordered_ms, begun, *rest = msgpack.unpackb(value, strict_map_key=False)
     return VmOrdersRecord(
         {VmId(vm): at_ms for vm, at_ms in ordered_ms.items()},
         {wave: {VmId(vm) for vm in vms} for wave, vms in begun.items()},
+        rest[0] if rest else {},
     )
 
 
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -70,6 +70,7 @@
         self._recorded: VmOrdersRecord | None = None
         self._ordered_ms: dict[VmId, float] = {}
         self._busy_ms: dict[VmId, float] = {}
+        self._wave_due_ms: dict[int, float] = {}
         self.begun: dict[int, set[VmId]] = {}
         self.vms: dict[VmId, PoolVm] = {}
 
@@ -82,6 +83,7 @@
                 self._recorded = unpack_vm_orders(value) if value else VmOrdersRecord()
                 self._predecessor_ordered_ms = dict(self._recorded.ordered_ms)
                 self.begun = {w: set(vms) for w, vms in self._recorded.begun.items()}
+                self._wave_due_ms = dict(self._recorded.due_ms)
                 return True
             case failure:
                 log.warning(
@@ -115,7 +117,9 @@
         ordered_ms = {vm: at for vm, at in self._ordered_ms.items() if at > oldest_ms}
         ordered_ms |= {vm: now_ms for vm in vms}
         begun = {wave: set(done) for wave, done in self.begun.items()}
-        record = VmOrdersRecord(self._predecessor_ordered_ms | ordered_ms, begun)
+        record = VmOrdersRecord(
+            self._predecessor_ordered_ms | ordered_ms, begun, dict(self._wave_due_ms)
+        )
         match self._row.write(pack_vm_orders(record)):
             case Success(_):
                 self._recorded = record
@@ -127,14 +131,28 @@
                 )
         return False
 
+    def wave_due_ms(self, wave: int, deadline_ms: float) -> float:
+        """Return when a wave is due, in ms of the clock.
+
+        The deadline counts from the moment at which a holder first saw the wave, and
+        not anew for each of its successors.
+        """
+        store_ms = self._store.time_ms()
+        due_ms = self._wave_due_ms.setdefault(wave, store_ms + deadline_ms)
+        return self._clock.now_ms() + due_ms - store_ms
+
     def mark_begun(self, wave: int, vm: VmId) -> None:
         """Note that a VM has had its maintenance in a wave."""
         self.begun.setdefault(wave, set()).add(vm)
 
     @property
     def is_recorded(self) -> bool:
-        """Tell whether the store names all VMs that have had their maintenance."""
-        return self._recorded is not None and self._recorded.begun == self.begun
+        """Tell whether the store holds the progress and due times of all waves."""
+        return (
+            self._recorded is not None
+            and self._recorded.begun == self.begun
+            and self._recorded.due_ms == self._wave_due_ms
+        )
 
     @property
     def listed_ms(self) -> float:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
@@ -47,13 +47,15 @@
     """Progress of a wave.
 
     The platform has accepted the maintenance order for each of ``started_vms``.
-    ``ordered_ms`` holds the time of the last order for each VM.
+    ``ordered_ms`` holds the time of the last order for each VM. ``finished_vms`` are
+    up again; they may be moved since, but are no longer down for the wave.
     """
 
     order: WaveOrder
     due_ms: float = 0.0
     started_vms: set[VmId] = field(default_factory=set)
     ordered_ms: dict[VmId, float] = field(default_factory=dict)
+    finished_vms: set[VmId] = field(default_factory=set)
     is_completed: bool = False
 
     def is_urgent(self, vms: Mapping[VmId, "PoolVm"], now_ms: float) -> bool:
@@ -63,6 +65,12 @@
         )
         return now_ms + (rounds + 1) * MAINTENANCE_ROUND_MS >= self.due_ms
 
+    def update_finished(self, vms: Mapping[VmId, PoolVm]) -> None:
+        """Note which VMs are up again, from a list requested after their orders."""
+        for vm_id in self.started_vms & vms.keys():
+            if vms[vm_id].condition is VmCondition.UP:
+                self.finished_vms.add(vm_id)
+
     def remaining_vms(self, vms: Mapping[VmId, PoolVm]) -> list[VmId]:
         """Return the existing VMs whose maintenance has not started."""
         return [vm for vm in self.order.vms if vm in vms and vm not in self.started_vms]
@@ -87,8 +95,7 @@
     down = 0
     for vm_id in wave.order.vms:
         vm = vms.get(vm_id)
-        is_up = vm is not None and vm.condition is VmCondition.UP
-        is_open = vm_id in wave.ordered_ms and not (vm_id in wave.started_vms and is_up)
+        is_open = vm_id in wave.ordered_ms and vm_id not in wave.finished_vms
         is_down = vm is not None and vm.condition is VmCondition.IN_MAINTENANCE
         if is_open or is_down or vm_id in held_back:
             down += 1
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -325,6 +325,7 @@
             fence,
             RunState.STARTING,
             now_ms,
+            is_lasting=step.step.is_lasting,
         )
         worker.add_run(run)
         step.runs.setdefault(index, []).append(run)
@@ -595,6 +596,7 @@
             now_ms,
             reported.percent,
             reported.load,
+            is_lasting=step.step.is_lasting,
         )
         worker.add_run(run)
         step.runs.setdefault(reported.task.index, []).append(run)
