Size pools for the growth of their arrivals as well

Change: ArrivalForecast keeps the arrivals of two seconds and adds the growth that exceeds its standard deviation and goes on in the newest half second, 0.6 s ahead.

--- a/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
@@ -11,16 +11,16 @@
 """
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.arrivals import GROWTH_LEAD_MS, ArrivalForecast
 from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition
 from corianderpitch.domain.scheduling.orders import StartRun, StopRun
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
 from corianderpitch.domain.scheduling.sizing import (
-    ARRIVAL_WINDOW_MS,
     DemandWindow,
     plan_moves,
     pool_loads,
@@ -49,7 +49,8 @@
     """A load whose peak moves from one queue to the next every ``peak_duration_s``.
 
     The queue at its peak receives ``peak_factor`` times the mean rate, and the others
-    ``trough_factor`` times that rate.
+    ``trough_factor`` times that rate. The rate rises evenly during the first
+    ``rise_s`` of a peak.
     """
 
     queues: int = 4
@@ -57,13 +58,15 @@
     peak_factor: float = 4.0
     trough_factor: float = 0.05
     peak_duration_s: float = 5.0
+    rise_s: float = 0.0
 
     def rate_per_s(self, queue: int, now_ms: float) -> float:
         """Return how many jobs a second a queue receives."""
-        peaking = int(now_ms / 1000.0 / self.peak_duration_s) % self.queues
-        return self.mean_per_s * (
-            self.peak_factor if peaking == queue else self.trough_factor
-        )
+        peak, into_peak_s = divmod(now_ms / 1000.0, self.peak_duration_s)
+        if peak % self.queues != queue:
+            return self.mean_per_s * self.trough_factor
+        risen = min(1.0, into_peak_s / self.rise_s) if self.rise_s else 1.0
+        return self.mean_per_s * self.peak_factor * risen
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,13 +75,15 @@
 
     Each queue has a pool of ``workers`` VMs, and the standby pool has ``spare`` VMs.
     If ``resizes_pools`` is set, VMs move between the pools as the load changes; if
-    ``counts_arrivals`` is set as well, recent arrivals count towards the load.
+    ``counts_arrivals`` is set as well, recent arrivals count towards the load, and
+    their growth over ``lead_ms``.
     """
 
     workers: int = 6
     spare: int = 6
     resizes_pools: bool = True
     counts_arrivals: bool = True
+    lead_ms: float = GROWTH_LEAD_MS
 
 
 @dataclass(slots=True)
@@ -152,6 +157,7 @@
             _SimulatedVm(VmId(f"spare-{m}"), STANDBY) for m in range(policy.spare)
         ]
         self._demand = DemandWindow()
+        self._arrivals = ArrivalForecast(policy.lead_ms)
         self._run_times_ms: dict[tuple[JobId, int], list[float]] = {}
         self._job_count = 0
         self._worker_count = 0
@@ -289,8 +295,9 @@
             queue_report.late += 1
 
     def _move_vms(self, now_ms: float) -> None:
-        window_ms = ARRIVAL_WINDOW_MS if self._policy.counts_arrivals else 0.0
-        loads = pool_loads(self._scheduler, now_ms, now_ms, window_ms)
+        loads = pool_loads(self._scheduler, self._arrivals, now_ms, now_ms)
+        if not self._policy.counts_arrivals:
+            loads = {s: replace(load, arriving=0.0) for s, load in loads.items()}
         needs = pool_needs(loads, self._demand, now_ms)
         vms = {vm.vm_id: vm.to_pool_vm(now_ms) for vm in self._vms}
         standby = frozenset((STANDBY,))
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -10,6 +10,7 @@
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.scheduling.catalogs import CatalogTask
 from corianderpitch.daemon.scheduling.vmorders import LIST_INTERVAL_MS, VmOrders
+from corianderpitch.domain.scheduling.arrivals import ArrivalForecast
 from corianderpitch.domain.scheduling.maintenance import (
     ORDER_RETRY_INTERVAL_MS,
     MaintainVm,
@@ -99,6 +100,7 @@
         self._moves: dict[VmId, PendingMove] = {}
         self._refused: set[MoveVm] = set()
         self._demand = DemandWindow()
+        self._arrivals = ArrivalForecast()
         self._ended_workers: set[WorkerId] = set()
 
     def run(self) -> None:
@@ -215,7 +217,9 @@
     def _plan_moves(
         self, standby: frozenset[ServiceName], evacuating: set[WorkerId], now_ms: float
     ) -> list[MoveVm]:
-        loads = pool_loads(self._scheduler, now_ms, self._clock.wall_ms())
+        loads = pool_loads(
+            self._scheduler, self._arrivals, now_ms, self._clock.wall_ms()
+        )
         needs = pool_needs(loads, self._demand, now_ms)
         vms = self._orders.vms
         fixed_pools: dict[VmId, ServiceName | None] = {
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
@@ -13,10 +13,11 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable, Mapping, Sequence, Set
+from collections.abc import Iterable, Mapping, Set
 from dataclasses import dataclass
 
 from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.arrivals import Arrival, ArrivalForecast
 from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition, is_empty
 from corianderpitch.domain.scheduling.ordering import will_miss_objective
 from corianderpitch.domain.scheduling.progress import ActiveJob
@@ -26,7 +27,6 @@
 
 MIN_WORKERS = 3  # after the loss of a VM, lasting tasks still have two workers
 PACKING_HEADROOM = 1.1  # tasks of different sizes do not fill a VM completely
-ARRIVAL_WINDOW_MS = 500.0
 DEMAND_WINDOW_MS = 600.0  # a VM that returns sooner is moved twice for little use
 
 
@@ -37,7 +37,7 @@
     ``running`` and ``lasting`` tasks occupy capacity, and ``lasting`` includes
     lasting tasks that wait. ``waiting`` tasks need capacity. ``late`` tasks wait
     too, but their jobs can no longer meet their objective. ``arriving`` is the
-    average load that would run if jobs continued to arrive at the recent rate.
+    average load that the recent arrivals and their growth lead to.
     """
 
     running: float = 0.0
@@ -96,56 +96,37 @@
 
 def pool_loads(
     scheduler: Scheduler,
+    forecast: ArrivalForecast,
     now_ms: float,
     wall_ms: float,
-    window_ms: float = ARRIVAL_WINDOW_MS,
 ) -> dict[ServiceName, PoolLoad]:
     """Return the load of each pool that serves a queue.
 
-    Jobs that were accepted within the last ``window_ms`` count as arrivals; 0 counts
-    none.
+    The forecast records the jobs that arrived since the last call.
     """
     capacities = _capacities(scheduler.workers.values())
     loads = {queue.service: PoolLoad() for queue in scheduler.queues.values()}
-    arrivals: dict[ServiceName, list[float]] = {}
+    arrivals: list[Arrival] = []
     for job in scheduler.jobs.values():
         queue = scheduler.queues.get(job.workload.queue)
         capacity = capacities.get(queue.service) if queue is not None else None
-        if capacity is not None:
-            load = loads[queue.service]
-            loads[queue.service] = load.plus(
-                _job_load(
-                    job, capacity, will_miss_objective(job, queue, now_ms), wall_ms
-                )
+        if capacity is None:
+            continue
+        is_late = will_miss_objective(job, queue, now_ms)
+        load = _job_load(job, capacity, is_late, wall_ms)
+        loads[queue.service] = loads[queue.service].plus(load)
+        if not job.workload.is_lasting:
+            work_ms = _work_ms(job, capacity)
+            arrivals.append(
+                Arrival(job.job_id, queue.service, job.accepted_ms, work_ms)
             )
-            if now_ms - job.accepted_ms < window_ms and not job.workload.is_lasting:
-                works_ms = arrivals.setdefault(queue.service, [])
-                works_ms.append(_work_ms(job, capacity))
-    for service, works_ms in arrivals.items():
-        arriving = steady_load(works_ms, window_ms)
-        loads[service] = loads[service].plus(PoolLoad(arriving=arriving))
+    forecast.record(arrivals, now_ms)
+    for service, arriving in forecast.loads(now_ms).items():
+        if service in loads:
+            loads[service] = loads[service].plus(PoolLoad(arriving=arriving))
     return loads
 
 
-def steady_load(works_ms: Sequence[float], window_ms: float) -> float:
-    """Return the average load if jobs arrive as in a window (Little's law).
-
-    ``works_ms`` holds the work of each job of the window, in worker-milliseconds.
-    The number of jobs is lowered by its standard deviation, so that a few jobs that
-    arrive together by chance do not count as a peak. The result is in workers.
-
-    >>> steady_load([1000.0] * 25, 500.0)
-    40.0
-    >>> steady_load([1000.0], 500.0)
-    0.0
-    """
-    count = len(works_ms)
-    if not count:
-        return 0.0
-    certain_share = 1.0 - 1.0 / math.sqrt(count)
-    return certain_share * sum(works_ms) / window_ms
-
-
 def _work_ms(job: ActiveJob, capacity: Shape) -> float:
     """Return a job's total work, in worker-milliseconds."""
     return sum(
--- a/packages/corianderpitch/tests/test_sizing.py
+++ b/packages/corianderpitch/tests/test_sizing.py
@@ -3,6 +3,7 @@
 import pytest
 
 from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.arrivals import load_growth, steady_load
 from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition
 from corianderpitch.domain.scheduling.sizing import (
     DemandWindow,
@@ -10,7 +11,6 @@
     PoolLoad,
     PoolNeed,
     plan_moves,
-    steady_load,
 )
 from corianderpitch.domain.scheduling.workers import WorkerInfo, WorkerView
 from corianderpitch.ids import ServiceName, VmId, WorkerId
@@ -125,6 +125,25 @@
     assert ahead.vm_s < 1.05 * plain.vm_s
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_pool_is_sized_for_the_growth_of_its_arrivals(seed):
+    """Arrivals rise for 3 s, as fast as VMs can follow, to more than 50 per second."""
+    pattern = RotatingPeaks(mean_per_s=14.0, peak_duration_s=8.0, rise_s=3.0)
+    level = replay(pattern, ReplayPolicy(30, 30, lead_ms=0.0), seed, 8.0)
+    ahead = replay(pattern, ReplayPolicy(30, 30), seed, 8.0)
+    assert 1.0 - ahead.share_in_time < 0.75 * (1.0 - level.share_in_time)
+    assert ahead.vm_s < 1.05 * level.vm_s
+
+
+@pytest.mark.parametrize(
+    ("earlier", "recent", "newest"),
+    [(0, 1, 1), (3, 5, 4), (20, 20, 15), (30, 10, 10), (10, 40, 20)],
+)
+def test_a_load_that_may_not_grow_on_has_no_growth(earlier, recent, newest):
+    works_ms = [1000.0] * earlier, [1000.0] * recent
+    assert load_growth(*works_ms, newest, 600.0) == 0.0
+
+
 @pytest.mark.parametrize("jobs", [1, 2, 3])
 def test_a_few_jobs_that_arrive_together_do_not_count_as_a_peak(jobs):
     assert steady_load([1000.0] * jobs, 500.0) < jobs
