Send orders that waited behind one without an answer under the raised fence

Change: an order that was not sent yet takes its worker's present fence right before it is sent. A start whose task has a newer run by then is not sent.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -14,6 +14,7 @@
     OrderResult,
     PaceRun,
     RequestReport,
+    RunOrder,
     StartRun,
     StopRun,
 )
@@ -155,8 +156,9 @@
             )
         self._scheduler.mark_silent(self._worker_id)
 
-    def _execute(self, order: Order) -> None:
+    def _execute(self, order: RunOrder) -> None:
         worker = self._scheduler.workers[self._worker_id]
+        order = self._scheduler.with_current_fence(order)
         sent_ms = self._clock.now_ms()
         match order:
             case StartRun():
@@ -184,7 +186,7 @@
     def _start(self, order: StartRun, now_ms: float) -> OrderResult:
         worker = self._scheduler.workers[self._worker_id]
         length_ms = self._bound_lease_ms(START_LEASE_MS)
-        if length_ms <= 0 or worker.runs.get(order.task) is None:
+        if length_ms <= 0 or not self._scheduler.is_awaiting_start(order):
             return OrderResult.NOT_SENT
         until_ms = self._scheduler.extend_lease(self._worker_id, length_ms, now_ms)
         if until_ms is None:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
@@ -52,7 +52,8 @@
     worker: WorkerId
 
 
-Order = StartRun | StopRun | PaceRun | RequestReport
+RunOrder = StartRun | StopRun | PaceRun
+Order = RunOrder | RequestReport
 
 
 class OrderResult(enum.Enum):
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.orders import (
@@ -15,6 +15,7 @@
     PaceRun,
     RequestReport,
     RunNotice,
+    RunOrder,
     StartRun,
     StopRun,
 )
@@ -263,6 +264,22 @@
         """Return the fence number of orders to a worker."""
         return self.term.fence + self.workers[worker_id].fence_increment
 
+    def with_current_fence(self, order: RunOrder) -> RunOrder:
+        """Return an order that was not sent yet with its worker's present fence.
+
+        An order without an answer raises the fence, so that the worker refuses that
+        order from then on. It would also refuse the orders that waited behind it.
+        """
+        fence = self.fence_of(order.worker)
+        if isinstance(order, StartRun) and self.is_awaiting_start(order):
+            self.workers[order.worker].runs[order.task].fence = fence
+        return replace(order, fence=fence)
+
+    def is_awaiting_start(self, order: StartRun) -> bool:
+        """Return whether the run of a start order that was not sent is still wanted."""
+        run = self.workers[order.worker].runs.get(order.task)
+        return run is not None and run.number == order.number
+
     def expire(self, now_ms: float) -> None:
         """Mark runs with expired leases as lost, and drop workers that have left."""
         if now_ms >= self.leases_end_ms:
--- /dev/null
+++ b/packages/corianderpitch/tests/test_links.py
@@ -0,0 +1,78 @@
+"""Orders to one worker: those that wait behind one without an answer."""
+
+from types import SimpleNamespace
+
+from test_scheduler import NOW_MS, make_job, make_scheduler, starts
+
+from corianderpitch.clock import ManualClock
+from corianderpitch.daemon.scheduling.links import WorkerTask
+from corianderpitch.daemon.scheduling.meters import JobMeters
+from corianderpitch.domain.scheduling.orders import OrderResult
+from corianderpitch.domain.scheduling.workers import RunState
+from corianderpitch.ids import WorkerId
+
+
+class SilentOnceLink:
+    """Leaves the first start unanswered, and then refuses fences below the highest."""
+
+    def __init__(self, scheduler):
+        self.scheduler = scheduler
+        self.fences = []
+
+    def start(self, info, order, until_ms):
+        self.fences.append(order.fence)
+        if len(self.fences) == 1:
+            return OrderResult.NO_ANSWER
+        is_current = order.fence == self.scheduler.fence_of(info.worker)
+        return OrderResult.DONE if is_current else OrderResult.SUPERSEDED
+
+
+def make_task(scheduler, link):
+    role = SimpleNamespace(renewal_age_ms=0.0)
+    clock = ManualClock(NOW_MS)
+    return WorkerTask(
+        WorkerId("w1"),
+        scheduler,
+        link,
+        role,
+        None,
+        clock,
+        JobMeters(),
+        6000.0,
+        2000.0,
+        lambda: None,
+    )
+
+
+def test_an_order_behind_one_without_an_answer_is_sent_with_the_raised_fence():
+    """Each order without an answer made the worker refuse all that waited behind it.
+
+    Their tasks were started anew only after the next planning round.
+    """
+    scheduler = make_scheduler(("w1",))
+    scheduler.add_job(make_job("a"))
+    scheduler.add_job(make_job("b"))
+    link = SilentOnceLink(scheduler)
+    task = make_task(scheduler, link)
+    task._fetch_report = lambda wait_ms: None
+    first, *behind = starts(scheduler)
+    for order in (first, *behind):
+        task._execute(order)
+    assert len(link.fences) > 1
+    assert min(link.fences[1:]) > link.fences[0]
+    states = [run.state for run in scheduler.workers[WorkerId("w1")].runs.values()]
+    assert states.count(RunState.RUNNING) == len(behind)
+    assert not scheduler.is_superseded
+
+
+def test_a_start_that_was_replaced_by_a_newer_run_is_not_sent():
+    scheduler = make_scheduler(("w1",))
+    scheduler.add_job(make_job("a"))
+    link = SilentOnceLink(scheduler)
+    task = make_task(scheduler, link)
+    (outdated, *_) = starts(scheduler)
+    run = scheduler.workers[WorkerId("w1")].runs[outdated.task]
+    scheduler._mark_run_lost(scheduler.workers[WorkerId("w1")], run)
+    assert starts(scheduler)
+    task._execute(outdated)
+    assert link.fences == []
