--- a/packages/corianderpitch/tests/test_advice.py
+++ b/packages/corianderpitch/tests/test_advice.py
@@ -1,7 +1,7 @@
 """Queues whose advice policy allows only some workers."""
 
 from returns.result import Failure
-from test_scheduler import NOW_MS, QUEUE, add_worker, make_job, make_scheduler, starts
+from schedulers import NOW_MS, QUEUE, add_worker, make_job, make_scheduler, starts
 
 from corianderpitch.adapters.memoryadvice import VALIDITY_MS, MemoryAdvice
 from corianderpitch.clock import ManualClock
--- a/packages/corianderpitch/tests/test_evacuation.py
+++ b/packages/corianderpitch/tests/test_evacuation.py
@@ -1,7 +1,7 @@
 """Evacuation of lasting tasks within their budget of unavailable tasks."""
 
 import pytest
-from test_scheduler import NOW_MS, make_job, make_scheduler, report, starts
+from schedulers import NOW_MS, make_job, make_scheduler, report, starts
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.evacuation import evacuate
--- a/packages/corianderpitch/tests/test_intake.py
+++ b/packages/corianderpitch/tests/test_intake.py
@@ -2,7 +2,7 @@
 
 import pytest
 from returns.result import Failure
-from test_scheduler import QUEUE, make_job
+from schedulers import QUEUE, make_job
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.clock import ManualClock
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -4,7 +4,7 @@
 
 import pytest
 from returns.result import Failure, Success
-from test_scheduler import QUEUE, add_worker, done, make_job, report, starts
+from schedulers import QUEUE, add_worker, done, make_job, report, starts
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.adapters.partedtable import PartitionedTable
--- a/packages/corianderpitch/tests/test_links.py
+++ b/packages/corianderpitch/tests/test_links.py
@@ -2,7 +2,7 @@
 
 from types import SimpleNamespace
 
-from test_scheduler import NOW_MS, make_job, make_scheduler, starts
+from schedulers import NOW_MS, make_job, make_scheduler, starts
 
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.scheduling.links import WorkerTask
--- a/packages/corianderpitch/tests/test_maintainers.py
+++ b/packages/corianderpitch/tests/test_maintainers.py
@@ -2,7 +2,7 @@
 
 import eventlet
 import pytest
-from test_scheduler import make_scheduler
+from schedulers import make_scheduler
 
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.scheduling.maintainers import MaintenanceTask
--- a/packages/corianderpitch/tests/test_maintenance.py
+++ b/packages/corianderpitch/tests/test_maintenance.py
@@ -1,6 +1,6 @@
 """Maintenance waves: which VMs count as down, and when a wave is due."""
 
-from test_scheduler import NOW_MS, QUEUE
+from schedulers import NOW_MS, QUEUE
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.clock import ManualClock
--- a/packages/corianderpitch/tests/test_pacing.py
+++ b/packages/corianderpitch/tests/test_pacing.py
@@ -1,6 +1,6 @@
 """Throttling of fillers that share a worker with user-serving tasks."""
 
-from test_scheduler import NOW_MS, make_job, make_scheduler, report, starts
+from schedulers import NOW_MS, make_job, make_scheduler, report, starts
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.orders import OrderResult
--- a/packages/corianderpitch/tests/test_placing.py
+++ b/packages/corianderpitch/tests/test_placing.py
@@ -3,7 +3,7 @@
 import random
 
 import pytest
-from test_scheduler import NOW_MS, add_worker, make_job, make_scheduler, starts
+from schedulers import NOW_MS, add_worker, make_job, make_scheduler, starts
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling import planning
--- a/packages/corianderpitch/tests/test_steps.py
+++ b/packages/corianderpitch/tests/test_steps.py
@@ -1,6 +1,6 @@
 """Gangs, schedules, checkpoints and speculative copies of tasks."""
 
-from test_scheduler import (
+from schedulers import (
     NOW_MS,
     QUEUE,
     done,
