--- a/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
@@ -21,6 +21,7 @@
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
 from corianderpitch.domain.scheduling.sizing import (
+    DEMAND_WINDOW_MS,
     DemandWindow,
     plan_moves,
     pool_loads,
@@ -76,7 +77,8 @@
     Each queue has a pool of ``workers`` VMs, and the standby pool has ``spare`` VMs.
     If ``resizes_pools`` is set, VMs move between the pools as the load changes; if
     ``counts_arrivals`` is set as well, recent arrivals count towards the load, and
-    their growth over ``lead_ms``.
+    their growth over ``lead_ms``. A pool keeps the VMs of its highest demand within
+    ``demand_window_ms``.
     """
 
     workers: int = 6
@@ -84,6 +86,7 @@
     resizes_pools: bool = True
     counts_arrivals: bool = True
     lead_ms: float = GROWTH_LEAD_MS
+    demand_window_ms: float = DEMAND_WINDOW_MS
 
 
 @dataclass(slots=True)
@@ -156,7 +159,7 @@
         self._vms += [
             _SimulatedVm(VmId(f"spare-{m}"), STANDBY) for m in range(policy.spare)
         ]
-        self._demand = DemandWindow()
+        self._demand = DemandWindow(policy.demand_window_ms)
         self._arrivals = ArrivalForecast(policy.lead_ms)
         self._run_times_ms: dict[tuple[JobId, int], list[float]] = {}
         self._job_count = 0
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/arrivals.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/arrivals.py
@@ -67,7 +67,9 @@
     """
     total = len(earlier_ms) + len(recent_ms)
     certain = len(recent_ms) - len(earlier_ms) - math.sqrt(total)
-    continued = 4 * (2 * newest_count - len(recent_ms))
+    before_newest_count = len(recent_ms) - newest_count
+    # Half windows hold half of the jobs and lie half as far apart.
+    continued = 4 * (newest_count - before_newest_count)
     growth = min(certain, continued)
     if growth <= 0.0:
         return 0.0
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -342,7 +342,6 @@
             fence,
             RunState.STARTING,
             now_ms,
-            is_lasting=step.step.is_lasting,
         )
         worker.add_run(run)
         step.runs.setdefault(index, []).append(run)
@@ -613,7 +612,6 @@
             now_ms,
             reported.percent,
             reported.load,
-            is_lasting=step.step.is_lasting,
         )
         worker.add_run(run)
         step.runs.setdefault(reported.task.index, []).append(run)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -127,7 +127,6 @@
     load: float = 0.0
     pace_percent: int = 100
     paced_ms: float = 0.0
-    is_lasting: bool = False
 
 
 @dataclass(slots=True)
