Share the set-up of two tests of jobs in two partitions

The test that came with the mend of forgotten workers wrote the seven lines of its neighbour again. Both call holder_of_two_partitions now; their assertions are unchanged, and the tests of the job reader pass.

--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -376,11 +376,8 @@
     assert set(holder.commits.read_recorded_workers().unwrap()) == {"w1", "w2"}
 
 
-def test_a_report_sent_while_a_partition_is_read_does_not_cover_its_jobs(store, clock):
-    """Two lasting tasks were started a second time after a takeover.
-
-    A report from before their jobs were read counted as a list without their runs.
-    """
+def holder_of_two_partitions(store, clock):
+    """Return a holder with a worker and jobs of two partitions, and that of job a."""
     holder = TermHarness(store, clock, "e1").load()
     home, _ = job_partitions(QUEUE.name, JobId("a"))
     other = next(f"j{n}" for n in range(99) if not is_home(f"j{n}", home))
@@ -388,6 +385,15 @@
     submit(store, clock, other)
     holder.follow()
     add_worker(holder.scheduler, "w1")
+    return holder, home
+
+
+def test_a_report_sent_while_a_partition_is_read_does_not_cover_its_jobs(store, clock):
+    """Two lasting tasks were started a second time after a takeover.
+
+    A report from before their jobs were read counted as a list without their runs.
+    """
+    holder, home = holder_of_two_partitions(store, clock)
     orders = starts(holder.scheduler)
     runs = [ReportedRun(order.task, order.number, "", 50.0) for order in orders]
     store.unavailable = {home}
@@ -418,13 +424,7 @@
     read the others, before any worker was listed, and dropped the recorded workers
     whose reports it had to wait for.
     """
-    holder = TermHarness(store, clock, "e1").load()
-    home, _ = job_partitions(QUEUE.name, JobId("a"))
-    other = next(f"j{n}" for n in range(99) if not is_home(f"j{n}", home))
-    submit(store, clock)
-    submit(store, clock, other)
-    holder.follow()
-    add_worker(holder.scheduler, "w1")
+    holder, home = holder_of_two_partitions(store, clock)
     assert starts(holder.scheduler)
     store.unavailable = {home}
     successor = TermHarness(store, clock, "e2")
