--- a/packages/corianderpitch/corianderpitch/domain/scheduling/arrivals.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/arrivals.py
@@ -87,15 +87,18 @@
     lead_ms: float = GROWTH_LEAD_MS
     _arrivals: dict[JobId, Arrival] = field(default_factory=dict)
 
+    def covers(self, accepted_ms: float, now_ms: float) -> bool:
+        """Return whether a job is recent enough to count."""
+        return accepted_ms > now_ms - 2 * GROWTH_WINDOW_MS
+
     def record(self, arrivals: Iterable[Arrival], now_ms: float) -> None:
         """Record arrivals that may be known already, and forget old ones."""
-        oldest_ms = now_ms - 2 * GROWTH_WINDOW_MS
         for arrival in arrivals:
             self._arrivals.setdefault(arrival.job_id, arrival)
         self._arrivals = {
             job_id: arrival
             for job_id, arrival in self._arrivals.items()
-            if arrival.accepted_ms > oldest_ms
+            if self.covers(arrival.accepted_ms, now_ms)
         }
 
     def loads(self, now_ms: float) -> dict[ServiceName, float]:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
@@ -115,7 +115,8 @@
         is_late = will_miss_objective(job, queue, now_ms)
         load = _job_load(job, capacity, is_late, wall_ms)
         loads[queue.service] = loads[queue.service].plus(load)
-        if not job.workload.is_lasting:
+        is_recent = forecast.covers(job.accepted_ms, now_ms)
+        if is_recent and not job.workload.is_lasting:
             work_ms = _work_ms(job, capacity)
             arrivals.append(
                 Arrival(job.job_id, queue.service, job.accepted_ms, work_ms)
