Log when an order about a VM was sent and how old its record was

The log line of an order had the fence number and the result only, and it is written when the answer is there: it told neither when the order was sent, nor how old the record that protects it was, nor when the role had been renewed. So it could not tell the four hypotheses apart that docs/incidents/two-holders-order-one-vm.md lists. No decision changes.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -120,8 +120,17 @@
         record = VmOrdersRecord(
             self._predecessor_ordered_ms | ordered_ms, begun, dict(self._wave_due_ms)
         )
+        began_ms = self._clock.now_ms()
         match self._row.write(pack_vm_orders(record)):
-            case Success(_):
+            case Success(version):
+                log.info(
+                    "VM orders recorded.",
+                    term=self._scheduler.term.number,
+                    vms=len(ordered_ms),
+                    at_ms=round(now_ms),
+                    version=version,
+                    took_ms=round(self._clock.now_ms() - began_ms),
+                )
                 self._recorded = record
                 self._ordered_ms = ordered_ms
                 return True
@@ -216,8 +225,21 @@
             return VmOrderResult.NOT_SENT
         self._order_count += 1
         fence = self._scheduler.term.fence + self._order_count
+        sent_ms = self._clock.now_ms()
+        record_age_ms = self._store.time_ms() - self._ordered_ms[vm]
+        renewal_age_ms = self._role.renewal_age_ms
         result = send(fence)
-        log.info(message, vm=vm, **details, fence=fence, result=result.value)
+        log.info(
+            message,
+            vm=vm,
+            **details,
+            fence=fence,
+            result=result.value,
+            term=self._scheduler.term.number,
+            record_age_ms=round(record_age_ms),
+            renewal_age_ms=round(renewal_age_ms),
+            took_ms=round(self._clock.now_ms() - sent_ms),
+        )
         if result is VmOrderResult.BUSY:
             self._busy_ms[vm] = self._clock.now_ms()
         elif result is VmOrderResult.SUPERSEDED:
