Bound how long after its record an order about a VM may be sent

Cause: the record that a holder writes before it orders held one time for a whole round of orders, and a successor left the VMs alone for 3.5 s after that time. The orders of a round are sent a few at a time, each for up to 1.2 s, and nothing asked how old the record was. With a slow VM service one round sent orders for eight seconds. All orders later than 0.5 s after the record were unprotected: a successor that gets the role at once, because the holder was stopped, could order the same VM right away.

The protection now covers the order and not the record. An order is sent only within 0.5 s after the write of its record began; what is left of the round goes back to the next one and is recorded again. The record names the time by which the order has arrived or is lost, and a successor counts the hand-over window from there.

Evidence: test_two_holders_do_not_order_a_vm_in_turn_if_the_first_ordered_late failed before for orders 0.6, 1.2 and 2.4 s after their record (with 2.4 s the successor's order came 1.1 s after its predecessor's) and passed for 0.3 s; all pass now. A longer window alone was ruled out: the length of a round has no bound. A record for each order was ruled out: it costs a transaction an order, and a takeover must be able to read it.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -134,16 +134,16 @@
 
     Attributes
     ----------
-    ordered_ms : dict of VmId to float
-        The store's time of the last order about each VM, in milliseconds. Only
-        recent orders are kept.
+    arrives_by_ms : dict of VmId to float
+        The store's time, in milliseconds, by which the last order about each VM has
+        arrived at the VM service or is lost. Only recent orders are kept.
     begun : dict of int to set of VmId
         The VMs that have had their maintenance, by the number of the wave.
     due_ms : dict of int to float
         The store's time at which each wave is due, by the number of the wave.
     """
 
-    ordered_ms: dict[VmId, float] = field(default_factory=dict)
+    arrives_by_ms: dict[VmId, float] = field(default_factory=dict)
     begun: dict[int, set[VmId]] = field(default_factory=dict)
     due_ms: dict[int, float] = field(default_factory=dict)
 
@@ -151,7 +151,7 @@
 def pack_vm_orders(record: VmOrdersRecord) -> bytes:
     """Encode the record of the orders about VMs."""
     begun = {wave: sorted(vms) for wave, vms in record.begun.items()}
-    return msgpack.packb([record.ordered_ms, begun, record.due_ms])
+    return msgpack.packb([record.arrives_by_ms, begun, record.due_ms])
 
 
 def unpack_vm_orders(value: bytes) -> VmOrdersRecord:
@@ -159,9 +159,9 @@
 
     Records of earlier versions have no due times.
     """
-    ordered_ms, begun, *rest = msgpack.unpackb(value, strict_map_key=False)
+    arrives_by_ms, begun, *rest = msgpack.unpackb(value, strict_map_key=False)
     return VmOrdersRecord(
-        {VmId(vm): at_ms for vm, at_ms in ordered_ms.items()},
+        {VmId(vm): at_ms for vm, at_ms in arrives_by_ms.items()},
         {wave: {VmId(vm) for vm in vms} for wave, vms in begun.items()},
         rest[0] if rest else {},
     )
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -1,7 +1,7 @@
 """The list of the platform's VMs, and the role holder's orders about them."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from returns.result import Success
 
@@ -21,6 +21,7 @@
 from corianderpitch.ports import RowStore, VmOrderResult, VmPools
 
 LIST_INTERVAL_MS = 400.0
+MAX_INTENT_AGE_MS = 500.0  # later orders of a round are recorded again before they go
 HOLDER_CHANGE_SLACK_MS = 500.0
 ROLE_MARGIN_MS = 500.0
 BUSY_BACKOFF_MS = 1000.0  # a VM that is draining or moving stays so for seconds
@@ -28,11 +29,25 @@
 log = logger("vms")
 
 
+@dataclass(frozen=True, slots=True)
+class OrderIntent:
+    """An intent to send an order about a VM, as recorded in the store.
+
+    ``began_ms`` is when the write of the record began, by the holder's clock.
+    ``arrives_by_ms`` is the store's time by which the order has arrived at the VM
+    service or is lost.
+    """
+
+    began_ms: float
+    arrives_by_ms: float
+
+
 class VmOrders:
     """Keeps the list of VMs and sends maintenance and move orders safely.
 
-    The store names a VM before the first order about it is sent. For
-    ``holder_change_ms`` plus a slack after such an order, a new holder sends no order
+    The store names a VM before an order about it is sent, with the time by which that
+    order has arrived. An order that cannot arrive by then is not sent. For
+    ``holder_change_ms`` plus a slack after that time, a new holder sends no order
     about the VM. Each order carries a higher fence number than those before it, so
     that an order that is executed late cannot undo a newer one.
 
@@ -66,9 +81,9 @@
         self._listed_ms = -LIST_INTERVAL_MS
         self._order_count = 0
         self._hand_over_window_ms = holder_change_ms + HOLDER_CHANGE_SLACK_MS
-        self._predecessor_ordered_ms: dict[VmId, float] = {}
+        self._predecessor_arrives_by_ms: dict[VmId, float] = {}
         self._recorded: VmOrdersRecord | None = None
-        self._ordered_ms: dict[VmId, float] = {}
+        self._intents: dict[VmId, OrderIntent] = {}
         self._busy_ms: dict[VmId, float] = {}
         self._wave_due_ms: dict[int, float] = {}
         self.begun: dict[int, set[VmId]] = {}
@@ -81,7 +96,7 @@
         match self._row.read():
             case Success(value):
                 self._recorded = unpack_vm_orders(value) if value else VmOrdersRecord()
-                self._predecessor_ordered_ms = dict(self._recorded.ordered_ms)
+                self._predecessor_arrives_by_ms = dict(self._recorded.arrives_by_ms)
                 self.begun = {w: set(vms) for w, vms in self._recorded.begun.items()}
                 self._wave_due_ms = dict(self._recorded.due_ms)
                 return True
@@ -94,12 +109,12 @@
     def held_by_predecessor(self) -> set[VmId]:
         """Return the VMs with a recent order of a predecessor."""
         oldest_ms = self._store.time_ms() - self._hand_over_window_ms
-        self._predecessor_ordered_ms = {
+        self._predecessor_arrives_by_ms = {
             vm: at_ms
-            for vm, at_ms in self._predecessor_ordered_ms.items()
+            for vm, at_ms in self._predecessor_arrives_by_ms.items()
             if at_ms > oldest_ms
         }
-        return set(self._predecessor_ordered_ms)
+        return set(self._predecessor_arrives_by_ms)
 
     def busy(self) -> set[VmId]:
         """Return the VMs that were busy at an order in the last ``BUSY_BACKOFF_MS``."""
@@ -112,27 +127,34 @@
 
         Returns whether the orders may be sent.
         """
-        now_ms = self._store.time_ms()
-        oldest_ms = now_ms - self._hand_over_window_ms
-        ordered_ms = {vm: at for vm, at in self._ordered_ms.items() if at > oldest_ms}
-        ordered_ms |= {vm: now_ms for vm in vms}
-        begun = {wave: set(done) for wave, done in self.begun.items()}
+        began_ms = self._clock.now_ms()
+        store_ms = self._store.time_ms()
+        oldest_ms = store_ms - self._hand_over_window_ms
+        arrives_by_ms = store_ms + MAX_INTENT_AGE_MS + self._pools.order_timeout_ms
+        intents = {
+            vm: intent
+            for vm, intent in self._intents.items()
+            if intent.arrives_by_ms > oldest_ms
+        }
+        intents |= {vm: OrderIntent(began_ms, arrives_by_ms) for vm in vms}
         record = VmOrdersRecord(
-            self._predecessor_ordered_ms | ordered_ms, begun, dict(self._wave_due_ms)
+            self._predecessor_arrives_by_ms
+            | {vm: intent.arrives_by_ms for vm, intent in intents.items()},
+            {wave: set(done) for wave, done in self.begun.items()},
+            dict(self._wave_due_ms),
         )
-        began_ms = self._clock.now_ms()
         match self._row.write(pack_vm_orders(record)):
             case Success(version):
                 log.info(
                     "VM orders recorded.",
                     term=self._scheduler.term.number,
-                    vms=len(ordered_ms),
-                    at_ms=round(now_ms),
+                    vms=len(intents),
+                    at_ms=round(store_ms),
                     version=version,
                     took_ms=round(self._clock.now_ms() - began_ms),
                 )
                 self._recorded = record
-                self._ordered_ms = ordered_ms
+                self._intents = intents
                 return True
             case failure:
                 log.warning(
@@ -226,7 +248,7 @@
         self._order_count += 1
         fence = self._scheduler.term.fence + self._order_count
         sent_ms = self._clock.now_ms()
-        record_age_ms = self._store.time_ms() - self._ordered_ms[vm]
+        record_age_ms = sent_ms - self._intents[vm].began_ms
         renewal_age_ms = self._role.renewal_age_ms
         result = send(fence)
         log.info(
@@ -249,10 +271,13 @@
     def _is_safe_to_order(self, vm: VmId) -> bool:
         """Check right before an order that it cannot do harm.
 
-        The VM must be recorded in the store, the role must have been renewed
-        recently, and nothing may run on the VM's worker.
+        The VM must have been recorded in the store recently, the role must have been
+        renewed recently, and nothing may run on the VM's worker.
         """
-        if vm not in self.vms or vm not in self._ordered_ms:
+        intent = self._intents.get(vm)
+        if vm not in self.vms or intent is None:
+            return False
+        if self._clock.now_ms() - intent.began_ms > MAX_INTENT_AGE_MS:
             return False
         if self._role.renewal_age_ms > self._role_lease_ms - ROLE_MARGIN_MS:
             return False
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -443,6 +443,11 @@
     Repeating an order that was carried out returns ``DONE``.
     """
 
+    @property
+    @abc.abstractmethod
+    def order_timeout_ms(self) -> float:
+        """Return how long after its sending an order may still arrive, in ms."""
+
     @abc.abstractmethod
     def list_vms(self) -> Result[tuple[PoolVm, ...], PlatformError]:
         """Return every VM."""
--- a/packages/corianderpitch/tests/test_vmorders.py
+++ b/packages/corianderpitch/tests/test_vmorders.py
@@ -1,5 +1,9 @@
 """Orders about VMs: recorded in the store first, and respected by a new holder."""
 
+import itertools
+import math
+
+import pytest
 from returns.result import Failure, Success
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
@@ -25,21 +29,34 @@
 
 
 class Pools(VmPools):
-    """Pools with one VM that record the fence numbers of the orders about it."""
+    """Pools with one VM that record the orders about it as they arrive."""
 
-    def __init__(self):
-        self.fences = []
+    order_timeout_ms = 800.0
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.arrivals = []
         self.result = VmOrderResult.DONE
 
+    @property
+    def fences(self):
+        return [fence for _, fence, _ in self.arrivals]
+
+    def shortest_turn_ms(self):
+        """Return the shortest time between orders of two holders."""
+        pairs = itertools.pairwise(self.arrivals)
+        turns = [b[2] - a[2] for a, b in pairs if a[0] != b[0]]
+        return min(turns, default=math.inf)
+
     def list_vms(self):
         return Success((PoolVm(VM, POOL, VmCondition.UP, None),))
 
     def maintain(self, vm, wave, holder, fence):
-        self.fences.append(fence)
+        self.arrivals.append((holder, fence, self.clock.now_ms()))
         return self.result
 
     def move(self, vm, pool, holder, fence):
-        self.fences.append(fence)
+        self.arrivals.append((holder, fence, self.clock.now_ms()))
         return self.result
 
 
@@ -49,7 +66,7 @@
     def __init__(self):
         self.clock = ManualClock(10_000.0)
         self.store = MemoryRowStore(self.clock)
-        self.pools = Pools()
+        self.pools = Pools(self.clock)
 
     def holder(self, name):
         table = PartitionedTable(self.store)
@@ -99,6 +116,30 @@
     assert second.held_by_predecessor() == set()
 
 
+def order_once_allowed(cluster, orders):
+    """Let a holder order the VM as soon as it may."""
+    while VM in orders.held_by_predecessor():
+        cluster.clock.advance(100.0)
+        orders._role.renew()
+    assert orders.record_intent([VM])
+    assert orders.move(VM, POOL) is VmOrderResult.DONE
+
+
+@pytest.mark.parametrize("delay_ms", [300.0, 600.0, 1200.0, 2400.0])
+def test_two_holders_do_not_order_a_vm_in_turn_if_the_first_ordered_late(delay_ms):
+    # In a long round, orders were sent seconds after the one time in their record.
+    cluster = Cluster()
+    first = cluster.holder("e1")
+    assert first.record_intent([VM])
+    for _ in range(int(delay_ms / 100.0)):
+        cluster.clock.advance(100.0)
+        first._role.renew()
+    first.move(VM, STANDBY_POOL)
+    first._role.release()
+    order_once_allowed(cluster, cluster.holder("e2"))
+    assert cluster.pools.shortest_turn_ms() >= HOLDER_CHANGE_MS
+
+
 def test_fence_numbers_increase_with_each_order_also_across_holders():
     cluster = Cluster()
     first = cluster.holder("e1")
