Check an order about a VM right before it is sent

Cause: VmOrders checked the record, the role's renewal and the VM's worker, and then called the client, which may wait 0.4 s for a connection. A process that is suspended in that wait sends on waking, however long ago the check was. The check also went by the age of the renewal alone, so that a holder which already knew that it had lost the role, or that its fence was refused, sent until its threads were ended.

The client now asks once more between having the connection and sending; nothing yields in between. The check includes that the role is held and not superseded. Since the wait for the connection comes before the check, it no longer counts into the time by which an order has arrived. The log takes its times there too, so that took_ms is the exchange.

Evidence: with the new check taken out, both new tests of VmOrders fail: the order is sent (done in place of not_sent). They pass with it. A suspension between the check and the system call remains possible, for microseconds; only the VM service's own check of fences could exclude it.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -42,6 +42,19 @@
     arrives_by_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class OrderTiming:
+    """When an order was sent, and how old the record and the role's lease were then.
+
+    ``sent_ms`` is the time by the holder's clock. ``renewal_age_ms`` counts from the
+    last renewal of the role.
+    """
+
+    sent_ms: float
+    record_age_ms: float
+    renewal_age_ms: float
+
+
 class VmOrders:
     """Keeps the list of VMs and sends maintenance and move orders safely.
 
@@ -210,7 +223,9 @@
             "Maintenance ordered.",
             vm,
             {"wave": wave},
-            lambda fence: self._pools.maintain(vm, wave, self._entry, fence),
+            lambda fence, may_send: self._pools.maintain(
+                vm, wave, self._entry, fence, may_send
+            ),
         )
         if result is VmOrderResult.DONE:
             self._update_listed_vm(
@@ -224,7 +239,9 @@
             "Move ordered.",
             vm,
             {"pool": pool},
-            lambda fence: self._pools.move(vm, pool, self._entry, fence),
+            lambda fence, may_send: self._pools.move(
+                vm, pool, self._entry, fence, may_send
+            ),
         )
         if result is VmOrderResult.DONE:
             self._update_listed_vm(
@@ -241,16 +258,25 @@
         message: str,
         vm: VmId,
         details: dict[str, object],
-        send: Callable[[int], VmOrderResult],
+        send: Callable[[int, Callable[[], bool]], VmOrderResult],
     ) -> VmOrderResult:
+        """Send an order unless it could do harm by the time at which it is sent.
+
+        The check is made first to save the connection, and again next to the send:
+        to connect takes time, and the process may be suspended in between.
+        """
         if not self._is_safe_to_order(vm):
             return VmOrderResult.NOT_SENT
         self._order_count += 1
         fence = self._scheduler.term.fence + self._order_count
-        sent_ms = self._clock.now_ms()
-        record_age_ms = sent_ms - self._intents[vm].began_ms
-        renewal_age_ms = self._role.renewal_age_ms
-        result = send(fence)
+        timing = self._timing(vm)
+
+        def may_send() -> bool:
+            nonlocal timing
+            timing = self._timing(vm)
+            return self._is_safe_to_order(vm)
+
+        result = send(fence, may_send)
         log.info(
             message,
             vm=vm,
@@ -258,9 +284,9 @@
             fence=fence,
             result=result.value,
             term=self._scheduler.term.number,
-            record_age_ms=round(record_age_ms),
-            renewal_age_ms=round(renewal_age_ms),
-            took_ms=round(self._clock.now_ms() - sent_ms),
+            record_age_ms=round(timing.record_age_ms),
+            renewal_age_ms=round(timing.renewal_age_ms),
+            took_ms=round(self._clock.now_ms() - timing.sent_ms),
         )
         if result is VmOrderResult.BUSY:
             self._busy_ms[vm] = self._clock.now_ms()
@@ -268,19 +294,28 @@
             self._scheduler.is_superseded = True
         return result
 
+    def _timing(self, vm: VmId) -> OrderTiming:
+        now_ms = self._clock.now_ms()
+        record_age_ms = now_ms - self._intents[vm].began_ms
+        return OrderTiming(now_ms, record_age_ms, self._role.renewal_age_ms)
+
     def _is_safe_to_order(self, vm: VmId) -> bool:
-        """Check right before an order that it cannot do harm.
+        """Check that an order that is sent now cannot do harm.
 
         The VM must have been recorded in the store recently, the role must have been
         renewed recently, and nothing may run on the VM's worker.
         """
-        intent = self._intents.get(vm)
-        if vm not in self.vms or intent is None:
+        if vm not in self.vms or vm not in self._intents or not self._is_holder():
             return False
-        if self._clock.now_ms() - intent.began_ms > MAX_INTENT_AGE_MS:
+        timing = self._timing(vm)
+        if timing.record_age_ms > MAX_INTENT_AGE_MS:
             return False
-        if self._role.renewal_age_ms > self._role_lease_ms - ROLE_MARGIN_MS:
+        if timing.renewal_age_ms > self._role_lease_ms - ROLE_MARGIN_MS:
             return False
         worker_id = self.vms[vm].worker
         worker = self._scheduler.workers.get(worker_id) if worker_id else None
         return worker is None or not worker.is_running
+
+    def _is_holder(self) -> bool:
+        """Return whether no sign of a successor has been seen."""
+        return self._role.is_held and not self._scheduler.is_superseded
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -6,7 +6,7 @@
 
 import abc
 import enum
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -440,7 +440,9 @@
     """The platform's VMs and their pools, and orders about them.
 
     An order contains the entry that holds the scheduler role and its fence number.
-    Repeating an order that was carried out returns ``DONE``.
+    Repeating an order that was carried out returns ``DONE``. ``may_send`` is called
+    right before an order is sent, after all that the caller may have to wait for; if
+    it returns ``False``, the order is not sent.
     """
 
     @property
@@ -454,13 +456,23 @@
 
     @abc.abstractmethod
     def maintain(
-        self, vm: VmId, wave: int, holder: EntryId, fence: int
+        self,
+        vm: VmId,
+        wave: int,
+        holder: EntryId,
+        fence: int,
+        may_send: Callable[[], bool],
     ) -> VmOrderResult:
         """Take a VM down for maintenance; everything that runs on it ends at once."""
 
     @abc.abstractmethod
     def move(
-        self, vm: VmId, pool: ServiceName, holder: EntryId, fence: int
+        self,
+        vm: VmId,
+        pool: ServiceName,
+        holder: EntryId,
+        fence: int,
+        may_send: Callable[[], bool],
     ) -> VmOrderResult:
         """Move a VM to another pool; everything that runs on it ends at once."""
 
--- a/packages/corianderpitch/tests/test_vmorders.py
+++ b/packages/corianderpitch/tests/test_vmorders.py
@@ -37,6 +37,7 @@
         self.clock = clock
         self.arrivals = []
         self.result = VmOrderResult.DONE
+        self.before_send = lambda: None
 
     @property
     def fences(self):
@@ -51,11 +52,17 @@
     def list_vms(self):
         return Success((PoolVm(VM, POOL, VmCondition.UP, None),))
 
-    def maintain(self, vm, wave, holder, fence):
-        self.arrivals.append((holder, fence, self.clock.now_ms()))
-        return self.result
+    def maintain(self, vm, wave, holder, fence, may_send):
+        return self._send(holder, fence, may_send)
 
-    def move(self, vm, pool, holder, fence):
+    def move(self, vm, pool, holder, fence, may_send):
+        return self._send(holder, fence, may_send)
+
+    def _send(self, holder, fence, may_send):
+        before_send, self.before_send = self.before_send, lambda: None
+        before_send()
+        if not may_send():
+            return VmOrderResult.NOT_SENT
         self.arrivals.append((holder, fence, self.clock.now_ms()))
         return self.result
 
@@ -140,6 +147,26 @@
     assert cluster.pools.shortest_turn_ms() >= HOLDER_CHANGE_MS
 
 
+def test_an_order_is_not_sent_by_a_holder_that_was_frozen_before_its_send():
+    # The check ran before the wait for a connection, and the order went out after it.
+    cluster = Cluster()
+    first = cluster.holder("e1")
+    assert first.record_intent([VM])
+    cluster.pools.before_send = lambda: order_once_allowed(
+        cluster, cluster.holder("e2")
+    )
+    assert first.move(VM, STANDBY_POOL) is VmOrderResult.NOT_SENT
+    assert cluster.pools.fences == sorted(cluster.pools.fences)
+
+
+def test_an_order_is_not_sent_by_a_holder_that_has_lost_the_role_before_its_send():
+    cluster = Cluster()
+    first = cluster.holder("e1")
+    assert first.record_intent([VM])
+    cluster.pools.before_send = first._role.release
+    assert first.move(VM, STANDBY_POOL) is VmOrderResult.NOT_SENT
+
+
 def test_fence_numbers_increase_with_each_order_also_across_holders():
     cluster = Cluster()
     first = cluster.holder("e1")
--- a/tests/adapter/test_http.py
+++ b/tests/adapter/test_http.py
@@ -169,3 +169,14 @@
     task.kill()
     assert call(client) == Response(200, {"a": 1})
     assert server.accepted == 2
+
+
+def test_nothing_is_sent_if_the_request_is_not_wanted_once_the_connection_is_there():
+    server = Server([COMPLETE_RESPONSE])
+    client = JsonClient(server.address)
+    result = call(client, may_send=lambda: False)
+    assert isinstance(result, NoResponse)
+    assert not result.was_sent
+    assert not server.requests
+    assert call(client, may_send=lambda: True) == Response(200, {"a": 1})
+    assert server.accepted == 1
