Reset the connection of a request that is given up

Cause: a call without an answer was given up by closing its connection. An orderly close leaves it to the system to deliver what was written, for as long as it takes. The same holds for a process that is killed. So "given up after 0.8 s" did not bound when the order arrives, and the hand-over window relies on that bound.

A call that is given up, or whose thread is killed, now resets its connection: what the peer has not received is lost. That holds for all calls to the platform and to workers, since no caller uses an answer after its time-out. Connections to the VM service also set TCP_USER_TIMEOUT to the time-out of an order, so that the system drops the bytes of a process that was killed while it sent.

--- a/tests/adapter/test_http.py
+++ b/tests/adapter/test_http.py
@@ -1,12 +1,16 @@
 """``JsonClient`` with servers whose responses are malformed, late or missing."""
 
 import contextlib
+import socket as plain_socket
 
 import eventlet
 import pytest
 from eventlet.green import socket as green
+from eventlet.hubs import trampoline
 
+from corianderpitch.ids import EntryId, ServiceName, VmId
 from corianderpitch_platform.http import JsonClient, NoResponse, Response
+from corianderpitch_platform.machines import PlatformVmPools
 
 HOST = "127.0.0.1"
 COMPLETE_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{"a": 1}'
@@ -118,6 +122,34 @@
     assert server.accepted == 2
 
 
+@pytest.mark.parametrize("is_killed", [False, True], ids=["timed out", "killed"])
+def test_request_that_is_given_up_is_not_delivered_later(is_killed):
+    # After an orderly close, bytes that a cut holds up are delivered when it ends.
+    listener = eventlet.listen((HOST, 0))
+    client = JsonClient(f"{HOST}:{listener.getsockname()[1]}")
+    task = eventlet.spawn(call, client, timeout_ms=60.0)
+    connection, _ = listener.accept()
+    assert connection.recv(65536)
+    if is_killed:
+        task.kill()
+    else:
+        assert task.wait() == NoResponse(True, "TimeoutError")
+    trampoline(connection, read=True, timeout=5.0)
+    with pytest.raises(ConnectionResetError):
+        connection.fd.recv(1)  # a green socket reports a reset as the end
+
+
+def test_orders_about_vms_are_dropped_that_do_not_reach_the_service_in_time():
+    server = Server([COMPLETE_RESPONSE])
+    pools = PlatformVmPools(server.address)
+    pools.move(VmId("m"), ServiceName("s"), EntryId("e"), 1, lambda: True)
+    (connection,) = pools._client._idle
+    timeout_ms = connection._socket.getsockopt(
+        green.IPPROTO_TCP, plain_socket.TCP_USER_TIMEOUT
+    )
+    assert timeout_ms == pools.order_timeout_ms
+
+
 def test_slow_response_is_abandoned_at_the_deadline():
     single_bytes = [bytes([byte]) for byte in COMPLETE_RESPONSE]
     server = Server([single_bytes])
