Keep bounds of the store's time instead of the estimate of the last answer

Cause: the store's time was taken from the answer read last, as if it had just been sent. An answer that lies unread for two seconds put the estimate two seconds back, until the next answer. The record needs a time that is certainly not too early, the successor one that is certainly not too late; both used the same estimate, and a slack of 0.5 s had to cover the error.

Records are written with the latest possible time and judged by the earliest. The slack is 0.1 s now: with the bounds it has no clock's error to cover.

--- a/packages/corianderpitch/corianderpitch/adapters/memorystore.py
+++ b/packages/corianderpitch/corianderpitch/adapters/memorystore.py
@@ -99,6 +99,10 @@
         """Discard the change history, as a store may do at any time."""
         self._history_start = self._version
 
+    def latest_time_ms(self) -> float:
+        """Return the time of the store's clock, which is known exactly."""
+        return self.time_ms()
+
     def time_ms(self) -> float:
         """Return the time of the clock, which all users of the store share."""
         return self._clock.now_ms()
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -22,7 +22,7 @@
 
 LIST_INTERVAL_MS = 400.0
 MAX_INTENT_AGE_MS = 500.0  # later orders of a round are recorded again before they go
-HOLDER_CHANGE_SLACK_MS = 500.0
+HOLDER_CHANGE_SLACK_MS = 100.0
 ROLE_MARGIN_MS = 500.0
 BUSY_BACKOFF_MS = 1000.0  # a VM that is draining or moving stays so for seconds
 
@@ -141,8 +141,8 @@
         Returns whether the orders may be sent.
         """
         began_ms = self._clock.now_ms()
-        store_ms = self._store.time_ms()
-        oldest_ms = store_ms - self._hand_over_window_ms
+        store_ms = self._store.latest_time_ms()
+        oldest_ms = self._store.time_ms() - self._hand_over_window_ms
         arrives_by_ms = store_ms + MAX_INTENT_AGE_MS + self._pools.order_timeout_ms
         intents = {
             vm: intent
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -324,7 +324,15 @@
 
     @abc.abstractmethod
     def time_ms(self) -> float:
-        """Return an estimate of the store's monotonic clock, common to all entries."""
+        """Return a time that the store's monotonic clock has reached by now.
+
+        The clock is common to all entries. The result lags behind it by what is
+        unknown of the store's time.
+        """
+
+    @abc.abstractmethod
+    def latest_time_ms(self) -> float:
+        """Return a time that the store's monotonic clock has not passed yet."""
 
     @property
     @abc.abstractmethod
--- a/packages/corianderpitch/tests/test_vmorders.py
+++ b/packages/corianderpitch/tests/test_vmorders.py
@@ -67,6 +67,20 @@
         return self.result
 
 
+class LaggingStore:
+    """A store whose time is known to within a lag only, as its answers come late."""
+
+    def __init__(self, store, lag_ms):
+        self._store = store
+        self._lag_ms = lag_ms
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    def time_ms(self):
+        return self._store.time_ms() - self._lag_ms
+
+
 class Cluster:
     """A store, a clock and successive holders of the role."""
 
@@ -75,7 +89,7 @@
         self.store = MemoryRowStore(self.clock)
         self.pools = Pools(self.clock)
 
-    def holder(self, name):
+    def holder(self, name, store=None):
         table = PartitionedTable(self.store)
         role = RoleLease("s", EntryId(name), table, self.clock, 500.0, 2000.0)
         while not role.try_acquire():
@@ -84,7 +98,7 @@
         orders = VmOrders(
             EntryId(name),
             self.pools,
-            self.store,
+            store or self.store,
             scheduler,
             role,
             self.clock,
@@ -147,6 +161,17 @@
     assert cluster.pools.shortest_turn_ms() >= HOLDER_CHANGE_MS
 
 
+def test_two_holders_do_not_order_a_vm_in_turn_if_the_first_reads_the_store_late():
+    # The record then held a time in the past, and its protection ended too early.
+    cluster = Cluster()
+    first = cluster.holder("e1", LaggingStore(cluster.store, 2500.0))
+    assert first.record_intent([VM])
+    first.move(VM, STANDBY_POOL)
+    first._role.release()
+    order_once_allowed(cluster, cluster.holder("e2"))
+    assert cluster.pools.shortest_turn_ms() >= HOLDER_CHANGE_MS
+
+
 def test_an_order_is_not_sent_by_a_holder_that_was_frozen_before_its_send():
     # The check ran before the wait for a connection, and the order went out after it.
     cluster = Cluster()
