Plan at most one order about a VM in a round

Cause: a round planned each wave and then the moves by themselves. A standby VM that a wave could maintain at once was also free to be moved to a pool that lacked a VM, and a VM of two waves was ordered for both. Where the rate allows more than one order in flight (three on the grown deployments, one on the small ones), both went out at the same time on two connections, and nothing orders these.

A VM that a wave of the round orders is now taken for the later waves and for the moves.

Taking the fence number next to the send was ruled out as the cure: the requests of two connections can still overtake each other.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -150,8 +150,9 @@
         now_ms = self._clock.now_ms()
         standby = self._standby_pools()
         maintains, evacuating = self._plan_waves(standby, now_ms)
+        maintained = {order.vm for order in maintains}
         moves = self._moves_to_repeat(now_ms)
-        moves += self._plan_moves(standby, evacuating, now_ms)
+        moves += self._plan_moves(standby, evacuating, maintained, now_ms)
         for vm in {move.vm for move in moves} | set(self._moves):
             listed = self._orders.vms.get(vm)
             if listed is not None and listed.worker is not None:
@@ -181,6 +182,11 @@
     def _plan_waves(
         self, standby: frozenset[ServiceName], now_ms: float
     ) -> tuple[list[MaintainVm], set[WorkerId]]:
+        """Return the orders of all waves, at most one a VM, and the workers to empty.
+
+        Orders of a round are sent side by side, so that two orders about one VM could
+        arrive with the lower fence number last.
+        """
         evacuating: set[WorkerId] = set()
         orders: list[MaintainVm] = []
         pressed = backlogged_services(self._scheduler)
@@ -198,7 +204,8 @@
                 recently_ordered,
                 now_ms,
             )
-            orders += [order for order in steps if order.vm not in busy]
+            taken = busy | {order.vm for order in orders}
+            orders += [order for order in steps if order.vm not in taken]
             evacuating |= workers
             if not wave.remaining_vms(self._orders.vms) and self._report_wave(
                 wave.order.number, True
@@ -215,7 +222,11 @@
         ]
 
     def _plan_moves(
-        self, standby: frozenset[ServiceName], evacuating: set[WorkerId], now_ms: float
+        self,
+        standby: frozenset[ServiceName],
+        evacuating: set[WorkerId],
+        maintained: set[VmId],
+        now_ms: float,
     ) -> list[MoveVm]:
         loads = pool_loads(
             self._scheduler, self._arrivals, now_ms, self._clock.wall_ms()
@@ -228,6 +239,7 @@
         for wave in self._waves.values():
             in_flight = wave.ordered_ms.keys() - wave.started_vms
             fixed_pools |= {vm: None for vm in in_flight}
+        fixed_pools |= {vm: None for vm in maintained}
         fixed_pools |= {v: None for v, vm in vms.items() if vm.worker in evacuating}
         unavailable = self._orders.held_by_predecessor() | self._orders.busy()
         fixed_pools |= {vm: vms[vm].pool for vm in unavailable if vm in vms}
--- a/packages/corianderpitch/tests/test_maintainers.py
+++ b/packages/corianderpitch/tests/test_maintainers.py
@@ -2,10 +2,13 @@
 
 import eventlet
 import pytest
+from returns.result import Success
 from schedulers import make_scheduler
 
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.scheduling.maintainers import MaintenanceTask
+from corianderpitch.domain.scheduling.catalog import ServicePool, WaveOrder
+from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition
 from corianderpitch.domain.scheduling.sizing import MoveVm
 from corianderpitch.ids import ServiceName, VmId
 from corianderpitch.ports import VmOrderResult
@@ -32,6 +35,56 @@
         return VmOrderResult.DONE
 
 
+STANDBY = ServiceName("rest")
+VM = VmId("vm0")
+
+
+class RecordingOrders:
+    """Accepts orders about one standby VM and records them."""
+
+    def __init__(self):
+        self.vms = {VM: PoolVm(VM, STANDBY, VmCondition.UP, None)}
+        self.begun = {}
+        self.is_recorded = True
+        self.sent = []
+
+    def held_by_predecessor(self):
+        return set()
+
+    def busy(self):
+        return set()
+
+    def wave_due_ms(self, wave, deadline_ms):
+        return deadline_ms
+
+    def record_intent(self, vms):
+        return True
+
+    def maintain(self, vm, wave):
+        self.sent.append(vm)
+        return VmOrderResult.NO_ANSWER
+
+    def move(self, vm, pool):
+        self.sent.append(vm)
+        return VmOrderResult.NO_ANSWER
+
+
+class Operators:
+    """Accepts reports of waves."""
+
+    def report_wave(self, number, is_completed):
+        return Success(1)
+
+
+class Catalogs:
+    """Provides waves, and a catalog with one standby pool."""
+
+    def __init__(self, waves):
+        self.waves = {n: WaveOrder(n, (VM,), 60_000.0, 1) for n in waves}
+        self.catalog = self
+        self.pools = {STANDBY: ServicePool(STANDBY, True)}
+
+
 def make_task(orders, orders_per_s):
     clock = ManualClock(1000.0)
     return MaintenanceTask(
@@ -63,6 +116,18 @@
     assert 0 < len(orders.moved) < len(MOVES)
 
 
+@pytest.mark.parametrize("waves", [(1,), (1, 2)], ids=["wave and move", "two waves"])
+def test_orders_about_a_vm_are_not_sent_side_by_side(waves):
+    # They arrived with the lower fence number last.
+    orders = RecordingOrders()
+    task = make_task(orders, 310.0)
+    task._catalogs = Catalogs(waves)
+    task._operators = Operators()
+    task._update_waves()
+    task._run_round()
+    assert orders.sent == [VM]
+
+
 def test_an_exception_in_an_order_is_raised():
     orders = SlowOrders()
     orders.move = lambda vm, pool: 1 / 0
