Renew the role with a time that is certainly not too early

Cause: as with the records of VM orders, the heartbeat and epoch rows carried the store's time as the holder estimated it, which lags when it reads answers late. Another entry subtracts it from its own estimate; a lag above the slack of 0.3 s made a live lease look lapsed. Both then gave orders until the first one's next renewal failed.

The rows carry the latest time that the store's clock may show; the reader goes on with the earliest.

Evidence: test_the_role_of_a_holder_that_reads_the_store_late_is_not_acquired fails when the rows are written with the earliest time, as before.

--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -13,7 +13,7 @@
 lease first.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from returns.result import Success
 
@@ -23,6 +23,7 @@
 from corianderpitch.ports import (
     Check,
     Row,
+    StoreClock,
     TableService,
     Write,
     partitioned_key,
@@ -32,7 +33,7 @@
 
 RELEASED_SEQUENCE = -1  # sequence of the heartbeat that releases the role
 
-# Longest time by which an entry's estimate of the table's time may lag behind.
+# Entries of earlier versions may renew with a time that lags behind by this.
 TABLE_TIME_MAX_LAG_MS = 300.0
 
 log = logger("roles")
@@ -41,9 +42,8 @@
 class RoleLease:
     """The lease of one role, from the point of view of one entry.
 
-    ``table_time_ms`` returns the table's time as this entry estimates it, or 0.0
-    if the table has no clock. ``acquired_ms`` is the table's time at which this
-    entry last acquired the role.
+    ``table_clock`` bounds the table's time; it is ``None`` if the table has no clock.
+    ``acquired_ms`` is the table's time by which this entry last acquired the role.
     """
 
     def __init__(
@@ -54,9 +54,9 @@
         clock: Clock,
         renew_interval_ms: float,
         lease_ms: float,
-        table_time_ms: Callable[[], float] = lambda: 0.0,
+        table_clock: StoreClock | None = None,
     ):
-        self._table_time_ms = table_time_ms
+        self._table_clock = table_clock
         self._name = name
         self._entry = entry
         self._table = table
@@ -139,7 +139,9 @@
             return True
         self._heartbeat_sequence += 1
         heartbeat = encode_row(
-            RoleHeartbeat(self._epoch, self._heartbeat_sequence, self._table_time_ms())
+            RoleHeartbeat(
+                self._epoch, self._heartbeat_sequence, self._latest_table_time_ms()
+            )
         )
         write = Write(self._heartbeat_key, heartbeat)
         checks = (self.fence(), Check(self._heartbeat_key, self._heartbeat_version))
@@ -207,16 +209,24 @@
         ``renewed_ms`` is the table's time of the renewal, or 0.0 if the table has
         no clock; the age is then unknown.
         """
-        if renewed_ms == 0.0:
+        if renewed_ms == 0.0 or self._table_clock is None:
             return False
-        return self._table_time_ms() - renewed_ms >= age_ms + TABLE_TIME_MAX_LAG_MS
+        unchanged_ms = self._table_clock.time_ms() - renewed_ms
+        return unchanged_ms >= age_ms + TABLE_TIME_MAX_LAG_MS
+
+    def _latest_table_time_ms(self) -> float:
+        """Return the time of a renewal that is sent now, 0.0 without a clock.
+
+        It must not be too early: the lease would look lapsed before it has.
+        """
+        return self._table_clock.latest_time_ms() if self._table_clock else 0.0
 
     def _acquire(self, rows: Mapping[str, Row]) -> bool:
         began_ms = self._clock.now_ms()
         epoch_row = rows.get(self._epoch_key)
         previous = decode_row(RoleEpoch, epoch_row.value) if epoch_row else None
         epoch_number = previous.epoch + 1 if previous else 1
-        epoch = RoleEpoch(self._entry, epoch_number, self._table_time_ms())
+        epoch = RoleEpoch(self._entry, epoch_number, self._latest_table_time_ms())
         check = Check(self._epoch_key, version_of(epoch_row))
         write = Write(self._epoch_key, encode_row(epoch))
         match self._table.commit((check,), (write,)):
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -8,7 +8,7 @@
 import enum
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from returns.result import Result
 
@@ -286,6 +286,16 @@
     version: int
 
 
+class StoreClock(Protocol):
+    """Bounds of a store's monotonic clock, in milliseconds."""
+
+    def time_ms(self) -> float:
+        """Return a time that the store's clock has reached by now."""
+
+    def latest_time_ms(self) -> float:
+        """Return a time that the store's clock has not passed yet."""
+
+
 class RowStore(abc.ABC):
     """A store of rows in tables and partitions that reports changes.
 
--- a/packages/corianderpitch/tests/fakes.py
+++ b/packages/corianderpitch/tests/fakes.py
@@ -79,3 +79,17 @@
         deferred, self._deferred = self._deferred, []
         for checks, writes in deferred:
             super().commit(checks, writes)
+
+
+class LaggingStore:
+    """A store whose time is known to within a lag only, as its answers come late."""
+
+    def __init__(self, store, lag_ms):
+        self._store = store
+        self._lag_ms = lag_ms
+
+    def __getattr__(self, name):
+        return getattr(self._store, name)
+
+    def time_ms(self):
+        return self._store.time_ms() - self._lag_ms
--- a/packages/corianderpitch/tests/test_candidates.py
+++ b/packages/corianderpitch/tests/test_candidates.py
@@ -46,7 +46,7 @@
             self.clock,
             500.0,
             LEASE_MS,
-            self.store.time_ms,
+            self.store,
         )
 
 
--- a/packages/corianderpitch/tests/test_roles.py
+++ b/packages/corianderpitch/tests/test_roles.py
@@ -1,6 +1,6 @@
 """Acquisition of roles by entries that have just started, in a table with a clock."""
 
-from fakes import DeferringStore
+from fakes import DeferringStore, LaggingStore
 
 from corianderpitch.adapters.partedtable import PartitionedTable
 from corianderpitch.clock import ManualClock
@@ -16,9 +16,7 @@
     store = store or DeferringStore(clock)
     table = PartitionedTable(store)
     leases = [
-        RoleLease(
-            "scheduler", EntryId(entry), table, clock, 500.0, LEASE_MS, store.time_ms
-        )
+        RoleLease("scheduler", EntryId(entry), table, clock, 500.0, LEASE_MS, store)
         for entry in entries
     ]
     return clock, leases
@@ -88,6 +86,17 @@
     assert holder.renewal_age_ms == 0.0
 
 
+def test_the_role_of_a_holder_that_reads_the_store_late_is_not_acquired():
+    # Its renewals carried a time in the past, so that its lease looked lapsed.
+    clock, (holder, started) = make_leases("e1", "e2")
+    holder._table_clock = LaggingStore(holder._table_clock, 2500.0)
+    assert holder.try_acquire()
+    assert not started.try_acquire()
+    clock.advance(500.0)
+    assert holder.renew()
+    assert not started.try_acquire()
+
+
 def test_an_acquired_lease_counts_from_before_the_store_was_asked():
     store = DeferringStore(ManualClock(1000.0))
     clock, (holder,) = make_leases("e1", store=store)
--- a/packages/corianderpitch/tests/test_vmorders.py
+++ b/packages/corianderpitch/tests/test_vmorders.py
@@ -4,6 +4,7 @@
 import math
 
 import pytest
+from fakes import LaggingStore
 from returns.result import Failure, Success
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
@@ -67,20 +68,6 @@
         return self.result
 
 
-class LaggingStore:
-    """A store whose time is known to within a lag only, as its answers come late."""
-
-    def __init__(self, store, lag_ms):
-        self._store = store
-        self._lag_ms = lag_ms
-
-    def __getattr__(self, name):
-        return getattr(self._store, name)
-
-    def time_ms(self):
-        return self._store.time_ms() - self._lag_ms
-
-
 class Cluster:
     """A store, a clock and successive holders of the role."""
 
