Write the reports on waves under the role's fence and in order

Cause: the status row of a wave was the only row of the holder that was written without a condition. A write of "running" without an answer, applied seconds later, or one of an entry that had lost the role, replaced "completed", and nobody wrote it again. A first report that the store refused was not repeated either.

WaveReports writes the row as all others: it requires the role's epoch and the version last seen. It sends a report again until the store has taken it, and only if it differs from the one before, so that a new holder of a completed wave reports no "running" first.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass
 
 import eventlet
-from returns.result import Failure, Success
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.scheduling.catalogs import CatalogTask
 from corianderpitch.daemon.scheduling.vmorders import LIST_INTERVAL_MS, VmOrders
+from corianderpitch.daemon.scheduling.wavereports import WaveReports
 from corianderpitch.domain.scheduling.arrivals import ArrivalForecast
 from corianderpitch.domain.scheduling.maintenance import (
     ORDER_RETRY_INTERVAL_MS,
@@ -27,7 +27,7 @@
     pool_needs,
 )
 from corianderpitch.ids import ServiceName, VmId, WorkerId
-from corianderpitch.ports import OperatorRows, VmOrderResult
+from corianderpitch.ports import VmOrderResult
 
 ROUND_INTERVAL_S = 0.1
 LOAD_RETRY_S = 0.2
@@ -65,8 +65,8 @@
     ----------
     orders : VmOrders
         Lists the VMs and sends the orders.
-    operators : OperatorRows
-        Receives the progress of waves.
+    reports : WaveReports
+        Tell operators the progress of waves.
     catalogs : CatalogTask
         Provides the waves and pools.
     scheduler : Scheduler
@@ -82,7 +82,7 @@
     def __init__(
         self,
         orders: VmOrders,
-        operators: OperatorRows,
+        reports: WaveReports,
         catalogs: CatalogTask,
         scheduler: Scheduler,
         clock: Clock,
@@ -91,7 +91,7 @@
     ):
         self._orders_per_s = orders_per_s
         self._orders = orders
-        self._operators = operators
+        self._reports = reports
         self._catalogs = catalogs
         self._scheduler = scheduler
         self._clock = clock
@@ -132,20 +132,10 @@
                 due_ms = self._orders.wave_due_ms(number, order.deadline_ms)
                 begun = self._orders.begun.get(number, set())
                 self._waves[number] = WaveProgress(order, due_ms, set(begun))
-                self._report_wave(number, False)
             elif wave.order.version != order.version:
                 wave.order = order
                 wave.is_completed = False
 
-    def _report_wave(self, wave: int, is_completed: bool) -> bool:
-        """Report a wave's progress to operators; returns whether that worked."""
-        match self._operators.report_wave(wave, is_completed):
-            case Success(_):
-                return True
-            case Failure(error):
-                log.warning("Could not report a wave.", wave=wave, cause=repr(error))
-        return False
-
     def _run_round(self) -> None:
         now_ms = self._clock.now_ms()
         standby = self._standby_pools()
@@ -207,9 +197,9 @@
             taken = busy | {order.vm for order in orders}
             orders += [order for order in steps if order.vm not in taken]
             evacuating |= workers
-            if not wave.remaining_vms(self._orders.vms) and self._report_wave(
-                wave.order.number, True
-            ):
+            is_completed = not wave.remaining_vms(self._orders.vms)
+            is_reported = self._reports.report(wave.order.number, is_completed)
+            if is_completed and is_reported:
                 wave.is_completed = True
                 log.info("Wave completed.", wave=wave.order.number)
         return orders, evacuating
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -509,5 +509,5 @@
         """Return the changes after version ``after``, waiting up to ``wait_ms``."""
 
     @abc.abstractmethod
-    def report_wave(self, number: int, is_completed: bool) -> Result[int, CommitError]:
-        """Publish to operators whether a wave is completed."""
+    def wave_status(self, number: int, is_completed: bool) -> Write:
+        """Return the row that tells operators whether a wave is completed."""
--- a/packages/corianderpitch/tests/test_maintainers.py
+++ b/packages/corianderpitch/tests/test_maintainers.py
@@ -2,7 +2,6 @@
 
 import eventlet
 import pytest
-from returns.result import Success
 from schedulers import make_scheduler
 
 from corianderpitch.clock import ManualClock
@@ -69,11 +68,11 @@
         return VmOrderResult.NO_ANSWER
 
 
-class Operators:
+class Reports:
     """Accepts reports of waves."""
 
-    def report_wave(self, number, is_completed):
-        return Success(1)
+    def report(self, wave, is_completed):
+        return True
 
 
 class Catalogs:
@@ -122,7 +121,7 @@
     orders = RecordingOrders()
     task = make_task(orders, 310.0)
     task._catalogs = Catalogs(waves)
-    task._operators = Operators()
+    task._reports = Reports()
     task._update_waves()
     task._run_round()
     assert orders.sent == [VM]
