Log a recovered partition without the rows of its answer

Operators ask for a bounded volume of logs.

Cause: the line logged the result of the call, for an error and for an answer alike. Now it holds the error, or the word "answered". The new test failed before.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/guardedstore.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/guardedstore.py
@@ -88,11 +88,13 @@
             case _:
                 breaker.record_success()
         if breaker.is_open != was_open:
+            # An answer may hold all rows of a partition: only errors are logged.
+            detail = repr(result) if isinstance(result, Failure) else "answered"
             log.warning(
                 "Circuit breaker changed state.",
                 partition=part,
                 away=not was_open,
-                detail=repr(result),
+                detail=detail,
             )
         return result
 
--- a/packages/corianderpitch/tests/test_intake.py
+++ b/packages/corianderpitch/tests/test_intake.py
@@ -1,5 +1,6 @@
 """Calls during an outage of the store: refused at once and without an effect."""
 
+import logbook
 import pytest
 from returns.result import Failure
 from schedulers import QUEUE, make_job
@@ -112,6 +113,20 @@
     assert intake.submit(workload(9)).kind is IntakeKind.DONE
 
 
+def test_the_log_line_of_a_recovery_does_not_hold_the_rows_of_the_answer(components):
+    clock, store, intake = components
+    for number in range(20):
+        assert intake.submit(workload(number)).kind is IntakeKind.DONE
+    open_breakers(store, intake, OutcomeLost("timeout"))
+    store.error = None
+    clock.advance(PROBE_INTERVAL_MS)
+    with logbook.TestHandler() as handler:
+        intake.count_waiting(QueueName(QUEUE.name))
+    lines = [r.kwargs for r in handler.records if "breaker" in r.message]
+    assert lines
+    assert all(line["detail"] == "answered" for line in lines)
+
+
 def test_one_lost_answer_does_not_open_a_breaker(components):
     _, store, intake = components
     store.error = OutcomeLost("timeout")
