Recompute a worker's free capacity whenever its capacity changes

A worker that grew got nothing for its new room until the next run on it ended, and one that restarted with another capacity kept its old free room.

Cause: `WorkerView.free` was kept in three places, at the creation of the view, in `add_run` and in `remove_run`. `Scheduler.set_worker` replaced the entry with the capacity and left `free` as it was: 8 processors shrunk to 2 were still 8 free ones.

Ruled out: the list of workers itself. It is followed by a feed that returns with the first change, and is read again 0.2 s later at the latest.

The fix: `set_info` replaces the entry, and one function computes the free capacity from the capacity and the reservations of all runs. It is used after each change of either. The result may be negative; what runs stays, runs that are being stopped count until their end is listed, and nothing fits until enough runs have ended.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -148,7 +148,7 @@
             self.workers[info.worker] = worker
         elif info.incarnation not in (worker.info.incarnation, worker.incarnation):
             self._begin_incarnation(worker, None)
-        worker.info = info
+        worker.set_info(info)
         worker.is_listed = True
         if not info.is_draining:
             worker.draining_since_ms = None
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -140,7 +140,8 @@
     successor can find every worker that may run something.
     ``fence_increment`` is added to the term's fence number. Raising it makes the
     worker refuse orders that are still in flight. ``clock_ms`` is the worker's
-    clock in its last report, which arrived at ``clock_received_ms``.
+    clock in its last report, which arrived at ``clock_received_ms``. ``free`` is the
+    capacity less the reservations of all runs, also of those that are being stopped.
     """
 
     info: WorkerInfo
@@ -166,7 +167,7 @@
     consecutive_failed_jobs: list[str] = field(default_factory=list)
 
     def __post_init__(self):
-        self.free = self.info.capacity
+        self._update_free()
 
     @property
     def is_running(self) -> bool:
@@ -201,16 +202,24 @@
         own_ms = self.clock_received_ms + left_ms / (1.0 - CLOCK_DRIFT) + LEASE_SLACK_MS
         return max(own_ms, predecessor_leases_end_ms)
 
+    def set_info(self, info: WorkerInfo) -> None:
+        """Replace the worker's entry; its capacity may differ from the last one."""
+        self.info = info
+        self._update_free()
+
     def add_run(self, run: Run) -> None:
         """Add a run, and subtract its reservation from the free capacity."""
         self.runs[run.task] = run
-        self.free = self.free.minus(run.reservation)
+        self._update_free()
 
     def remove_run(self, run: Run) -> None:
         """Remove a run, if it is the current one of its task, and free its capacity."""
         if self.runs.get(run.task) is run:
             del self.runs[run.task]
-            reservations = [other.reservation for other in self.runs.values()]
-            self.free = self.info.capacity
-            for reservation in reservations:
-                self.free = self.free.minus(reservation)
+            self._update_free()
+
+    def _update_free(self) -> None:
+        """Compute the free capacity, which is negative after a capacity has shrunk."""
+        self.free = self.info.capacity
+        for run in self.runs.values():
+            self.free = self.free.minus(run.reservation)
