Send no queued start to a worker that has shrunk below its runs

Starts that were decided before a worker shrank and still waited in the queue were sent all the same, and took a worker that does not refuse overload over its capacity (LIMIT).

Cause: between the decision and the sending only the fence and the run's number were looked at again, not the free capacity.

The fix: a start that has not been sent counts as refused for lack of room while the runs of its worker, itself included, reserve more than the capacity. Its run is then removed, so that of several queued starts only as many are held back as do not fit; the tasks wait for the next planning round. Starts that are sent already stay.

The test test_a_queued_start_is_not_sent_to_a_worker_that_shrank_meanwhile failed before: all three starts were sent to a worker with room for two.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -188,6 +188,8 @@
         length_ms = self._bound_lease_ms(START_LEASE_MS)
         if length_ms <= 0 or not self._scheduler.is_awaiting_start(order):
             return OrderResult.NOT_SENT
+        if worker.is_over_capacity:  # it has shrunk while the order was queued
+            return OrderResult.NO_ROOM
         until_ms = self._scheduler.extend_lease(self._worker_id, length_ms, now_ms)
         if until_ms is None:
             return OrderResult.NOT_SENT
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -10,6 +10,7 @@
 
 CLOCK_DRIFT = 0.02  # share by which a worker's clock may run slow
 LEASE_SLACK_MS = 100.0
+NOTHING = Shape(0.0, 0)
 
 
 class EndKind(enum.Enum):
@@ -202,6 +203,11 @@
         own_ms = self.clock_received_ms + left_ms / (1.0 - CLOCK_DRIFT) + LEASE_SLACK_MS
         return max(own_ms, predecessor_leases_end_ms)
 
+    @property
+    def is_over_capacity(self) -> bool:
+        """Return whether the runs reserve more than the worker's present capacity."""
+        return not NOTHING.fits_in(self.free)
+
     def set_info(self, info: WorkerInfo) -> None:
         """Replace the worker's entry; its capacity may differ from the last one."""
         self.info = info
--- a/packages/corianderpitch/tests/test_links.py
+++ b/packages/corianderpitch/tests/test_links.py
@@ -1,5 +1,6 @@
 """Orders to one worker: those that wait behind one without an answer."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 from schedulers import NOW_MS, make_job, make_scheduler, starts
@@ -7,8 +8,10 @@
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
+from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.orders import OrderResult
 from corianderpitch.domain.scheduling.workers import RunState
+from corianderpitch.domain.scheduling.workloads import Step
 from corianderpitch.ids import WorkerId
 
 
@@ -76,3 +79,19 @@
     assert starts(scheduler)
     task._execute(outdated)
     assert link.fences == []
+
+
+def test_a_queued_start_is_not_sent_to_a_worker_that_shrank_meanwhile():
+    scheduler = make_scheduler(("w1",))
+    scheduler.add_job(make_job("a", [Step(3, Shape(1.0, 100), 100.0)]))
+    link = SilentOnceLink(scheduler)
+    link.fences.append(0)  # the first start has been answered
+    task = make_task(scheduler, link)
+    orders = starts(scheduler)
+    worker = scheduler.workers[WorkerId("w1")]
+    scheduler.set_worker(replace(worker.info, capacity=Shape(2.0, 8000)), NOW_MS)
+    for order in orders:
+        task._execute(order)
+    assert len(link.fences) == 1 + 2
+    assert len(worker.runs) == 2
+    assert worker.free.processors == 0.0
