Count the tasks of a gang that fit by subtracting them one by one

Cause: `_tasks_that_fit` decided differently from `can_run`, which then found no worker for a member of the gang. It looked only at the resources that a task reserves: a gang of fillers reserves no processors, and seemed to fit on a worker whose free processors are negative since it has shrunk. And it did not know the limit per worker of a lasting step.

The fix: the reservations are subtracted from the free capacity with the arithmetic of a start until one no longer fits, up to the limit that a start has to keep.

Both new tests in test_placing.py failed before.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -10,6 +10,7 @@
     can_run,
     choose_worker,
     is_schedulable,
+    per_worker_limit,
     rank_workers,
 )
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
@@ -144,24 +145,23 @@
 
 def _gang_fits(step: ActiveStep, workers: list[WorkerView]) -> bool:
     """Return whether all tasks of a gang fit on the workers together."""
-    limit = step.step.max_per_worker or step.step.count
+    limit = per_worker_limit(step.step) or step.step.count
     fitting_tasks = sum(
-        min(limit, _tasks_that_fit(step.step.reservation, worker.free))
+        _tasks_that_fit(step.step.reservation, worker.free, limit)
         for worker in workers
         if not step.step.label or step.step.label in worker.info.labels
     )
     return fitting_tasks >= step.step.count
 
 
-def _tasks_that_fit(reservation: Shape, free: Shape) -> int:
-    """Return how many reservations of a size fit into the free capacity."""
-    fits = [
-        int(available // need)
-        for need, available in (
-            (reservation.processors, free.processors),
-            (reservation.memory_mb, free.memory_mb),
-            (reservation.accelerators, free.accelerators),
-        )
-        if need > 0
-    ]
-    return max(0, min(fits, default=0))
+def _tasks_that_fit(reservation: Shape, free: Shape, limit: int) -> int:
+    """Return how many reservations of a size fit into the free capacity.
+
+    They are subtracted one by one, as their starts do: a division may round to one
+    more than that.
+    """
+    count = 0
+    while count < limit and reservation.fits_in(free):
+        free = free.minus(reservation)
+        count += 1
+    return count
--- a/packages/corianderpitch/tests/test_placing.py
+++ b/packages/corianderpitch/tests/test_placing.py
@@ -1,6 +1,7 @@
 """Placement at peak load, when a step's tasks share one ranking of the workers."""
 
 import random
+from dataclasses import replace
 
 import pytest
 from schedulers import NOW_MS, add_worker, make_job, make_scheduler, starts
@@ -74,3 +75,27 @@
     plan(scheduler, NOW_MS, 0.0)
     assert len(scheduler.pop_orders()) == 200
     assert len(ranked_steps) == 1
+
+
+GANG = Step(2, Shape(0.5, 100), 100.0, is_gang=True)
+
+
+def test_a_gang_of_fillers_waits_for_a_worker_that_shrank_below_its_runs():
+    """Its memory was free; the round failed when no worker could be chosen."""
+    scheduler = make_scheduler(("w1",), processors=8.0)
+    scheduler.add_job(make_job("a", [Step(4, Shape(1.0, 100), 100.0)]))
+    assert len(starts(scheduler)) == 4
+    worker = scheduler.workers[WorkerId("w1")]
+    scheduler.set_worker(replace(worker.info, capacity=Shape(2.0, 8000)), NOW_MS)
+    scheduler.add_job(make_job("b", [replace(GANG, is_filler=True)]))
+    assert starts(scheduler) == []
+
+
+def test_a_gang_that_fits_only_by_a_rounded_division_waits():
+    """28.0 // 2.8 is 10, but only 9 tasks fit when each start is subtracted."""
+    scheduler = make_scheduler(("w1",), processors=28.0)
+    step = replace(GANG, count=10, shape=Shape(2.8, 100))
+    scheduler.add_job(make_job("a", [step]))
+    assert starts(scheduler) == []
+    add_worker(scheduler, "w2", 28.0)
+    assert len(starts(scheduler)) == 10
