Size a pool by its median worker, not by the last one listed

What callers would see: while one worker of a pool is small, each task of the pool counted as several workers, and the pool drew VMs that others needed: a load of one worker counted as 16.

Cause: `_capacities` took the capacity of whichever worker of a pool came last. That was as good as any other while all workers of a pool were alike and kept their size.

The fix: the median worker by processors stands for the pool. For a pool of equal workers nothing changes.

The test test_a_worker_that_shrank_does_not_stand_for_its_whole_pool failed before for the worker that is listed last.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
@@ -12,7 +12,7 @@
 """
 
 import math
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping, Set
 from dataclasses import dataclass
 
@@ -158,8 +158,17 @@
 
 
 def _capacities(workers: Iterable[WorkerView]) -> dict[ServiceName, Shape]:
-    """Return the capacity of a worker of each pool."""
-    return {worker.info.service: worker.info.capacity for worker in workers}
+    """Return the capacity of the median worker of each pool, by its processors.
+
+    Some of a pool's workers may have shrunk for a while.
+    """
+    by_service: dict[ServiceName, list[Shape]] = defaultdict(list)
+    for worker in workers:
+        by_service[worker.info.service].append(worker.info.capacity)
+    return {
+        service: sorted(shapes, key=lambda shape: shape.processors)[len(shapes) // 2]
+        for service, shapes in by_service.items()
+    }
 
 
 class DemandWindow:
--- a/packages/corianderpitch/tests/test_sizing.py
+++ b/packages/corianderpitch/tests/test_sizing.py
@@ -1,9 +1,16 @@
 """Sizing of pools: single decisions, and a replay of queues that peak in turn."""
 
+from dataclasses import replace
+
 import pytest
+from schedulers import NOW_MS, make_job, make_scheduler
 
 from corianderpitch.domain.jobs import Shape
-from corianderpitch.domain.scheduling.arrivals import load_growth, steady_load
+from corianderpitch.domain.scheduling.arrivals import (
+    ArrivalForecast,
+    load_growth,
+    steady_load,
+)
 from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition
 from corianderpitch.domain.scheduling.sizing import (
     DemandWindow,
@@ -11,8 +18,10 @@
     PoolLoad,
     PoolNeed,
     plan_moves,
+    pool_loads,
 )
 from corianderpitch.domain.scheduling.workers import WorkerInfo, WorkerView
+from corianderpitch.domain.scheduling.workloads import Step
 from corianderpitch.ids import ServiceName, VmId, WorkerId
 from corianderpitch_standins.loadreplay import ReplayPolicy, RotatingPeaks, replay
 
@@ -147,3 +156,14 @@
 @pytest.mark.parametrize("jobs", [1, 2, 3])
 def test_a_few_jobs_that_arrive_together_do_not_count_as_a_peak(jobs):
     assert steady_load([1000.0] * jobs, 500.0) < jobs
+
+
+@pytest.mark.parametrize("shrunk", ["w0", "w4"])
+def test_a_worker_that_shrank_does_not_stand_for_its_whole_pool(shrunk):
+    """Each task counted as several workers, and the pool drew VMs from others."""
+    scheduler = make_scheduler([f"w{n}" for n in range(5)], processors=8.0)
+    scheduler.add_job(make_job(steps=[Step(8, Shape(1.0, 10), 100.0)]))
+    info = scheduler.workers[WorkerId(shrunk)].info
+    scheduler.set_worker(replace(info, capacity=Shape(0.5, 500)), NOW_MS)
+    loads = pool_loads(scheduler, ArrivalForecast(), NOW_MS, 0.0)
+    assert loads[info.service].waiting + loads[info.service].late == 1.0
