Follow a worker's capacity while the role cannot be renewed

What callers would see: while the store refuses a holder's transactions but still answers its feeds, tasks that never ran are started by the old list. A worker that shrank in that time was overfilled (LIMIT), and one that drained still got tasks.

Cause: without a valid lease all changes of the list were held back. This is right for restarts and for workers that are new: a successor may have started their tasks again. It is not needed for the capacity and the state of a worker that goes on running.

The fix: without a valid lease the entries of known workers in the same incarnation are applied, and all others are held back as before. The version is not advanced, so that everything is applied once the lease is valid again.

The test test_a_shrink_is_followed_while_the_role_cannot_be_renewed failed before; the test beside it, about a restart, passed before and after.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -1,6 +1,6 @@
 """One term of the scheduler's role: state it loads, changes it follows, its tasks."""
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Protocol
 
 import eventlet
@@ -234,7 +234,8 @@
     def _follow_workers(self) -> None:
         while True:
             match self._workers.follow(self._workers_version, FOLLOW_WAIT_MS):
-                case Success(_) if not self._role.has_valid_lease:
+                case Success(changes) if not self._role.has_valid_lease:
+                    self._update_known_workers(changes.listed)
                     eventlet.sleep(FOLLOW_RETRY_S)
                 case Success(changes):
                     self._apply_worker_changes(changes)
@@ -255,6 +256,18 @@
             self.scheduler.unlist_worker(worker_id)
         self._workers_version = max(self._workers_version, changes.version)
 
+    def _update_known_workers(self, listed: Iterable[WorkerInfo]) -> None:
+        """Apply the entries of workers that are known and have not restarted.
+
+        A holder without a valid lease still starts tasks that never ran, and must
+        not overfill a worker that has shrunk or use one that is draining.
+        """
+        now_ms = self._clock.now_ms()
+        for info in listed:
+            worker = self.scheduler.workers.get(info.worker)
+            if worker is not None and worker.info.incarnation == info.incarnation:
+                self.scheduler.set_worker(info, now_ms)
+
     def _start_worker_tasks(self, info: WorkerInfo) -> None:
         task = WorkerTask(
             info.worker,
