Start nothing on a worker with runs whose reservation is not known

What callers would see: after a hand-over, a worker that does not refuse overload ran over its capacity (LIMIT): what is being stopped still counts.

Cause: the free capacity counts the runs that the scheduler knows. Two kinds of reported runs are not among them. A run of a job that has ended, which a predecessor had started, is ordered to stop, and its worker looked free until then. A run of a job in a partition that could not be read yet is left alone, and its worker looked free for as long as the partition did not answer.

The fix: no task is started on a worker whose last report lists such a run.

Both tests failed before: eight tasks were started beside the run. The price is that a worker with runs of an unread partition gets no other tasks meanwhile.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -27,7 +27,7 @@
 
 REPORT_WAIT_MS = 1000  # limits the time to detect a dead connection
 IDLE_REPORT_WAIT_MS = 2000  # applies to a worker on which nothing runs
-PACED_REPORT_WAIT_MS = 400  # tail latencies cover the last half second
+FREQUENT_REPORT_WAIT_MS = 400  # tail latencies cover the last half second
 START_LEASE_MS = 2000.0  # a start that is executed later than this is refused
 COMMIT_WAIT_MS = 150.0
 SILENT_RETRY_MS = 300.0
@@ -84,8 +84,10 @@
             wait_ms = REPORT_WAIT_MS if worker.is_running else IDLE_REPORT_WAIT_MS
             if worker.clock_ms is None:
                 wait_ms = 0
-            if needs_frequent_reports(self._scheduler, worker):
-                wait_ms = min(wait_ms, PACED_REPORT_WAIT_MS)
+            if worker.has_unneeded_runs or needs_frequent_reports(
+                self._scheduler, worker
+            ):
+                wait_ms = min(wait_ms, FREQUENT_REPORT_WAIT_MS)
             if worker.processed_sequence != worker.committed_sequence:
                 wait_ms = 0
             if not self._fetch_report(wait_ms):
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -20,6 +20,8 @@
         and worker.draining_since_ms is None
         and worker.incarnation is not None
         and not worker.is_silent
+        and not worker.has_unread_runs
+        and not worker.has_unneeded_runs
         and now_ms >= worker.backoff_until_ms
     )
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -185,6 +185,7 @@
         worker.has_unread_runs = any(
             self._may_be_unread(run.task.job_id) for run in report.running
         )
+        worker.has_unneeded_runs = False
         for run in report.running:
             self._process_run(worker, run, now_ms)
         if not report.is_complete:
@@ -442,6 +443,7 @@
         worker.processed_ahead.clear()
         worker.uncommitted_ends.clear()
         worker.has_unread_runs = False
+        worker.has_unneeded_runs = False
         worker.clock_ms = None
         worker.leased_until_ms = 0.0
         worker.consecutive_failed_jobs.clear()
@@ -623,7 +625,12 @@
     def _stop_unneeded_run(
         self, worker: WorkerView, reported: ReportedRun, now_ms: float
     ) -> None:
-        """Stop a run whose job has ended, or that duplicates another run."""
+        """Stop a run whose job has ended, or that duplicates another run.
+
+        Nothing is started on its worker meanwhile, as its reservation is not known.
+        """
+        run = worker.runs.get(reported.task)
+        worker.has_unneeded_runs |= run is None or run.number != reported.number
         key = (reported.task, reported.number)
         if now_ms - self._stops_sent_ms.get(key, -STOP_RETRY_MS) < STOP_RETRY_MS:
             return
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -164,6 +164,7 @@
     is_silent: bool = False
     has_unread_ends: bool = False
     has_unread_runs: bool = False  # of jobs that could not be read yet
+    has_unneeded_runs: bool = False  # reported ones that are not in ``runs``
     backoff_until_ms: float = 0.0
     consecutive_failed_jobs: list[str] = field(default_factory=list)
 
--- a/packages/corianderpitch/tests/test_capacity.py
+++ b/packages/corianderpitch/tests/test_capacity.py
@@ -14,8 +14,12 @@
 )
 
 from corianderpitch.domain.jobs import Shape
-from corianderpitch.domain.scheduling.workers import EndKind, ReportedEnd
-from corianderpitch.domain.scheduling.workloads import Step
+from corianderpitch.domain.scheduling.workers import (
+    EndKind,
+    ReportedEnd,
+    ReportedRun,
+)
+from corianderpitch.domain.scheduling.workloads import Step, TaskRef
 from corianderpitch.ids import JobId, WorkerId
 
 W1 = WorkerId("w1")
@@ -107,3 +111,24 @@
     scheduler.set_worker(replace(second.info, address=address), NOW_MS)
     add_job(scheduler, "b", 8)
     assert len(starts(scheduler)) == 2
+
+
+def test_a_run_that_a_predecessor_left_occupies_its_worker_until_it_has_ended():
+    """Its job was cancelled, so its reservation is not known to the new holder."""
+    scheduler = make_scheduler(("w1",), processors=8.0)
+    left = ReportedRun(TaskRef(JobId("cancelled"), 0, 0, 0), 1, "", 50.0)
+    report(scheduler, W1, [left])
+    add_job(scheduler, "b", 8)
+    assert starts(scheduler) == []
+    end = ReportedEnd(1, left.task, left.number, EndKind.STOPPED, "")
+    report(scheduler, W1, ended=[end])
+    assert len(starts(scheduler)) == 8
+
+
+def test_a_run_of_a_job_that_is_not_read_yet_occupies_its_worker():
+    scheduler = make_scheduler(("w1",), processors=8.0)
+    scheduler.has_read_all_jobs = False
+    unread = ReportedRun(TaskRef(JobId("unread"), 0, 0, 0), 1, "", 50.0)
+    report(scheduler, W1, [unread])
+    add_job(scheduler, "b", 8)
+    assert starts(scheduler) == []
