Pass over rows of the workers' list that cannot be read

What users would see: one odd entry among those of the workers ended the scheduling of all services. The holder stopped following the list: a lost or shrunk worker was still used, a new one never. After its next loss the role had no holder any more. Each entry acquired it, failed while it loaded the list, released it, and so did the next.

Cause: `parse_worker_info` caught four types of exceptions. A row that is nested 100,000 deep raised RecursionError, and a `cpu` of 400 digits or a `born` of 1e400 OverflowError. `_follow_workers` was started again over the same version of the list, hence over the same row, every 0.2 s; `_load` raised on to the task that serves terms.

The same function took other rows for workers: a port written as "٣", "1_0", " 80" or "+80"; a host with a line break, which went into the header of every request; a capacity that was negative, true, NaN or infinite; fields of another type, or missing. A row without `born` under the id of a live worker would have counted as its restart, and its runs as lost while they went on.

The fix: a new module reads JSON of other writers with checks. It returns values of the requested type and raises one typed error for anything else; the decoder bounds the depth and refuses numbers that no double holds. A row with an error names no worker to use, counts as a removal in the list, and is logged once for each row and cause. A worker whose row turns odd gets no new tasks, but its runs keep their leases and their reservations, and it is used again once its row is valid. Fields that nothing uses are not checked.

Ruled out: the store's own answers, which hold the rows in base64.

--- a/packages/corianderpitch/corianderpitch/errors.py
+++ b/packages/corianderpitch/corianderpitch/errors.py
@@ -23,6 +23,13 @@
     """The data is not a valid message of the peer protocol."""
 
 
+class MalformedData(CorianderpitchError, ValueError):
+    """A row or a response cannot be read, because another program wrote it wrongly.
+
+    The message names the field and never contains its value, which may be large.
+    """
+
+
 class SettingsError(CorianderpitchError):
     """A setting is missing or has a value that is not allowed.
 
