Pass over rows of the operators that cannot be read

What callers would see: one row of the operators' table that could not be read ended the following of all others, in every entry. No configuration and no wave came into force any more, and an entry that started later answered every call with 503. A row with a field of another type got through, and failed wherever it was used first.

Cause: the rows of one answer were parsed together, without a check, and the task that follows them was started again over the same version after each exception.

The fix: each row is read by itself, with the checks of the workers' rows. A wave that cannot be read is passed over. So is a configuration; the one in force stays. No default has changed, and null counts as a missing field.

--- a/tests/adapter/test_oddreplies.py
+++ b/tests/adapter/test_oddreplies.py
@@ -1,15 +1,22 @@
-"""Replies of the platform's services with fields of another type."""
+"""Rows and replies of the platform's services with fields of another type."""
+
+import json
 
 import pytest
 from returns.result import Failure
 
+from corianderpitch.adapters.memorystore import MemoryRowStore
+from corianderpitch.clock import ManualClock
 from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.catalog import CallerLimits
 from corianderpitch.domain.scheduling.orders import OrderResult, StopRun
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import TaskRef
 from corianderpitch.errors import WorkerError, WorkerProblem
 from corianderpitch.ids import JobId, ServiceName, VmId, WorkerId
+from corianderpitch.ports import PartitionedKey, Write
 from corianderpitch_platform.http import Response
+from corianderpitch_platform.operators import OPERATORS_TABLE, PlatformOperatorRows
 from corianderpitch_platform.workers import PlatformWorkerLink
 
 ADDRESS = "10.1.0.9:8080"
@@ -30,6 +37,11 @@
 REPORT = {"clock_ms": 482113, "born": 17, "running": [RUN], "finished": [END]}
 
 
+ROUTE = {"name": "r-1", "host": "a.example", "prefix": "/q/", "service": "counter"}
+CONFIG = {"version": 7, "routes": [ROUTE], "services": [{"name": "counter"}]}
+WAVE = {"wave": 1, "machines": ["m-1", "m-2"], "deadline_s": 20, "cap": 1}
+
+
 class FixedClient:
     """Returns the given responses one after the other, the last one for ever."""
 
@@ -109,3 +121,86 @@
     link._order_clients[ADDRESS] = FixedClient({"reason": reason}, status=409)
     order = StopRun(INFO.worker, TaskRef(JobId(JOB), 0, 1, 17), 2, 7)
     assert link.stop(INFO, order) is OrderResult.MALFORMED
+
+
+def operator_rows(**values):
+    """Return the rows of operators; two underscores in a name stand for a slash."""
+    store = MemoryRowStore(ManualClock())
+    for name, value in values.items():
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        key = PartitionedKey(OPERATORS_TABLE, "", name.replace("__", "/"))
+        store.commit((), (Write(key, data),))
+    return PlatformOperatorRows(store)
+
+
+def test_the_operators_rows_are_read():
+    advice = {"hint": {"decision_ms": 5, "validity_ms": 3000}}
+    config = CONFIG | {"routes": [ROUTE | advice], "limits": {"body_bytes": 9}}
+    changes = operator_rows(config=config, wave__1=WAVE).read().unwrap()
+    (queue,) = changes.catalog.queues.values()
+    assert (queue.service, queue.advice.validity_ms) == ("counter", 3000)
+    assert changes.catalog.limits.body_bytes == 9
+    assert changes.catalog.limits.header_bytes == CallerLimits().header_bytes
+    (wave,) = changes.waves
+    assert (wave.vms, wave.deadline_ms) == (("m-1", "m-2"), 20_000.0)
+
+
+ODD_DOCUMENTS = [
+    b"",
+    b"\xff",
+    b"[]",
+    b"[" * 100_000,
+    b'{"version": 1e400}',
+    b'{"version": ' + b"9" * 400 + b"}",
+]
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        *ODD_DOCUMENTS,
+        WAVE | {"wave": "1"},
+        WAVE | {"wave": None},
+        WAVE | {"wave": 1.5},
+        WAVE | {"machines": "m-1"},
+        WAVE | {"machines": [1]},
+        WAVE | {"deadline_s": "20"},
+        WAVE | {"deadline_s": True},
+        WAVE | {"cap": -1},
+        WAVE | {"cap": []},
+    ],
+)
+def test_an_odd_wave_is_passed_over_and_the_other_rows_hold(odd):
+    """Every entry followed the rows no longer, and never served a queue."""
+    rows = operator_rows(wave__1=odd, wave__2=WAVE | {"wave": 2}, config=CONFIG)
+    for changes in (rows.read().unwrap(), rows.follow(0, 0).unwrap()):
+        assert [wave.number for wave in changes.waves] == [2]
+        assert changes.catalog.version == 7
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        *ODD_DOCUMENTS,
+        CONFIG | {"version": "7"},
+        CONFIG | {"version": None},
+        CONFIG | {"routes": {}},
+        CONFIG | {"routes": [7]},
+        CONFIG | {"routes": [ROUTE | {"prefix": 7}]},
+        CONFIG | {"routes": [ROUTE | {"name": None}]},
+        CONFIG | {"routes": [ROUTE | {"priority": "0"}]},
+        CONFIG | {"routes": [ROUTE | {"max_attempts": 1.5}]},
+        CONFIG | {"routes": [ROUTE | {"stretch": [2]}]},
+        CONFIG | {"routes": [ROUTE | {"hint": 5}]},
+        CONFIG | {"routes": [ROUTE | {"hint": {"decision_ms": "5"}}]},
+        CONFIG | {"services": [{"name": 5}]},
+        CONFIG | {"services": [{"name": "counter", "standby": 1}]},
+        CONFIG | {"limits": []},
+        CONFIG | {"limits": {"body_bytes": "many"}},
+    ],
+)
+def test_an_odd_configuration_changes_nothing_and_the_waves_hold(odd):
+    rows = operator_rows(config=odd, wave__1=WAVE)
+    changes = rows.read().unwrap()
+    assert changes.catalog is None
+    assert [wave.number for wave in changes.waves] == [1]
