Read the list of VMs into checked types

What operators would see: an entry of the list with a field that is missing or of another type ended the task that carries out the waves and the moves. It was started again every 0.2 s over the same list. A token of the next page of another type, or one that refers to its own page, made it ask for pages without end.

Cause: the list was parsed without a check, outside the typed results of the call.

The fix: a list that cannot be read, in whole or in one entry, is a lost answer: it is logged, and the list is requested again after the usual interval. The entry is not passed over. An absent entry is evidence that the worker on the VM has ended and that the VM was removed, so that its tasks would start a second time.

--- a/tests/adapter/test_oddreplies.py
+++ b/tests/adapter/test_oddreplies.py
@@ -3,7 +3,7 @@
 import json
 
 import pytest
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.clock import ManualClock
@@ -12,10 +12,11 @@
 from corianderpitch.domain.scheduling.orders import OrderResult, StopRun
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import TaskRef
-from corianderpitch.errors import WorkerError, WorkerProblem
+from corianderpitch.errors import OutcomeLost, WorkerError, WorkerProblem
 from corianderpitch.ids import JobId, ServiceName, VmId, WorkerId
 from corianderpitch.ports import PartitionedKey, Write
 from corianderpitch_platform.http import Response
+from corianderpitch_platform.machines import PlatformVmPools
 from corianderpitch_platform.operators import OPERATORS_TABLE, PlatformOperatorRows
 from corianderpitch_platform.workers import PlatformWorkerLink
 
@@ -204,3 +205,57 @@
     changes = rows.read().unwrap()
     assert changes.catalog is None
     assert [wave.number for wave in changes.waves] == [1]
+
+
+def vms_listed(*bodies):
+    pools = PlatformVmPools(ADDRESS)
+    pools._client = FixedClient(*bodies)
+    return pools.list_vms().map(lambda vms: [vm.vm for vm in vms])
+
+
+VM = {"machine": "m-1", "pool": "counter", "state": "up", "id": "w1"}
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        7,
+        [],
+        {},
+        VM | {"machine": 7},
+        VM | {"pool": ["counter"]},
+        VM | {"state": ["up"]},
+        VM | {"state": None},
+        VM | {"id": 17},
+    ],
+)
+def test_a_list_of_vms_with_an_odd_entry_is_a_lost_answer(odd):
+    """The entry is not left out: its worker would count as ended."""
+    listed = vms_listed({"machines": [VM, odd, VM | {"machine": "m-3"}]})
+    assert isinstance(listed.failure(), OutcomeLost)
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {},
+        {"machines": {}},
+        {"machines": None},
+        {"machines": [], "next_token": {}},
+        {"machines": [], "next_token": True},
+    ],
+)
+def test_a_page_of_vms_that_cannot_be_read_is_a_lost_answer(odd):
+    assert isinstance(vms_listed(odd).failure(), OutcomeLost)
+
+
+def test_the_pages_of_vms_are_joined():
+    first = {"machines": [VM], "next_token": 2}
+    second = {"machines": [VM | {"machine": "m-2"}], "next_token": "x"}
+    third = {"machines": [VM | {"machine": "m-3", "id": None}], "next_token": None}
+    assert vms_listed(first, second, third) == Success(["m-1", "m-2", "m-3"])
+
+
+def test_a_page_of_vms_that_refers_to_itself_ends_the_list():
+    page = {"machines": [VM], "next_token": "x"}
+    assert isinstance(vms_listed(page).failure(), OutcomeLost)
