Leave no worker idle for unknown runs if it guards its capacity itself

Where the service's workers refuse what does not fit, the start is refused and tried elsewhere, as before.

The queue now tells whether the workers of its service guard their capacity. Adding a run subtracts its reservation again instead of summing up all of the worker's: the sum is the same, and starts are frequent.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -11,8 +11,14 @@
 LASTING_SPREAD = 2  # minimum number of workers for a lasting step
 
 
-def is_schedulable(worker: WorkerView, now_ms: float) -> bool:
-    """Return whether new tasks may be started on a worker."""
+def is_schedulable(
+    worker: WorkerView, now_ms: float, guards_capacity: bool = False
+) -> bool:
+    """Return whether new tasks may be started on a worker.
+
+    A worker that does not guard its capacity, and would start whatever it is told to,
+    gets none while the reservations of some of its runs are unknown.
+    """
     return (
         worker.is_listed
         and worker.is_recorded
@@ -20,8 +26,7 @@
         and worker.draining_since_ms is None
         and worker.incarnation is not None
         and not worker.is_silent
-        and not worker.has_unread_runs
-        and not worker.has_unneeded_runs
+        and (guards_capacity or not worker.has_unknown_reservations)
         and now_ms >= worker.backoff_until_ms
     )
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -71,9 +71,11 @@
     scheduler: Scheduler, now_ms: float
 ) -> dict[ServiceName, list[WorkerView]]:
     schedulable: dict[ServiceName, list[WorkerView]] = defaultdict(list)
+    guarded = {q.service for q in scheduler.queues.values() if q.workers_guard_capacity}
     for worker in scheduler.workers.values():
-        if is_schedulable(worker, now_ms):
-            schedulable[worker.info.service].append(worker)
+        service = worker.info.service
+        if is_schedulable(worker, now_ms, service in guarded):
+            schedulable[service].append(worker)
     return schedulable
 
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -176,6 +176,11 @@
         """Return whether anything runs on the worker, or may run there."""
         return bool(self.runs) or self.has_unread_runs
 
+    @property
+    def has_unknown_reservations(self) -> bool:
+        """Return whether runs are reported that ``free`` does not count."""
+        return self.has_unread_runs or self.has_unneeded_runs
+
     @property
     def committed_sequence(self) -> int:
         """Return the sequence number up to which all ends are committed."""
@@ -217,7 +222,7 @@
     def add_run(self, run: Run) -> None:
         """Add a run, and subtract its reservation from the free capacity."""
         self.runs[run.task] = run
-        self._update_free()
+        self.free = self.free.minus(run.reservation)
 
     def remove_run(self, run: Run) -> None:
         """Remove a run, if it is the current one of its task, and free its capacity."""
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
@@ -127,7 +127,8 @@
 
     The latency objective of a job is ``stretch`` times its critical path plus
     ``target_ms``. Priority 0 comes first. With an ``advice`` policy a task is
-    started only on workers that the advice service allows.
+    started only on workers that the advice service allows. Workers that guard their
+    capacity refuse tasks that do not fit.
     """
 
     name: QueueName
@@ -137,6 +138,7 @@
     stretch: float = 1.0
     target_ms: float = 0.0
     advice: AdvicePolicy | None = None
+    workers_guard_capacity: bool = False
 
 
 def critical_path_ms(steps: tuple[Step, ...]) -> tuple[float, ...]:
--- a/packages/corianderpitch/tests/test_capacity.py
+++ b/packages/corianderpitch/tests/test_capacity.py
@@ -4,6 +4,7 @@
 
 from schedulers import (
     NOW_MS,
+    QUEUE,
     add_worker,
     done,
     make_job,
@@ -125,6 +126,17 @@
     assert len(starts(scheduler)) == 8
 
 
+def test_a_worker_that_guards_its_capacity_is_not_left_idle_for_an_unknown_run():
+    """A pool stood still for as long as a partition of its jobs could not be read."""
+    scheduler = make_scheduler(("w1",), processors=8.0)
+    scheduler.set_queues({QUEUE.name: replace(QUEUE, workers_guard_capacity=True)})
+    scheduler.has_read_all_jobs = False
+    unread = ReportedRun(TaskRef(JobId("unread"), 0, 0, 0), 1, "", 50.0)
+    report(scheduler, W1, [unread])
+    add_job(scheduler, "b", 4)
+    assert len(starts(scheduler)) == 4
+
+
 def test_a_run_of_a_job_that_is_not_read_yet_occupies_its_worker():
     scheduler = make_scheduler(("w1",), processors=8.0)
     scheduler.has_read_all_jobs = False
