Acquire a role only over the heartbeat that was found lapsed

The acquisition required that the epoch row had not changed since it was read, but not that the heartbeat row had not. If the renewal was applied between the other entry's read and its acquisition, both succeeded. The first holder's lease then seemed valid until its next renewal, half a second later, so it took in jobs that were accepted after its successor's epoch. The successor does not expect these to have been started. It learnt of the run from a worker's report before it had read the job, ordered the run to stop as one of an unknown job, read the job and started the task again while the first run was still stopping. A commit without an answer that is applied seconds later had the same effect.

An acquisition now also requires the version of the heartbeat row that was read. A renewal and an acquisition exclude each other: if the renewal is first, the holder keeps the role, and if the acquisition is first, the renewal fails and the holder's lease remains lapsed. A holder whose lease has lapsed takes in no jobs.

Ruled out: a job older than the successor's epoch (those wait for all reports), a worker that was not recorded (a start waits for its record) and a lagging time of the renewals (the role changed after an outage of 3 s, by then the lease had lapsed by any clock).

Evidence: both new tests of test_roles.py fail without the change, one for the race and one for the commit that is applied late.

--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -222,19 +222,28 @@
         return self._table_clock.latest_time_ms() if self._table_clock else 0.0
 
     def _acquire(self, rows: Mapping[str, Row]) -> bool:
+        """Acquire the role unless one of its rows has changed since ``rows``.
+
+        A holder that renews its lease in between keeps the role: it may act on the
+        renewed lease.
+        """
         began_ms = self._clock.now_ms()
         epoch_row = rows.get(self._epoch_key)
         previous = decode_row(RoleEpoch, epoch_row.value) if epoch_row else None
         epoch_number = previous.epoch + 1 if previous else 1
         epoch = RoleEpoch(self._entry, epoch_number, self._latest_table_time_ms())
-        check = Check(self._epoch_key, version_of(epoch_row))
+        heartbeat_version = version_of(rows.get(self._heartbeat_key))
+        checks = (
+            Check(self._epoch_key, version_of(epoch_row)),
+            Check(self._heartbeat_key, heartbeat_version),
+        )
         write = Write(self._epoch_key, encode_row(epoch))
-        match self._table.commit((check,), (write,)):
+        match self._table.commit(checks, (write,)):
             case Success(versions):
                 self._epoch = epoch.epoch
                 self.acquired_ms = epoch.taken_ms
                 self._epoch_version = versions[self._epoch_key]
-                self._heartbeat_version = version_of(rows.get(self._heartbeat_key))
+                self._heartbeat_version = heartbeat_version
                 self._is_held = True
                 self._renewed_ms = began_ms
                 self._next_renewal_ms = 0.0
--- a/packages/corianderpitch/tests/test_roles.py
+++ b/packages/corianderpitch/tests/test_roles.py
@@ -10,6 +10,18 @@
 LEASE_MS = 2000.0
 
 
+class RacingStore(DeferringStore):
+    """A store that calls a function once, right before it applies a commit."""
+
+    before_commit = None
+
+    def commit(self, checks, writes):
+        call, self.before_commit = self.before_commit, None
+        if call is not None:
+            call()
+        return super().commit(checks, writes)
+
+
 def make_leases(*entries, store=None):
     """Return a clock and the entries' leases of one role, in a shared table."""
     clock = store.clock if store else ManualClock(1000.0)
@@ -103,3 +115,37 @@
     store.commit_ms = 700.0
     assert holder.try_acquire()
     assert holder.renewal_age_ms == 700.0
+
+
+def test_a_role_that_is_renewed_after_the_rows_were_read_is_not_acquired():
+    """A store that comes back is asked by the holder and by another entry at once.
+
+    The holder's renewal was applied between the other entry's read and its
+    acquisition. Both succeeded, and the holder took in new jobs for as long as its
+    renewed lease seemed valid, while the other entry started the same jobs.
+    """
+    store = RacingStore(ManualClock(1000.0))
+    clock, (holder, other) = make_leases("e1", "e2", store=store)
+    assert holder.try_acquire()
+    assert holder.renew()
+    clock.advance(LEASE_MS + 500.0)
+    store.before_commit = holder.renew
+    assert not other.try_acquire()
+    assert holder.has_valid_lease
+    clock.advance(500.0)
+    assert holder.renew()
+
+
+def test_an_acquisition_applied_late_does_not_end_a_lease_that_was_renewed_since():
+    store = DeferringStore(ManualClock(1000.0))
+    clock, (holder, other) = make_leases("e1", "e2", store=store)
+    assert holder.try_acquire()
+    assert holder.renew()
+    clock.advance(LEASE_MS + 500.0)
+    store.is_deferring = True
+    assert not other.try_acquire()
+    store.is_deferring = False
+    assert holder.renew()
+    store.apply_deferred()
+    clock.advance(500.0)
+    assert holder.renew()
