Log why a run was lost, and with which incarnation of its worker

"Run ended." said lost_running for each run that ended without a reported end, whether the worker's process had ended, it had come back as another incarnation, its lease had expired, a report did not list the run, or the start was refused. LossCause names them; the notice also carries the worker's incarnation.

The test of replaced starts passes the new parameter; what it asserts is unchanged.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -322,7 +322,9 @@
                 task=notice.task.position,
                 run=notice.number,
                 worker=notice.worker,
+                incarnation=notice.incarnation,
                 how=notice.how,
+                cause=notice.cause.value if notice.cause is not None else None,
             )
 
     def _dispatch_orders(self) -> None:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
@@ -75,14 +75,28 @@
     NO_ANSWER = "no_answer"
 
 
+class LossCause(enum.Enum):
+    """What showed that a run has ended without a reported end."""
+
+    NEW_INCARNATION = "new_incarnation"
+    PROCESS_ENDED = "process_ended"
+    LEASE_EXPIRED = "lease_expired"
+    NOT_REPORTED = "not_reported"
+    NOT_STARTED = "not_started"
+
+
 @dataclass(frozen=True, slots=True)
 class RunNotice:
     """A run that ended without success, for the log.
 
     ``how`` is the kind of its end, or ``lost_`` and its state for a lost run.
+    ``cause`` is set for a lost run only. ``incarnation`` is the one of the worker
+    on which the run was started.
     """
 
     worker: WorkerId
     task: TaskRef
     number: int
     how: str
+    cause: LossCause | None
+    incarnation: str | None
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -10,6 +10,7 @@
 
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.orders import (
+    LossCause,
     Order,
     OrderResult,
     PaceRun,
@@ -237,8 +238,7 @@
             worker = self.workers.get(worker_id)
             if worker is not None and worker.is_silent:
                 worker.has_unread_runs = False
-                for run in list(worker.runs.values()):
-                    self._mark_run_lost(worker, run)
+                self._mark_all_lost(worker, LossCause.PROCESS_ENDED)
 
     def workers_to_record(self) -> set[WorkerId]:
         """Return the workers that may run something, known or awaiting a report."""
@@ -288,8 +288,7 @@
             has_expired = worker.lease_end_ms(self.leases_end_ms) <= now_ms
             if has_expired and worker.is_silent:
                 worker.has_unread_runs = False
-                for run in list(worker.runs.values()):
-                    self._mark_run_lost(worker, run)
+                self._mark_all_lost(worker, LossCause.LEASE_EXPIRED)
                 self.awaiting_report.discard(worker.info.worker)
             has_left = not worker.is_listed and not worker.is_running and has_expired
             if worker.is_silent and has_expired and not worker.is_listed:
@@ -436,7 +435,9 @@
         The fence is raised, so that the new incarnation refuses a start order that
         was sent to the earlier one and arrives late.
         """
-        had_incarnation = worker.incarnation is not None
+        if worker.incarnation is not None:
+            self._raise_fence(worker)
+            self._mark_all_lost(worker, LossCause.NEW_INCARNATION)
         worker.incarnation = incarnation
         worker.processed_sequence = 0
         worker.processed_ahead.clear()
@@ -445,15 +446,18 @@
         worker.clock_ms = None
         worker.leased_until_ms = 0.0
         worker.consecutive_failed_jobs.clear()
-        if had_incarnation:
-            self._raise_fence(worker)
-            for run in list(worker.runs.values()):
-                self._mark_run_lost(worker, run)
 
     def _add_notice(
-        self, worker: WorkerView, task: TaskRef, number: int, how: str
+        self,
+        worker: WorkerView,
+        task: TaskRef,
+        number: int,
+        how: str,
+        cause: LossCause | None = None,
     ) -> None:
-        self._notices.append(RunNotice(worker.info.worker, task, number, how))
+        self._notices.append(
+            RunNotice(worker.info.worker, task, number, how, cause, worker.incarnation)
+        )
 
     def _raise_fence(self, worker: WorkerView) -> None:
         """Raise a worker's fence above all others of this term.
@@ -652,12 +656,17 @@
                 and requested_ms >= run.state_since_ms
             )
         if is_lost:
-            self._mark_run_lost(worker, run)
+            self._mark_run_lost(worker, run, LossCause.NOT_REPORTED)
+
+    def _mark_all_lost(self, worker: WorkerView, cause: LossCause) -> None:
+        for run in list(worker.runs.values()):
+            self._mark_run_lost(worker, run, cause)
 
-    def _mark_run_lost(self, worker: WorkerView, run: Run) -> None:
+    def _mark_run_lost(self, worker: WorkerView, run: Run, cause: LossCause) -> None:
         """Remove a run that ended without a reported end; its task waits again."""
         worker.remove_run(run)
-        self._add_notice(worker, run.task, run.number, f"lost_{run.state.value}")
+        how = f"lost_{run.state.value}"
+        self._add_notice(worker, run.task, run.number, how, cause)
         self._stops_sent_ms.pop((run.task, run.number), None)
         job = self.jobs.get(run.task.job_id)
         step = job.find_step(run.task) if job is not None else None
@@ -717,7 +726,7 @@
             case _:
                 worker.backoff_until_ms = now_ms + BACKOFF_AFTER_ERROR_MS
         if run.state is not RunState.RUNNING:
-            self._mark_run_lost(worker, run)
+            self._mark_run_lost(worker, run, LossCause.NOT_STARTED)
 
     def _apply_pace(self, order: PaceRun) -> None:
         worker = self.workers.get(order.worker)
--- a/packages/corianderpitch/tests/test_links.py
+++ b/packages/corianderpitch/tests/test_links.py
@@ -7,7 +7,7 @@
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
-from corianderpitch.domain.scheduling.orders import OrderResult
+from corianderpitch.domain.scheduling.orders import LossCause, OrderResult
 from corianderpitch.domain.scheduling.workers import RunState
 from corianderpitch.ids import WorkerId
 
@@ -72,7 +72,8 @@
     task = make_task(scheduler, link)
     (outdated, *_) = starts(scheduler)
     run = scheduler.workers[WorkerId("w1")].runs[outdated.task]
-    scheduler._mark_run_lost(scheduler.workers[WorkerId("w1")], run)
+    worker = scheduler.workers[WorkerId("w1")]
+    scheduler._mark_run_lost(worker, run, LossCause.NOT_STARTED)
     assert starts(scheduler)
     task._execute(outdated)
     assert link.fences == []
