Give up tasks that crash the workers that start them

Only ends reported as failed were attempts.

A crash took some ten runs with it, of which those of five jobs (median) had started in the last 0.3 s. Counting crashes alone was ruled out for that: bystanders would be given up with the culprit.

The runs that were still in their probation when their worker crashed now make their tasks suspects. A suspect job is started in isolation, on a worker where no other run is in probation and nothing else is started meanwhile, so that a second crash names it. It is given up after two crashes under one of its tasks, or three if two related workers crash within a second. Runs that had passed their probation count as well, but make a suspect only from the third crash on, for tasks that crash late. The numbers of the runs are committed with the progress, and so are the incarnations of placed runs: a successor continues the count and sees a crash that fell between two holders. A planned end of a worker, a lapsed lease and lasting tasks that serve do not count.

All tests of packages pass.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -15,7 +15,11 @@
 import msgpack
 
 from corianderpitch.domain.jobs import JobState, Shape
-from corianderpitch.domain.scheduling.progress import ProgressRecord, StepRecord
+from corianderpitch.domain.scheduling.progress import (
+    Placement,
+    ProgressRecord,
+    StepRecord,
+)
 from corianderpitch.domain.scheduling.workloads import Schedule, Step, Workload
 from corianderpitch.ids import JobId, QueueName, VmId, WorkerId
 from corianderpitch.ports import PartitionedKey
@@ -213,24 +217,48 @@
 
 
 def pack_progress(record: ProgressRecord) -> bytes:
-    """Encode a job's progress."""
+    """Encode a job's progress.
+
+    Crashes are left out where there are none, for entries of earlier versions.
+    """
     steps = [
         [*step_key, list(s.done), s.failed, s.checkpoints, s.placed]
+        + ([s.crashed] if s.crashed else [])
         for step_key, s in record.steps.items()
     ]
     return msgpack.packb([record.state.value, record.finished, steps, record.ended_ms])
 
 
 def unpack_progress(value: bytes) -> ProgressRecord:
-    """Decode a job's progress."""
+    """Decode a job's progress.
+
+    Records of earlier versions have no crashes, and only the workers of placed runs.
+    """
     state, finished, packed, ended_ms = msgpack.unpackb(value, strict_map_key=False)
     steps = {
-        (occurrence, number): StepRecord(
-            tuple(done),
-            {index: tuple(numbers) for index, numbers in failed.items()},
-            checkpoints,
-            {index: tuple(workers) for index, workers in placed.items()},
-        )
-        for occurrence, number, done, failed, checkpoints, placed in packed
+        (occurrence, number): _unpack_step_record(*fields)
+        for occurrence, number, *fields in packed
     }
     return ProgressRecord(JobState(state), finished, steps, ended_ms)
+
+
+def _unpack_step_record(
+    done: list[int],
+    failed: dict[int, list[int]],
+    checkpoints: dict[int, str],
+    placed: dict[int, list[Any]],
+    crashed: dict[int, list[int]] | None = None,
+) -> StepRecord:
+    return StepRecord(
+        tuple(done),
+        {index: tuple(numbers) for index, numbers in failed.items()},
+        checkpoints,
+        {index: tuple(map(_unpack_placement, runs)) for index, runs in placed.items()},
+        {index: tuple(numbers) for index, numbers in (crashed or {}).items()},
+    )
+
+
+def _unpack_placement(packed: str | list[Any]) -> Placement:
+    return (
+        Placement(WorkerId(packed)) if isinstance(packed, str) else Placement(*packed)
+    )
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -16,10 +16,12 @@
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.supervision import keep_running
+from corianderpitch.domain.scheduling.crashes import Verdict, WorkerCrash
 from corianderpitch.domain.scheduling.evacuation import evacuate
+from corianderpitch.domain.scheduling.orders import RunNotice
 from corianderpitch.domain.scheduling.pacing import pace_fillers
 from corianderpitch.domain.scheduling.planning import plan
-from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Notice, Scheduler, Term
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import Queue
 from corianderpitch.errors import HistoryLost
@@ -316,16 +318,7 @@
 
     def _log_notices(self) -> None:
         for notice in self.scheduler.pop_notices():
-            log.info(
-                "Run ended.",
-                job=notice.task.job_id,
-                task=notice.task.position,
-                run=notice.number,
-                worker=notice.worker,
-                incarnation=notice.incarnation,
-                how=notice.how,
-                cause=notice.cause.value if notice.cause is not None else None,
-            )
+            _log_notice(notice)
 
     def _dispatch_orders(self) -> None:
         self._log_notices()
@@ -338,3 +331,33 @@
                 task.enqueue_order(order)
         if orders:
             self._commits.wake()
+
+
+def _log_notice(notice: Notice) -> None:
+    match notice:
+        case RunNotice():
+            log.info(
+                "Run ended.",
+                job=notice.task.job_id,
+                task=notice.task.position,
+                run=notice.number,
+                worker=notice.worker,
+                incarnation=notice.incarnation,
+                how=notice.how,
+                cause=notice.cause.value if notice.cause is not None else None,
+            )
+        case WorkerCrash():
+            log.warning(
+                "Worker crashed.",
+                worker=notice.worker.worker,
+                zone=notice.worker.zone,
+                suspects=sorted({task.job_id for task in notice.suspects}),
+                crashes=notice.crashes,
+            )
+        case Verdict():
+            log.warning(
+                "Job given up: its task crashes workers.",
+                job=notice.job_id,
+                task=notice.task.position,
+                crashes=notice.crashes,
+            )
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -0,0 +1,210 @@
+"""Tasks that crash the workers that start them: evidence, suspects and verdicts.
+
+Such a task ends its worker's process soon after its start, and with it all other
+runs there. One crash says little: the worker may have failed by itself, and several
+tasks may have been started there just before. The tasks that had not run for
+``PROBATION_MS`` yet become suspects. They are started again in isolation (see
+``isolation``), so that a second crash names the job that caused it.
+
+The crashes are counted for each task by the numbers of its runs, and committed with
+its job's progress, so that a successor continues the count.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
+from corianderpitch.domain.scheduling.workers import Run, WorkerInfo
+from corianderpitch.domain.scheduling.workloads import TaskRef
+from corianderpitch.ids import JobId, WorkerId
+
+PROBATION_MS = 300.0
+REPEATED_PROBATION_MS = 3000.0  # of a task that was at work in several crashes
+REPEATED_CRASHES = 3
+CRASHES_TO_GIVE_UP = 2
+CRASHES_TO_GIVE_UP_IN_OUTAGE = 3
+VERDICT_DELAY_MS = 500.0  # crashes with a common cause are noticed one by one
+COMMON_CAUSE_WINDOW_MS = 1000.0
+COMMON_CAUSE_WORKERS = 2  # that crash at about the same time as another one
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerCrash:
+    """End of a worker's process that no order or draining explains.
+
+    ``suspects`` are the tasks that most likely caused it, each with the number of
+    crashes counted for it so far. ``is_explained`` is true if one of them was a
+    suspect before, and therefore started in isolation.
+    """
+
+    worker: WorkerInfo
+    suspects: Mapping[TaskRef, int]
+    is_explained: bool = False
+
+    @property
+    def culprit(self) -> JobId | None:
+        """Return the job of all suspects, ``None`` if there are several or none."""
+        job_ids = {task.job_id for task in self.suspects}
+        return job_ids.pop() if len(job_ids) == 1 else None
+
+    @property
+    def crashes(self) -> int:
+        """Return the highest count of crashes among the suspects."""
+        return max(self.suspects.values(), default=0)
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Decision that a job is to be given up after ``crashes`` crashes of workers."""
+
+    job_id: JobId
+    task: TaskRef
+    crashes: int
+
+
+@dataclass(slots=True)
+class Cell:
+    """Workers on which only one suspect job starts tasks; see ``isolation``.
+
+    ``asked_ms`` is the time of the last request for the reports of these workers.
+    """
+
+    workers: tuple[WorkerId, ...]
+    chosen_ms: float
+    asked_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class CrashLog:
+    """Recent crashes of workers, and those on which no verdict was passed yet."""
+
+    _new: list[WorkerCrash] = field(default_factory=list)
+    _recent: list[tuple[float, WorkerCrash]] = field(default_factory=list)
+    _undecided: list[tuple[float, WorkerCrash]] = field(default_factory=list)
+
+    def add(self, crash: WorkerCrash) -> None:
+        """Add a crash; the next call of ``pop_due`` sets its time."""
+        self._new.append(crash)
+
+    def pop_due(self, now_ms: float) -> list[tuple[WorkerCrash, bool]]:
+        """Return the crashes to decide on, and whether each has a common cause."""
+        for crash in self._new:
+            self._recent.append((now_ms, crash))
+            if _may_be_decisive(crash):
+                self._undecided.append((now_ms, crash))
+        self._new.clear()
+        due = [
+            (crash, self._has_common_cause(at_ms, crash))
+            for at_ms, crash in self._undecided
+            if now_ms - at_ms >= VERDICT_DELAY_MS
+        ]
+        self._undecided = [
+            (at_ms, crash)
+            for at_ms, crash in self._undecided
+            if now_ms - at_ms < VERDICT_DELAY_MS
+        ]
+        oldest_ms = now_ms - VERDICT_DELAY_MS - COMMON_CAUSE_WINDOW_MS
+        self._recent = [(at, crash) for at, crash in self._recent if at >= oldest_ms]
+        return due
+
+    def is_undecided(self, job_id: JobId) -> bool:
+        """Return whether a crash that a job may have caused is not decided on yet."""
+        return any(crash.culprit == job_id for _, crash in self._undecided)
+
+    def _has_common_cause(self, at_ms: float, crash: WorkerCrash) -> bool:
+        """Return whether several related workers crashed at about the same time.
+
+        Related workers are in the same service or zone. A crash that other suspects
+        explain does not count.
+        """
+        related = [
+            other
+            for other_ms, other in self._recent
+            if abs(other_ms - at_ms) <= COMMON_CAUSE_WINDOW_MS
+            and other is not crash
+            and not other.is_explained
+            and _are_related(other.worker, crash.worker)
+        ]
+        return len(related) >= COMMON_CAUSE_WORKERS
+
+
+def _may_be_decisive(crash: WorkerCrash) -> bool:
+    is_repeated = crash.crashes >= CRASHES_TO_GIVE_UP
+    return crash.culprit is not None and crash.is_explained and is_repeated
+
+
+def _are_related(one: WorkerInfo, other: WorkerInfo) -> bool:
+    return one.zone == other.zone or one.service == other.service
+
+
+def probation_ms(step: ActiveStep, index: int) -> float:
+    """Return how long a task must run until it is no suspect any more."""
+    if step.crash_count(index) >= REPEATED_CRASHES:
+        return REPEATED_PROBATION_MS
+    return PROBATION_MS
+
+
+def count_crash(step: ActiveStep, index: int, number: int, is_proven: bool) -> bool:
+    """Count a crash of a worker during a run; return whether its task is a suspect.
+
+    A run that had passed its probation is unlikely to be the cause. Its task becomes
+    a suspect after ``REPEATED_CRASHES``, but for lasting tasks, which run through many
+    crashes of their workers.
+    """
+    if index in step.done or (is_proven and step.step.is_lasting):
+        return False
+    step.crashed.setdefault(index, set()).add(number)
+    if is_proven and step.crash_count(index) < REPEATED_CRASHES:
+        return False
+    if any(run.is_proven and run.number > number for run in step.runs.get(index, ())):
+        return False  # noticed late: a later run has passed its probation since
+    step.suspects.add(index)
+    return True
+
+
+def has_passed_probation(step: ActiveStep, run: Run, now_ms: float) -> bool:
+    """Return whether a run that is now reported has passed its probation."""
+    return now_ms - run.state_since_ms >= probation_ms(step, run.task.index)
+
+
+def judge(crash: WorkerCrash, has_common_cause: bool) -> Verdict | None:
+    """Decide whether the job that was alone suspected of a crash is to be given up."""
+    needed = CRASHES_TO_GIVE_UP_IN_OUTAGE if has_common_cause else CRASHES_TO_GIVE_UP
+    if crash.culprit is None or crash.crashes < needed:
+        return None
+    task = max(crash.suspects, key=lambda suspect: crash.suspects[suspect])
+    return Verdict(crash.culprit, task, crash.crashes)
+
+
+@dataclass(slots=True)
+class RecordedRuns:
+    """Runs that predecessors recorded, by worker, until the worker is heard of.
+
+    A worker that is found in another incarnation crashed under them, unless they
+    had ended before.
+    """
+
+    _by_worker: dict[WorkerId, list[tuple[TaskRef, int, str]]] = field(
+        default_factory=dict
+    )
+
+    def add(self, job: ActiveJob) -> set[WorkerId]:
+        """Add the recorded runs of a job, and return their workers."""
+        workers: set[WorkerId] = set()
+        for task, placement in job.pop_recorded_placements():
+            if placement.incarnation:
+                workers.add(placement.worker)
+                self._by_worker.setdefault(placement.worker, []).append(
+                    (task, placement.number, placement.incarnation)
+                )
+        return workers
+
+    def pop_crashed(
+        self, worker: WorkerId, incarnation: str | None
+    ) -> Iterable[tuple[TaskRef, int]]:
+        """Return and drop a worker's runs of other incarnations, as task and number."""
+        return [
+            (task, number)
+            for task, number, recorded in self._by_worker.pop(worker, [])
+            if recorded != incarnation
+        ]
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -0,0 +1,242 @@
+"""Isolated starts of tasks that may crash the workers that start them.
+
+A suspect job gets a cell: a worker, or several for a gang, on which nothing else is
+started until the job's suspects have ended or passed their probation. They are
+started there once all other runs on the worker have passed theirs. If the worker
+crashes then, the job is the cause, and little else is lost. The other tasks of a
+suspect job wait. No new cell is chosen while half of a service's workers are in cells.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.advice import permitted_workers
+from corianderpitch.domain.scheduling.crashes import Cell, has_passed_probation
+from corianderpitch.domain.scheduling.ordering import order_key
+from corianderpitch.domain.scheduling.placing import (
+    count_runs_on,
+    per_worker_limit,
+)
+from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.starting import (
+    gang_fits,
+    gang_groups,
+    start_gang,
+    start_tasks,
+)
+from corianderpitch.domain.scheduling.workers import Run, WorkerView
+from corianderpitch.domain.scheduling.workloads import Queue
+from corianderpitch.ids import JobId, ServiceName, WorkerId
+
+MAX_ISOLATED_SHARE = 0.5  # of the workers of a service
+MAX_CELL_WAIT_MS = 3000.0  # until a cell in which nothing could be started is given up
+REPORT_INTERVAL_MS = 100.0
+
+Schedulable = dict[ServiceName, list[WorkerView]]
+
+
+def plan_isolated(
+    scheduler: Scheduler, schedulable: Schedulable, now_ms: float, wall_ms: float
+) -> None:
+    """Start the suspects that can be started, and remove cells from ``schedulable``."""
+    _drop_cells(scheduler, schedulable, now_ms)
+    for queue, job in _suspect_jobs(scheduler, now_ms):
+        workers = schedulable.get(queue.service, [])
+        for step in list(job.ready_steps(wall_ms)):
+            if step.suspects & step.pending:
+                permitted = permitted_workers(step, queue.advice, workers, now_ms)
+                _start_in_cell(scheduler, job, step, workers, permitted, now_ms)
+    isolated = _isolated_workers(scheduler)
+    for service, workers in schedulable.items():
+        schedulable[service] = [w for w in workers if w.info.worker not in isolated]
+    for cell in scheduler.crashes.cells.values():
+        _request_reports(scheduler, cell, now_ms)
+
+
+def _suspect_jobs(scheduler: Scheduler, now_ms: float) -> list[tuple[Queue, ActiveJob]]:
+    """Return the suspect jobs that may be started now, in the order of their queue."""
+    ready: list[tuple[Queue, ActiveJob]] = []
+    for job_id in scheduler.crashes.suspect_jobs:
+        job = scheduler.jobs[job_id]
+        queue = scheduler.queues.get(job.workload.queue)
+        if (
+            queue is not None
+            and not scheduler.crashes.awaits_verdict(job_id)
+            and scheduler.is_safe_to_start(job, now_ms)
+        ):
+            ready.append((queue, job))
+    ready.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
+    return ready
+
+
+def _drop_cells(scheduler: Scheduler, schedulable: Schedulable, now_ms: float) -> None:
+    """Drop the cells of cleared jobs, and those that are of no use any more."""
+    available = {w.info.worker for ws in schedulable.values() for w in ws}
+    for job_id, cell in list(scheduler.crashes.cells.items()):
+        is_in_use = _has_unproven(scheduler, cell, job_id)
+        is_useless = not available.issuperset(cell.workers) or (
+            now_ms - cell.chosen_ms >= MAX_CELL_WAIT_MS
+        )
+        is_cleared = job_id not in scheduler.crashes.suspect_jobs
+        if is_cleared or (is_useless and not is_in_use):
+            del scheduler.crashes.cells[job_id]
+
+
+def _isolated_workers(scheduler: Scheduler) -> set[WorkerId]:
+    return {
+        worker for cell in scheduler.crashes.cells.values() for worker in cell.workers
+    }
+
+
+def _runs_in(scheduler: Scheduler, cell: Cell) -> Iterable[Run]:
+    for worker_id in cell.workers:
+        worker = scheduler.workers.get(worker_id)
+        if worker is not None:
+            yield from worker.runs.values()
+
+
+def _start_in_cell(
+    scheduler: Scheduler,
+    job: ActiveJob,
+    step: ActiveStep,
+    workers: Sequence[WorkerView],
+    permitted: Sequence[WorkerView],
+    now_ms: float,
+) -> None:
+    """Start the suspects of a step in the job's cell, which is chosen if needed."""
+    cell = scheduler.crashes.cells.get(job.job_id)
+    if cell is None or not _has_room(scheduler, cell, step, permitted):
+        if cell is not None and _has_unproven(scheduler, cell, job.job_id):
+            return
+        cell = _choose_cell(scheduler, step, workers, permitted, now_ms)
+        if cell is None:
+            return
+        scheduler.crashes.cells[job.job_id] = cell
+    if _has_others_unproven(scheduler, cell, job.job_id):
+        return
+    chosen = [w for w in permitted if w.info.worker in cell.workers]
+    if step.step.is_gang:
+        start_gang(scheduler, job, step, chosen, now_ms)
+    else:
+        waiting = step.suspects & step.pending
+        start_tasks(scheduler, job, step, waiting, chosen, now_ms)
+
+
+def _has_room(
+    scheduler: Scheduler,
+    cell: Cell,
+    step: ActiveStep,
+    permitted: Iterable[WorkerView],
+) -> bool:
+    """Return whether a cell's workers can run tasks of a step, now or when emptied."""
+    inside = [w for w in permitted if w.info.worker in cell.workers]
+    if step.step.is_gang:
+        return len(inside) == len(cell.workers) and not step.runs
+    return any(_can_be_emptied_for(scheduler, step, w) for w in inside)
+
+
+def _has_unproven(scheduler: Scheduler, cell: Cell, job_id: JobId) -> bool:
+    return any(
+        run.task.job_id == job_id and not run.is_proven
+        for run in _runs_in(scheduler, cell)
+    )
+
+
+def _has_others_unproven(scheduler: Scheduler, cell: Cell, job_id: JobId) -> bool:
+    return any(
+        run.task.job_id != job_id and not run.is_proven
+        for run in _runs_in(scheduler, cell)
+    )
+
+
+def _choose_cell(
+    scheduler: Scheduler,
+    step: ActiveStep,
+    workers: Sequence[WorkerView],
+    permitted: Iterable[WorkerView],
+    now_ms: float,
+) -> Cell | None:
+    """Choose the workers that will lose the least work and are free the soonest."""
+    isolated = _isolated_workers(scheduler)
+    taken = sum(1 for worker in workers if worker.info.worker in isolated)
+    allowed = max(1, int(len(workers) * MAX_ISOLATED_SHARE)) - taken
+    if allowed <= 0:
+        return None
+    candidates = sorted(
+        (
+            worker
+            for worker in permitted
+            if worker.info.worker not in isolated
+            and _can_be_emptied_for(scheduler, step, worker)
+        ),
+        key=lambda worker: _rank(step, worker),
+    )
+    if not step.step.is_gang:
+        chosen = candidates[:1]
+    else:
+        chosen = _choose_for_gang(step, candidates)
+    if not chosen:
+        return None
+    return Cell(tuple(worker.info.worker for worker in chosen), now_ms)
+
+
+def _rank(step: ActiveStep, worker: WorkerView) -> tuple[bool, bool, float]:
+    has_unproven = any(not run.is_proven for run in worker.runs.values())
+    fits_now = step.step.reservation.fits_in(worker.free)
+    used = worker.info.capacity.processors - worker.free.processors
+    return (not fits_now, has_unproven, used)
+
+
+def _choose_for_gang(
+    step: ActiveStep, candidates: Sequence[WorkerView]
+) -> list[WorkerView]:
+    """Return the first workers that fit a whole gang together, if there are any."""
+    for group in gang_groups(step, candidates):
+        for count in range(1, len(group) + 1):
+            if gang_fits(step, group[:count]):
+                return group[:count]
+    return []
+
+
+def _can_be_emptied_for(
+    scheduler: Scheduler, step: ActiveStep, worker: WorkerView
+) -> bool:
+    """Return whether a task fits on a worker once its runs have ended.
+
+    Lasting tasks do not end.
+    """
+    if step.step.label and step.step.label not in worker.info.labels:
+        return False
+    limit = per_worker_limit(step.step)
+    if limit and count_runs_on(step, worker.info.worker) >= limit:
+        return False
+    free: Shape = worker.info.capacity
+    for run in worker.runs.values():
+        job = scheduler.jobs.get(run.task.job_id)
+        other = job.find_step(run.task) if job is not None else None
+        if other is not None and other.step.is_lasting:
+            free = free.minus(run.reservation)
+    return step.step.reservation.fits_in(free)
+
+
+def _request_reports(scheduler: Scheduler, cell: Cell, now_ms: float) -> None:
+    """Request the reports that show whether runs in a cell have passed probation."""
+    if now_ms - cell.asked_ms < REPORT_INTERVAL_MS:
+        return
+    for worker_id in cell.workers:
+        worker = scheduler.workers.get(worker_id)
+        if worker is None or not any(
+            _is_due(scheduler, run, now_ms) for run in worker.runs.values()
+        ):
+            continue
+        cell.asked_ms = now_ms
+        scheduler.request_report(worker_id)
+
+
+def _is_due(scheduler: Scheduler, run: Run, now_ms: float) -> bool:
+    job = scheduler.jobs.get(run.task.job_id)
+    step = job.find_step(run.task) if job is not None else None
+    if run.is_proven or step is None:
+        return False
+    return has_passed_probation(step, run, now_ms)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.workers import EndRef, Run
@@ -14,18 +15,31 @@
 from corianderpitch.ids import JobId, WorkerId
 
 
+class Placement(NamedTuple):
+    """A recorded run: its worker, its number and the worker's incarnation.
+
+    The incarnation is empty if it is not known.
+    """
+
+    worker: WorkerId
+    number: int = 0
+    incarnation: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class StepRecord:
     """Committed progress of one step of one occurrence.
 
     ``failed`` holds the numbers of each task's failed runs, so that an end that is
-    reported twice counts once. ``placed`` names the workers of each task's runs.
+    reported twice counts once. ``placed`` names each task's runs. ``crashed`` holds
+    the numbers of the runs during which the worker has crashed.
     """
 
     done: tuple[int, ...] = ()
     failed: dict[int, tuple[int, ...]] = field(default_factory=dict)
     checkpoints: dict[int, str] = field(default_factory=dict)
-    placed: dict[int, tuple[WorkerId, ...]] = field(default_factory=dict)
+    placed: dict[int, tuple[Placement, ...]] = field(default_factory=dict)
+    crashed: dict[int, tuple[int, ...]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,7 +72,9 @@
 
     ``ever_started`` holds the tasks that have been started at least once.
     ``tickets`` were issued by the advice service, and ``denied`` holds the workers
-    that it does not allow, each with its incarnation.
+    that it does not allow, each with its incarnation. ``crashed`` holds the numbers
+    of each task's runs during which the worker has crashed, and ``suspects`` the tasks
+    that may be the cause.
     """
 
     step: Step
@@ -72,6 +88,8 @@
     ever_started: set[int] = field(default_factory=set)
     tickets: dict[WorkerId, Ticket] = field(default_factory=dict)
     denied: set[tuple[WorkerId, str]] = field(default_factory=set)
+    crashed: dict[int, set[int]] = field(default_factory=dict)
+    suspects: set[int] = field(default_factory=set)
 
     @property
     def is_done(self) -> bool:
@@ -87,6 +105,10 @@
             return len(self.failed.get(index, ()))
         return len(set().union(*self.failed.values()))
 
+    def crash_count(self, index: int) -> int:
+        """Return how many workers have crashed during runs of a task."""
+        return len(self.crashed.get(index, ()))
+
     def ticket_for(self, worker: WorkerId) -> str:
         """Return the ticket for a worker, empty if there is none."""
         ticket = self.tickets.get(worker)
@@ -96,16 +118,25 @@
         """Mark a task as done."""
         self.done.add(index)
         self.pending.discard(index)
+        self.suspects.discard(index)
         self.checkpoints.pop(index, None)
 
     def record(self) -> StepRecord:
         """Return the record that a successor needs."""
-        placed = {i: tuple(r.worker for r in runs) for i, runs in self.runs.items()}
+        placed = {
+            i: tuple(Placement(r.worker, r.number, r.incarnation) for r in runs)
+            for i, runs in self.runs.items()
+        }
         return StepRecord(
             tuple(sorted(self.done)),
             {i: tuple(sorted(numbers)) for i, numbers in self.failed.items()},
             dict(self.checkpoints),
             placed,
+            {
+                i: tuple(sorted(numbers))
+                for i, numbers in self.crashed.items()
+                if i not in self.done
+            },
         )
 
     def restore(self, record: StepRecord) -> None:
@@ -114,7 +145,14 @@
             self.mark_done(index)
         self.failed = {i: set(numbers) for i, numbers in record.failed.items()}
         self.checkpoints = dict(record.checkpoints)
-        self.ever_started = {*record.failed, *record.checkpoints, *record.placed}
+        self.crashed = {i: set(numbers) for i, numbers in record.crashed.items()}
+        self.suspects = self.crashed.keys() - self.done
+        self.ever_started = {
+            *record.failed,
+            *record.checkpoints,
+            *record.placed,
+            *record.crashed,
+        }
 
 
 class ActiveJob:
@@ -142,6 +180,7 @@
         self.may_have_unknown_runs = False
         self.uncommitted_ends: list[EndRef] = []
         self.failed_on: dict[tuple[int, int], frozenset[WorkerId]] = {}
+        self._recorded_placements: list[tuple[TaskRef, Placement]] = []
         self.remaining_core_ms = 0.0
         self.remaining_path_ms = 0.0
         self.begin_occurrence(0)
@@ -194,6 +233,11 @@
             for runs in step.runs.values():
                 yield from runs
 
+    @property
+    def has_suspects(self) -> bool:
+        """Return whether a task of the job may crash the workers that start it."""
+        return any(step.suspects for step in self.steps())
+
     @property
     def has_waiting_tasks(self) -> bool:
         """Return whether tasks wait, for free capacity or for earlier steps."""
@@ -244,7 +288,7 @@
         steps = {
             (step.occurrence, step.number): step.record()
             for step in self.steps()
-            if step.done or step.runs or step.failed or step.checkpoints
+            if step.done or step.runs or step.failed or step.checkpoints or step.crashed
         }
         return ProgressRecord(self.state, self.finished, steps)
 
@@ -257,4 +301,14 @@
             self.begin_occurrence(self.finished)
         for (occurrence, number), step in record.steps.items():
             self.begin_occurrence(occurrence)[number].restore(step)
+            self._recorded_placements += [
+                (TaskRef(self.job_id, occurrence, number, index), placement)
+                for index, placements in step.placed.items()
+                for placement in placements
+            ]
         self.update_remaining_work()
+
+    def pop_recorded_placements(self) -> list[tuple[TaskRef, Placement]]:
+        """Return the runs that a predecessor recorded, once."""
+        placements, self._recorded_placements = self._recorded_placements, []
+        return placements
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -9,6 +9,12 @@
 from dataclasses import dataclass, replace
 
 from corianderpitch.domain.jobs import JobState
+from corianderpitch.domain.scheduling.crashes import (
+    Verdict,
+    WorkerCrash,
+    has_passed_probation,
+)
+from corianderpitch.domain.scheduling.crashtracker import CrashTracker
 from corianderpitch.domain.scheduling.orders import (
     LossCause,
     Order,
@@ -86,6 +92,9 @@
         return self.record.state.has_ended
 
 
+Notice = RunNotice | WorkerCrash | Verdict
+
+
 class Scheduler:
     """State of one term, and its transitions on each event.
 
@@ -100,6 +109,7 @@
         self.ended: set[JobId] = set()
         self.diverted: set[JobId] = set()  # served from their fallback partitions
         self.filler_jobs: set[JobId] = set()
+        self.crashes = CrashTracker(self.jobs)
         self.workers: dict[WorkerId, WorkerView] = {}
         self.awaiting_report: set[WorkerId] = set()
         self.is_superseded = False
@@ -108,7 +118,7 @@
         self._last_run_number = term.number * RUNS_PER_TERM
         self._last_fence_increment = 0
         self._orders: list[Order] = []
-        self._notices: list[RunNotice] = []
+        self._notices: list[Notice] = []
         self._final_changes: dict[JobId, tuple[ActiveJob, ProgressRecord]] = {}
         self._awaiting_final_commit: dict[JobId, ActiveJob] = {}
         self._stops_sent_ms: dict[tuple[TaskRef, int], float] = {}
@@ -131,6 +141,7 @@
         self.jobs[job.job_id] = job
         if job.workload.has_fillers:
             self.filler_jobs.add(job.job_id)
+        self.crashes.add_job(job, self.workers)
 
     def cancel_job(self, job_id: JobId) -> None:
         """End a job on its caller's request, and stop its runs."""
@@ -178,6 +189,7 @@
             return
         if report.incarnation != worker.incarnation:
             self._begin_incarnation(worker, report.incarnation)
+        worker.lapsed_runs.clear()
         worker.clock_ms = report.clock_ms
         worker.clock_received_ms = now_ms
         worker.is_silent = False
@@ -236,8 +248,11 @@
         for worker_id in worker_ids:
             self.awaiting_report.discard(worker_id)
             worker = self.workers.get(worker_id)
+            if worker is None or worker.incarnation is None:
+                self.crashes.count_before_term(worker_id, None)
             if worker is not None and worker.is_silent:
                 worker.has_unread_runs = False
+                self._count_crash(worker)
                 self._mark_all_lost(worker, LossCause.PROCESS_ENDED)
 
     def workers_to_record(self) -> set[WorkerId]:
@@ -288,6 +303,7 @@
             has_expired = worker.lease_end_ms(self.leases_end_ms) <= now_ms
             if has_expired and worker.is_silent:
                 worker.has_unread_runs = False
+                worker.lapsed_runs += worker.runs.values()
                 self._mark_all_lost(worker, LossCause.LEASE_EXPIRED)
                 self.awaiting_report.discard(worker.info.worker)
             has_left = not worker.is_listed and not worker.is_running and has_expired
@@ -341,6 +357,7 @@
             fence,
             RunState.STARTING,
             now_ms,
+            incarnation=worker.incarnation or "",
         )
         worker.add_run(run)
         step.runs.setdefault(index, []).append(run)
@@ -376,8 +393,22 @@
         orders, self._orders = self._orders, []
         return orders
 
-    def pop_notices(self) -> list[RunNotice]:
-        """Return the runs that ended without success since the last call."""
+    def request_report(self, worker_id: WorkerId) -> None:
+        """Order a report to be requested at once."""
+        self._orders.append(RequestReport(worker_id))
+
+    def give_up_culprits(self, now_ms: float) -> None:
+        """Give up the jobs that are shown to crash the workers that start them."""
+        for verdict in self.crashes.pop_verdicts(now_ms):
+            self._notices.append(verdict)
+            self._end_job(self.jobs[verdict.job_id], JobState.FAILED)
+
+    def pop_notices(self) -> list[Notice]:
+        """Return what is to be logged about runs and workers since the last call.
+
+        These are runs that ended without success, crashes of workers, and jobs given
+        up for such crashes.
+        """
         notices, self._notices = self._notices, []
         return notices
 
@@ -437,8 +468,11 @@
         """
         if worker.incarnation is not None:
             self._raise_fence(worker)
+            self._count_crash(worker)
             self._mark_all_lost(worker, LossCause.NEW_INCARNATION)
         worker.incarnation = incarnation
+        if incarnation is not None:
+            self.crashes.count_before_term(worker.info.worker, incarnation)
         worker.processed_sequence = 0
         worker.processed_ahead.clear()
         worker.uncommitted_ends.clear()
@@ -447,6 +481,11 @@
         worker.leased_until_ms = 0.0
         worker.consecutive_failed_jobs.clear()
 
+    def _count_crash(self, worker: WorkerView) -> None:
+        crash = self.crashes.count(worker)
+        if crash is not None:
+            self._notices.append(crash)
+
     def _add_notice(
         self,
         worker: WorkerView,
@@ -505,6 +544,7 @@
         index = end.task.index
         if run is not None and run.number == end.number:
             self._remove_run(step, run)
+            self.crashes.clear(job, step, index)
         if index in step.done:
             return
         self._mark_changed(job)
@@ -581,6 +621,9 @@
         if run.state in (RunState.STARTING, RunState.UNSETTLED):
             run.state = RunState.RUNNING
             run.state_since_ms = now_ms  # reports requested earlier may miss it
+        if not run.is_proven and has_passed_probation(step, run, now_ms):
+            run.is_proven = True
+            self.crashes.clear(job, step, run.task.index)
         if reported.checkpoint:
             step.checkpoints[reported.task.index] = reported.checkpoint
         if run.state is RunState.STOPPING:
@@ -616,6 +659,7 @@
             now_ms,
             reported.percent,
             reported.load,
+            incarnation=worker.incarnation or "",
         )
         worker.add_run(run)
         step.runs.setdefault(reported.task.index, []).append(run)
@@ -688,6 +732,7 @@
         del self.jobs[job.job_id]
         self.ended.add(job.job_id)
         self.filler_jobs.discard(job.job_id)
+        self.crashes.drop_job(job)
         job.state = state
         record = ProgressRecord(state, job.finished)
         self._final_changes[job.job_id] = (job, record)
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/starting.py
@@ -0,0 +1,116 @@
+"""Starts of the waiting tasks of one step."""
+
+from collections import deque
+from collections.abc import Iterable, Sequence
+
+from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.placing import (
+    can_run,
+    choose_worker,
+    rank_workers,
+)
+from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.workers import WorkerView
+from corianderpitch.ids import WorkerId
+
+NO_WORKERS: frozenset[WorkerId] = frozenset()
+
+
+def start_tasks(
+    scheduler: Scheduler,
+    job: ActiveJob,
+    step: ActiveStep,
+    indexes: Iterable[int],
+    workers: list[WorkerView],
+    now_ms: float,
+) -> None:
+    """Start waiting tasks of a step while there is free capacity.
+
+    Tasks that have not failed anywhere share one ranking of the workers. Workers
+    are dropped from its front as they fill up.
+    """
+    ranked = deque(rank_workers(step, workers))
+    for index in sorted(indexes):
+        if failed_workers := _failed_workers(job, step, index):
+            worker = choose_worker(step, index, workers, failed_workers)
+        else:
+            worker = _first_able_worker(step, index, ranked)
+        if worker is None:
+            return
+        scheduler.start(job, step, index, worker, now_ms)
+
+
+def _first_able_worker(
+    step: ActiveStep, index: int, ranked: deque[WorkerView]
+) -> WorkerView | None:
+    """Return the first worker that can run a task, and drop the ones before it."""
+    while ranked and not can_run(step, index, ranked[0]):
+        ranked.popleft()
+    return ranked[0] if ranked else None
+
+
+def _failed_workers(
+    job: ActiveJob, step: ActiveStep, index: int
+) -> frozenset[WorkerId]:
+    return job.failed_on.get((step.number, index), NO_WORKERS)
+
+
+def start_gang(
+    scheduler: Scheduler,
+    job: ActiveJob,
+    step: ActiveStep,
+    workers: list[WorkerView],
+    now_ms: float,
+) -> None:
+    """Start all tasks of a gang, or none.
+
+    If the step asks for a single rack, each rack is tried alone before all workers
+    are tried together.
+    """
+    if step.runs:
+        return
+    for group in gang_groups(step, workers):
+        if gang_fits(step, group):
+            number = scheduler.next_run_number()
+            for index in sorted(step.pending):
+                worker = choose_worker(step, index, group, NO_WORKERS)
+                scheduler.start(job, step, index, worker, now_ms, number)
+            return
+
+
+def gang_groups(
+    step: ActiveStep, workers: Sequence[WorkerView]
+) -> list[list[WorkerView]]:
+    """Return the groups of workers to try for a gang, in order."""
+    groups = [list(workers)]
+    if step.step.needs_same_rack or step.step.data_rack:
+        racks = sorted({worker.info.labels[1:] for worker in workers})
+        by_rack = [[w for w in workers if w.info.labels[1:] == r] for r in racks]
+        groups = by_rack + groups
+    return groups
+
+
+def gang_fits(step: ActiveStep, workers: Iterable[WorkerView]) -> bool:
+    """Return whether all tasks of a gang fit on the workers together."""
+    limit = step.step.max_per_worker or step.step.count
+    fitting_tasks = sum(
+        min(limit, _tasks_that_fit(step.step.reservation, worker.free))
+        for worker in workers
+        if not step.step.label or step.step.label in worker.info.labels
+    )
+    return fitting_tasks >= step.step.count
+
+
+def _tasks_that_fit(reservation: Shape, free: Shape) -> int:
+    """Return how many reservations of a size fit into the free capacity."""
+    fits = [
+        int(available // need)
+        for need, available in (
+            (reservation.processors, free.processors),
+            (reservation.memory_mb, free.memory_mb),
+            (reservation.accelerators, free.accelerators),
+        )
+        if need > 0
+    ]
+    return max(0, min(fits, default=0))
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -113,7 +113,9 @@
     ``fence`` is the fence number of the start order. Reports that were requested
     before ``state_since_ms`` may not reflect ``state`` yet. ``pace_percent`` is
     the share of full speed that the worker last confirmed, and ``paced_ms`` the time
-    of the last order to change it.
+    of the last order to change it. ``incarnation`` is the worker's at the start.
+    ``is_proven`` is set once the run has passed its probation: if its worker crashes
+    afterwards, the run is unlikely to be the cause.
     """
 
     task: TaskRef
@@ -127,6 +129,8 @@
     load: float = 0.0
     pace_percent: int = 100
     paced_ms: float = 0.0
+    incarnation: str = ""
+    is_proven: bool = False
 
 
 @dataclass(slots=True)
@@ -140,7 +144,9 @@
     successor can find every worker that may run something.
     ``fence_increment`` is added to the term's fence number. Raising it makes the
     worker refuse orders that are still in flight. ``clock_ms`` is the worker's
-    clock in its last report, which arrived at ``clock_received_ms``.
+    clock in its last report, which arrived at ``clock_received_ms``. ``lapsed_runs``
+    were lost when the lease of this incarnation expired; whether the worker had
+    crashed is not known yet.
     """
 
     info: WorkerInfo
@@ -155,6 +161,7 @@
     uncommitted_ends: set[int] = field(default_factory=set)
     fence_increment: int = 0
     runs: dict[TaskRef, Run] = field(default_factory=dict)
+    lapsed_runs: list[Run] = field(default_factory=list)
     free: Shape = field(init=False)
     clock_ms: float | None = None
     clock_received_ms: float = 0.0
@@ -168,6 +175,11 @@
     def __post_init__(self):
         self.free = self.info.capacity
 
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the end of the worker's process is planned."""
+        return self.is_evacuating or self.draining_since_ms is not None
+
     @property
     def is_running(self) -> bool:
         """Return whether anything runs on the worker, or may run there."""
--- a/packages/corianderpitch/tests/test_placing.py
+++ b/packages/corianderpitch/tests/test_placing.py
@@ -6,7 +6,7 @@
 from schedulers import NOW_MS, add_worker, make_job, make_scheduler, starts
 
 from corianderpitch.domain.jobs import Shape
-from corianderpitch.domain.scheduling import planning
+from corianderpitch.domain.scheduling import planning, starting
 from corianderpitch.domain.scheduling.placing import choose_worker
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.workloads import Step
@@ -41,9 +41,9 @@
     return scheduler
 
 
-def start_one_by_one(scheduler, job, step, workers, now_ms):
+def start_one_by_one(scheduler, job, step, indexes, workers, now_ms):
     """Start a step's tasks with a separate choice among all workers for each."""
-    for index in sorted(step.pending):
+    for index in sorted(indexes):
         failed_workers = job.failed_on.get((step.number, index), frozenset())
         worker = choose_worker(step, index, workers, failed_workers)
         if worker is None:
@@ -54,7 +54,7 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_a_shared_ranking_places_tasks_like_separate_choices(seed, monkeypatch):
     shared = starts(overloaded_scheduler(seed))
-    monkeypatch.setattr(planning, "_start_tasks", start_one_by_one)
+    monkeypatch.setattr(planning, "start_tasks", start_one_by_one)
     single = starts(overloaded_scheduler(seed))
     assert len(shared) > WORKERS
     assert shared == single
@@ -62,13 +62,13 @@
 
 def test_the_workers_are_ranked_once_per_step(monkeypatch):
     ranked_steps = []
-    rank = planning.rank_workers
+    rank = starting.rank_workers
 
     def count(step, workers):
         ranked_steps.append(step)
         return rank(step, workers)
 
-    monkeypatch.setattr(planning, "rank_workers", count)
+    monkeypatch.setattr(starting, "rank_workers", count)
     scheduler = make_scheduler(workers=[f"w{n}" for n in range(WORKERS)])
     scheduler.add_job(make_job(steps=[Step(200, Shape(1.0, 10), 100.0)]))
     plan(scheduler, NOW_MS, 0.0)
