--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -9,7 +9,14 @@
 from dataclasses import dataclass, replace
 
 from corianderpitch.domain.jobs import JobState
+from corianderpitch.domain.scheduling.crashes import (
+    Verdict,
+    WorkerCrash,
+    has_passed_probation,
+)
+from corianderpitch.domain.scheduling.crashtracker import CrashTracker
 from corianderpitch.domain.scheduling.orders import (
+    LossCause,
     Order,
     OrderResult,
     PaceRun,
@@ -85,6 +92,9 @@
         return self.record.state.has_ended
 
 
+Notice = RunNotice | WorkerCrash | Verdict
+
+
 class Scheduler:
     """State of one term, and its transitions on each event.
 
@@ -99,6 +109,7 @@
         self.ended: set[JobId] = set()
         self.diverted: set[JobId] = set()  # served from their fallback partitions
         self.filler_jobs: set[JobId] = set()
+        self.crashes = CrashTracker(self.jobs)
         self.workers: dict[WorkerId, WorkerView] = {}
         self.awaiting_report: set[WorkerId] = set()
         self.is_superseded = False
@@ -107,7 +118,7 @@
         self._last_run_number = term.number * RUNS_PER_TERM
         self._last_fence_increment = 0
         self._orders: list[Order] = []
-        self._notices: list[RunNotice] = []
+        self._notices: list[Notice] = []
         self._final_changes: dict[JobId, tuple[ActiveJob, ProgressRecord]] = {}
         self._awaiting_final_commit: dict[JobId, ActiveJob] = {}
         self._stops_sent_ms: dict[tuple[TaskRef, int], float] = {}
@@ -130,6 +141,7 @@
         self.jobs[job.job_id] = job
         if job.workload.has_fillers:
             self.filler_jobs.add(job.job_id)
+        self.crashes.add_job(job, self.workers)
 
     def cancel_job(self, job_id: JobId) -> None:
         """End a job on its caller's request, and stop its runs."""
@@ -177,6 +189,7 @@
             return
         if report.incarnation != worker.incarnation:
             self._begin_incarnation(worker, report.incarnation)
+        worker.lapsed_runs.clear()
         worker.clock_ms = report.clock_ms
         worker.clock_received_ms = now_ms
         worker.is_silent = False
@@ -236,10 +249,12 @@
         for worker_id in worker_ids:
             self.awaiting_report.discard(worker_id)
             worker = self.workers.get(worker_id)
+            if worker is None or worker.incarnation is None:
+                self.crashes.count_before_term(worker_id, None)
             if worker is not None and worker.is_silent:
                 worker.has_unread_runs = False
-                for run in list(worker.runs.values()):
-                    self._mark_run_lost(worker, run)
+                self._count_crash(worker)
+                self._mark_all_lost(worker, LossCause.PROCESS_ENDED)
 
     def workers_to_record(self) -> set[WorkerId]:
         """Return the workers that may run something, known or awaiting a report."""
@@ -289,8 +304,8 @@
             has_expired = worker.lease_end_ms(self.leases_end_ms) <= now_ms
             if has_expired and worker.is_silent:
                 worker.has_unread_runs = False
-                for run in list(worker.runs.values()):
-                    self._mark_run_lost(worker, run)
+                worker.lapsed_runs += worker.runs.values()
+                self._mark_all_lost(worker, LossCause.LEASE_EXPIRED)
                 self.awaiting_report.discard(worker.info.worker)
             has_left = not worker.is_listed and not worker.is_running and has_expired
             if worker.is_silent and has_expired and not worker.is_listed:
@@ -343,6 +358,7 @@
             fence,
             RunState.STARTING,
             now_ms,
+            incarnation=worker.incarnation or "",
         )
         worker.add_run(run)
         step.runs.setdefault(index, []).append(run)
@@ -378,8 +394,22 @@
         orders, self._orders = self._orders, []
         return orders
 
-    def pop_notices(self) -> list[RunNotice]:
-        """Return the runs that ended without success since the last call."""
+    def request_report(self, worker_id: WorkerId) -> None:
+        """Order a report to be requested at once."""
+        self._orders.append(RequestReport(worker_id))
+
+    def give_up_culprits(self, now_ms: float) -> None:
+        """Give up the jobs that are shown to crash the workers that start them."""
+        for verdict in self.crashes.pop_verdicts(now_ms):
+            self._notices.append(verdict)
+            self._end_job(self.jobs[verdict.job_id], JobState.FAILED)
+
+    def pop_notices(self) -> list[Notice]:
+        """Return what is to be logged about runs and workers since the last call.
+
+        These are runs that ended without success, crashes of workers, and jobs given
+        up for such crashes.
+        """
         notices, self._notices = self._notices, []
         return notices
 
@@ -437,8 +467,13 @@
         The fence is raised, so that the new incarnation refuses a start order that
         was sent to the earlier one and arrives late.
         """
-        had_incarnation = worker.incarnation is not None
+        if worker.incarnation is not None:
+            self._raise_fence(worker)
+            self._count_crash(worker)
+            self._mark_all_lost(worker, LossCause.NEW_INCARNATION)
         worker.incarnation = incarnation
+        if incarnation is not None:
+            self.crashes.count_before_term(worker.info.worker, incarnation)
         worker.processed_sequence = 0
         worker.processed_ahead.clear()
         worker.uncommitted_ends.clear()
@@ -447,15 +482,23 @@
         worker.clock_ms = None
         worker.leased_until_ms = 0.0
         worker.consecutive_failed_jobs.clear()
-        if had_incarnation:
-            self._raise_fence(worker)
-            for run in list(worker.runs.values()):
-                self._mark_run_lost(worker, run)
+
+    def _count_crash(self, worker: WorkerView) -> None:
+        crash = self.crashes.count(worker)
+        if crash is not None:
+            self._notices.append(crash)
 
     def _add_notice(
-        self, worker: WorkerView, task: TaskRef, number: int, how: str
+        self,
+        worker: WorkerView,
+        task: TaskRef,
+        number: int,
+        how: str,
+        cause: LossCause | None = None,
     ) -> None:
-        self._notices.append(RunNotice(worker.info.worker, task, number, how))
+        self._notices.append(
+            RunNotice(worker.info.worker, task, number, how, cause, worker.incarnation)
+        )
 
     def _raise_fence(self, worker: WorkerView) -> None:
         """Raise a worker's fence above all others of this term.
@@ -503,6 +546,7 @@
         index = end.task.index
         if run is not None and run.number == end.number:
             self._remove_run(step, run)
+            self.crashes.clear(job, step, index)
         if index in step.done:
             return
         self._mark_changed(job)
@@ -579,6 +623,9 @@
         if run.state in (RunState.STARTING, RunState.UNSETTLED):
             run.state = RunState.RUNNING
             run.state_since_ms = now_ms  # reports requested earlier may miss it
+        if not run.is_proven and has_passed_probation(step, run, now_ms):
+            run.is_proven = True
+            self.crashes.clear(job, step, run.task.index)
         if reported.checkpoint:
             step.checkpoints[reported.task.index] = reported.checkpoint
         if run.state is RunState.STOPPING:
@@ -614,6 +661,7 @@
             now_ms,
             reported.percent,
             reported.load,
+            incarnation=worker.incarnation or "",
         )
         worker.add_run(run)
         step.runs.setdefault(reported.task.index, []).append(run)
@@ -659,12 +707,17 @@
                 and requested_ms >= run.state_since_ms
             )
         if is_lost:
-            self._mark_run_lost(worker, run)
+            self._mark_run_lost(worker, run, LossCause.NOT_REPORTED)
+
+    def _mark_all_lost(self, worker: WorkerView, cause: LossCause) -> None:
+        for run in list(worker.runs.values()):
+            self._mark_run_lost(worker, run, cause)
 
-    def _mark_run_lost(self, worker: WorkerView, run: Run) -> None:
+    def _mark_run_lost(self, worker: WorkerView, run: Run, cause: LossCause) -> None:
         """Remove a run that ended without a reported end; its task waits again."""
         worker.remove_run(run)
-        self._add_notice(worker, run.task, run.number, f"lost_{run.state.value}")
+        how = f"lost_{run.state.value}"
+        self._add_notice(worker, run.task, run.number, how, cause)
         self._stops_sent_ms.pop((run.task, run.number), None)
         job = self.jobs.get(run.task.job_id)
         step = job.find_step(run.task) if job is not None else None
@@ -686,6 +739,7 @@
         del self.jobs[job.job_id]
         self.ended.add(job.job_id)
         self.filler_jobs.discard(job.job_id)
+        self.crashes.drop_job(job)
         job.state = state
         record = ProgressRecord(state, job.finished)
         self._final_changes[job.job_id] = (job, record)
@@ -724,7 +778,7 @@
             case _:
                 worker.backoff_until_ms = now_ms + BACKOFF_AFTER_ERROR_MS
         if run.state is not RunState.RUNNING:
-            self._mark_run_lost(worker, run)
+            self._mark_run_lost(worker, run, LossCause.NOT_STARTED)
 
     def _apply_pace(self, order: PaceRun) -> None:
         worker = self.workers.get(order.worker)
--- a/packages/corianderpitch/tests/test_links.py
+++ b/packages/corianderpitch/tests/test_links.py
@@ -9,7 +9,7 @@
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.domain.jobs import Shape
-from corianderpitch.domain.scheduling.orders import OrderResult
+from corianderpitch.domain.scheduling.orders import LossCause, OrderResult
 from corianderpitch.domain.scheduling.workers import RunState
 from corianderpitch.domain.scheduling.workloads import Step
 from corianderpitch.ids import WorkerId
@@ -75,7 +75,8 @@
     task = make_task(scheduler, link)
     (outdated, *_) = starts(scheduler)
     run = scheduler.workers[WorkerId("w1")].runs[outdated.task]
-    scheduler._mark_run_lost(scheduler.workers[WorkerId("w1")], run)
+    worker = scheduler.workers[WorkerId("w1")]
+    scheduler._mark_run_lost(worker, run, LossCause.NOT_STARTED)
     assert starts(scheduler)
     task._execute(outdated)
     assert link.fences == []
