--- a/tests/adapter/test_oddreplies.py
+++ b/tests/adapter/test_oddreplies.py
@@ -8,13 +8,15 @@
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.clock import ManualClock
 from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.advice import AdviceRequest
 from corianderpitch.domain.scheduling.catalog import CallerLimits
 from corianderpitch.domain.scheduling.orders import OrderResult, StopRun
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import TaskRef
 from corianderpitch.errors import OutcomeLost, WorkerError, WorkerProblem
 from corianderpitch.ids import JobId, ServiceName, VmId, WorkerId
-from corianderpitch.ports import PartitionedKey, Write
+from corianderpitch.ports import Advice, PartitionedKey, Write
+from corianderpitch_platform.advice import PlatformAdvice
 from corianderpitch_platform.http import Response
 from corianderpitch_platform.machines import PlatformVmPools
 from corianderpitch_platform.operators import OPERATORS_TABLE, PlatformOperatorRows
@@ -259,3 +261,36 @@
 def test_a_page_of_vms_that_refers_to_itself_ends_the_list():
     page = {"machines": [VM], "next_token": "x"}
     assert isinstance(vms_listed(page).failure(), OutcomeLost)
+
+
+def advice(body):
+    service = PlatformAdvice(ADDRESS)
+    service._client = FixedClient(body)
+    return service.advise(AdviceRequest(JobId(JOB), 0, 1, ("w1",)))
+
+
+ALLOWED = {"allowed": [["w1", "c81e-7a21d94b"]], "validity_ms": 3000}
+
+
+def test_advice_is_read():
+    assert advice(ALLOWED) == Success(Advice({"w1": "c81e-7a21d94b"}, 3000.0))
+
+
+@pytest.mark.parametrize(
+    "odd",
+    [
+        {},
+        ALLOWED | {"allowed": {"w1": "c81e-7a21d94b"}},
+        ALLOWED | {"allowed": ["w1"]},
+        ALLOWED | {"allowed": [["w1"]]},
+        ALLOWED | {"allowed": [["w1", 7]]},
+        ALLOWED | {"allowed": [["w1", None]]},
+        ALLOWED | {"allowed": [[["w1"], "c81e-7a21d94b"]]},
+        ALLOWED | {"validity_ms": "nan"},
+        ALLOWED | {"validity_ms": True},
+        ALLOWED | {"validity_ms": -1},
+        ALLOWED | {"validity_ms": 1e300},
+    ],
+)
+def test_advice_with_an_odd_field_is_a_lost_answer(odd):
+    assert isinstance(advice(odd).failure(), OutcomeLost)
