Pass over candidates' rows that cannot be read

What callers would see: one odd row in the table of the candidates, and no entry sought the scheduler's role after its next loss; entries that were started later never did.

Cause: decoding the row raised one of several exceptions through the task that compares the entries, which was started again over the same rows for ever without a priority. A row that is well formed could do as much: one with infinite processors made every entry defer to it and every holder yield, and one sent in the future never lapsed.

The fix: `decode_row` raises one typed error for anything that it cannot decode, and the task passes over such rows, and over sizes and times that cannot be, logging each once. The other candidates hold.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/candidates.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/candidates.py
@@ -1,15 +1,19 @@
 """Publishes this entry's size and compares it with the other candidates."""
 
+import math
+
 import eventlet
 from returns.result import Failure, Success
 
 from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.refusals import RefusalLog
 from corianderpitch.domain.scheduling.candidates import (
     CANDIDATE_TIMEOUT_MS,
     Candidate,
     ElectionPriority,
     election_priority,
 )
+from corianderpitch.errors import MalformedData
 from corianderpitch.ids import EntryId
 from corianderpitch.ports import Check, Row, RowStore, TableService, Write
 from corianderpitch.records import CandidateRecord, decode_row, encode_row
@@ -45,6 +49,7 @@
         self._processors = processors
         self._is_first_start = is_first_start
         self._key = CANDIDATE_PREFIX + entry
+        self._refusals = RefusalLog()
         self.priority: ElectionPriority | None = None
 
     def run(self) -> None:
@@ -90,7 +95,9 @@
             name = EntryId(row.key.removeprefix(CANDIDATE_PREFIX))
             if name == self._entry:
                 continue
-            record = decode_row(CandidateRecord, row.value)
+            record = self._decode(row, now_ms)
+            if record is None:
+                continue
             others[name] = Candidate(record.processors, record.sent_ms)
             if now_ms - record.sent_ms > DELETE_AFTER_MS:
                 lapsed.append(Check(row.key, row.version))
@@ -106,6 +113,22 @@
         if lapsed and priority.is_preferred:
             self._delete_lapsed(lapsed[:MAX_DELETED_PER_ROUND])
 
+    def _decode(self, row: Row, now_ms: float) -> CandidateRecord | None:
+        """Decode a candidate's row; one that cannot be read names no candidate.
+
+        A row that was never renewed, but sent in the future, would not lapse.
+        """
+        try:
+            record = decode_row(CandidateRecord, row.value)
+            if not 0 <= record.processors < math.inf:
+                raise MalformedData("processors is out of range")
+            if not record.sent_ms <= now_ms + CANDIDATE_TIMEOUT_MS:
+                raise MalformedData("sent_ms is out of range")
+        except MalformedData as error:
+            self._refusals.record(row.key, error)
+            return None
+        return record
+
     def _delete_lapsed(self, lapsed: list[Check]) -> None:
         """Delete lapsed rows; this fails if another entry deleted one first."""
         writes = tuple(Write(check.key, None) for check in lapsed)
--- a/packages/corianderpitch/corianderpitch/records.py
+++ b/packages/corianderpitch/corianderpitch/records.py
@@ -10,6 +10,7 @@
 import pydantic
 
 from corianderpitch.domain.membership import MemberInfo
+from corianderpitch.errors import MalformedData
 from corianderpitch.ids import (
     DataCenterId,
     EntryId,
@@ -166,9 +167,18 @@
 
 
 def decode_row(row_type: type[RowValue], data: bytes) -> RowValue:
-    """Decode a row's value, the inverse of :func:`encode_row`."""
-    decoded = msgpack.unpackb(zlib.decompress(data))
-    return _type_adapter(row_type).validate_python(decoded)
+    """Decode a row's value, the inverse of :func:`encode_row`.
+
+    Raises
+    ------
+    MalformedData
+        If the value is not an encoded ``row_type``.
+    """
+    try:
+        decoded = msgpack.unpackb(zlib.decompress(data))
+        return _type_adapter(row_type).validate_python(decoded)
+    except (zlib.error, ValueError, msgpack.UnpackException) as error:
+        raise MalformedData(f"not a {row_type.__name__}") from error
 
 
 @cache
--- a/packages/corianderpitch/tests/test_candidates.py
+++ b/packages/corianderpitch/tests/test_candidates.py
@@ -1,6 +1,10 @@
 """Which of several entries of different sizes acquire a role, and when one yields."""
 
-from returns.result import Failure
+import zlib
+
+import msgpack
+import pytest
+from returns.result import Failure, Success
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.adapters.partedtable import PartitionedTable
@@ -15,6 +19,8 @@
 )
 from corianderpitch.errors import PlatformUnavailable
 from corianderpitch.ids import EntryId
+from corianderpitch.ports import Write
+from corianderpitch.records import CandidateRecord, RoleHeartbeat, encode_row
 
 LEASE_MS = 2000.0
 NOW_MS = 100_000.0
@@ -140,3 +146,30 @@
     cluster.clock.advance(1000.0)
     cluster.run_round(large)
     assert cluster.run_round(small).larger_candidate_sent_ms > role.acquired_ms
+
+
+ODD_ROWS = {
+    "empty": b"",
+    "not compressed": b"\xff" * 20,
+    "not MessagePack": zlib.compress(b"\xc1"),
+    "cut off": encode_row(CandidateRecord(4.0, NOW_MS))[:-3],
+    "nested": zlib.compress(b"\x91" * 100_000 + b"\x00"),
+    "another type": encode_row(RoleHeartbeat(1, 1)),
+    "fields of another type": zlib.compress(msgpack.packb({"processors": "many"})),
+    "infinite": encode_row(CandidateRecord(float("inf"), NOW_MS)),
+    "not a number": zlib.compress(
+        msgpack.packb({"processors": float("nan"), "sent_ms": NOW_MS})
+    ),
+    "in the future": encode_row(CandidateRecord(64.0, 1e300)),
+}
+
+
+@pytest.mark.parametrize("odd", ODD_ROWS)
+def test_an_odd_candidate_is_passed_over_and_the_others_hold(odd):
+    """No entry sought the role any more, or each deferred to an entry of no size."""
+    cluster = Cluster()
+    write = Write("candidate/odd", ODD_ROWS[odd])
+    assert isinstance(cluster.table.commit((), (write,)), Success)
+    large = cluster.entry("e1", 2.0)
+    assert cluster.run_round(large).is_preferred
+    assert not cluster.run_round(cluster.entry("e2", 0.5)).is_preferred
