Acquire a role whose rows cannot be read once they stop changing

What callers would see: with an epoch row or a heartbeat row that cannot be read, no entry acquired the scheduler's role any more, and nothing was started.

Cause: decoding the row raised through the task that seeks the role, at every attempt.

The fix: an epoch row that cannot be read has its version for its epoch. Versions come from one counter that grows with each transaction, and each epoch took one, so that the next epoch is above all earlier ones, and with it the fences and the numbers of runs. A heartbeat that cannot be read says nothing about the age of the lease. In both cases the role counts as free only when its rows have not changed for the duration of the lease. Without that last rule, the time at which the role was acquired would count as that of the last renewal, and a live holder would be superseded at once.

--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -19,6 +19,8 @@
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.refusals import RefusalLog
+from corianderpitch.errors import MalformedData
 from corianderpitch.ids import EntryId
 from corianderpitch.ports import (
     Check,
@@ -30,6 +32,7 @@
 )
 from corianderpitch.records import RoleEpoch, RoleHeartbeat, decode_row, encode_row
 
+UNKNOWN_TIME_MS = 0.0
 RELEASED_SEQUENCE = -1  # sequence of the heartbeat that releases the role
 
 # Longest time by which an entry's estimate of the table's time may lag behind.
@@ -63,6 +66,7 @@
         self._clock = clock
         self._renew_interval_ms = renew_interval_ms
         self._lease_ms = lease_ms
+        self._refusals = RefusalLog()
         self._epoch_key = f"role/{name}/epoch"
         self._heartbeat_key = f"role/{name}/beat"
         self._epoch = 0
@@ -187,34 +191,56 @@
         epoch_row = rows.get(self._epoch_key)
         if epoch_row is None:
             return unchanged_ms >= min_free_ms
-        epoch = decode_row(RoleEpoch, epoch_row.value)
+        epoch = self._decode_epoch(epoch_row)
         heartbeat_row = rows.get(self._heartbeat_key)
-        heartbeat = (
-            decode_row(RoleHeartbeat, heartbeat_row.value) if heartbeat_row else None
-        )
+        heartbeat = self._decode_heartbeat(heartbeat_row) if heartbeat_row else None
         has_heartbeat = heartbeat is not None and heartbeat.epoch == epoch.epoch
         if has_heartbeat and heartbeat.sequence == RELEASED_SEQUENCE:
             return unchanged_ms >= min_free_ms
+        is_unreadable = heartbeat_row is not None and heartbeat is None
         renewed_ms = heartbeat.sent_ms if has_heartbeat else epoch.taken_ms
+        if is_unreadable:
+            renewed_ms = UNKNOWN_TIME_MS
         required_age_ms = self._lease_ms + min_free_ms
         return unchanged_ms >= required_age_ms or self._is_renewal_older(
             renewed_ms, required_age_ms
         )
 
+    def _decode_epoch(self, row: Row) -> RoleEpoch:
+        """Decode the epoch row.
+
+        If it cannot be read, the row's version stands for the epoch. It is higher
+        than the number of every earlier epoch, as each took a transaction. The role
+        is then free once the rows have not changed for the duration of the lease.
+        """
+        try:
+            return decode_row(RoleEpoch, row.value)
+        except MalformedData as error:
+            self._refusals.record(row.key, error)
+            return RoleEpoch(EntryId(""), row.version)
+
+    def _decode_heartbeat(self, row: Row) -> RoleHeartbeat | None:
+        """Decode the heartbeat row; ``None`` if it cannot be read."""
+        try:
+            return decode_row(RoleHeartbeat, row.value)
+        except MalformedData as error:
+            self._refusals.record(row.key, error)
+            return None
+
     def _is_renewal_older(self, renewed_ms: float, age_ms: float) -> bool:
         """Return whether a renewal is certain to be at least ``age_ms`` old.
 
-        ``renewed_ms`` is the table's time of the renewal, or 0.0 if the table has
-        no clock; the age is then unknown.
+        ``renewed_ms`` is the table's time of the renewal, or ``UNKNOWN_TIME_MS``, as
+        if the table has no clock; the age is then unknown.
         """
-        if renewed_ms == 0.0:
+        if renewed_ms == UNKNOWN_TIME_MS:
             return False
         return self._table_time_ms() - renewed_ms >= age_ms + TABLE_TIME_MAX_LAG_MS
 
     def _acquire(self, rows: Mapping[str, Row]) -> bool:
         began_ms = self._clock.now_ms()
         epoch_row = rows.get(self._epoch_key)
-        previous = decode_row(RoleEpoch, epoch_row.value) if epoch_row else None
+        previous = self._decode_epoch(epoch_row) if epoch_row else None
         epoch_number = previous.epoch + 1 if previous else 1
         epoch = RoleEpoch(self._entry, epoch_number, self._table_time_ms())
         check = Check(self._epoch_key, version_of(epoch_row))
--- a/packages/corianderpitch/tests/test_roles.py
+++ b/packages/corianderpitch/tests/test_roles.py
@@ -1,11 +1,15 @@
 """Acquisition of roles by entries that have just started, in a table with a clock."""
 
+import pytest
 from fakes import DeferringStore
+from returns.result import Success
 
 from corianderpitch.adapters.partedtable import PartitionedTable
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.ids import EntryId
+from corianderpitch.ports import Write
+from corianderpitch.records import CandidateRecord, encode_row
 
 LEASE_MS = 2000.0
 
@@ -94,3 +98,45 @@
     store.commit_ms = 700.0
     assert holder.try_acquire()
     assert holder.renewal_age_ms == 700.0
+
+
+ODD_VALUES = [b"", b"\xff" * 20, encode_row(CandidateRecord(1.0, 1.0))]
+ROWS = ["role/scheduler/epoch", "role/scheduler/beat"]
+
+
+def put(lease, key, value):
+    assert isinstance(lease._table.commit((), (Write(key, value),)), Success)
+
+
+@pytest.mark.parametrize("key", ROWS)
+@pytest.mark.parametrize("value", ODD_VALUES, ids=("empty", "bytes", "another"))
+def test_a_role_with_an_odd_row_is_acquired_after_the_duration_of_a_lease(key, value):
+    """Each attempt failed on the row, and the role stayed without a holder."""
+    clock, (first, second) = make_leases("e1", "e2")
+    for _ in range(3):
+        assert first.try_acquire()
+        first.release()
+    put(second, key, value)
+    assert not second.try_acquire()
+    clock.advance(LEASE_MS + 1.0)
+    assert second.try_acquire()
+    assert second.renew()
+    assert second.epoch > first.epoch
+    assert not first.try_acquire()
+
+
+@pytest.mark.parametrize("value", ODD_VALUES, ids=("empty", "bytes", "another"))
+def test_an_odd_heartbeat_does_not_make_the_lease_of_a_live_holder_look_lapsed(value):
+    clock, (holder, started) = make_leases("e1", "e2")
+    assert holder.try_acquire()
+    for _ in range(8):
+        clock.advance(500.0)
+        assert holder.renew()
+    put(started, ROWS[1], value)
+    assert not started.try_acquire()
+    clock.advance(500.0)
+    holder.renew()
+    assert holder.renew()
+    assert holder.has_valid_lease
+    clock.advance(LEASE_MS - 1.0)
+    assert not started.try_acquire()
