Pass over the rows of a job that cannot be read

What callers would see: with one row in the table of the jobs that cannot be decoded, a new holder of the role failed while it loaded, released the role, and so did the next: nothing ran any more. A holder in office read no new job and no cancellation after it. A call about such a job ended in an exception. A row with an odd name or in an odd partition, but under the id of a job, hid that job: it was never started.

Cause: decoding raised one of several types of exceptions, in the middle of sorting all jobs into those that are served and those that are not. Rows were grouped by the id in their key only, and the first one decided in which partitions the job was looked for.

The fix: decoding raises one typed error. A job with a row that cannot be read is passed over and logged once, until one of its rows changes; the others are served. A job whose progress cannot be read is not served as if it had none, because its tasks may have ended; calls about it get 503. Rows whose keys no job can have are passed over.

Not changed: the scheduler's own rows, which only the holder writes under its fence. One that cannot be read still keeps a term from loading, with a typed error in the log. The types of single fields of a well-formed row are not checked all the way down.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -1,6 +1,7 @@
 """Calls of callers: any entry accepts, shows and cancels jobs through the store."""
 
 import enum
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
@@ -26,6 +27,7 @@
 from corianderpitch.domain.scheduling.workloads import Workload
 from corianderpitch.errors import (
     CommitError,
+    MalformedData,
     OutcomeLost,
     PlatformError,
     RateLimited,
@@ -229,12 +231,9 @@
     def _read_partition_rows(
         self, part: str, job_id: JobId
     ) -> Result[dict[str, Row], PlatformError]:
+        """Read the rows of a job; progress that cannot be read counts as unread."""
         result = self._store.read(JOBS_TABLE, part, job_id, job_id + RANGE_END)
-        return result.map(
-            lambda snapshot: {
-                row.key.name.removeprefix(job_id): row for row in snapshot.rows
-            }
-        )
+        return result.bind(lambda snapshot: _by_suffix(job_id, snapshot.rows))
 
     def _refuse_call(
         self, call: str, job_id: JobId, part: str, error: PlatformError
@@ -247,6 +246,17 @@
         )
 
 
+def _by_suffix(
+    job_id: JobId, rows: Iterable[Row]
+) -> Result[dict[str, Row], PlatformError]:
+    by_suffix = {row.key.name.removeprefix(job_id): row for row in rows}
+    try:
+        _has_ended(by_suffix)
+    except MalformedData as error:
+        return Failure(OutcomeLost(f"malformed row: {error}"))
+    return Success(by_suffix)
+
+
 def _count_waiting(rows: tuple[Row, ...]) -> int:
     names = {row.key.name for row in rows}
     return sum(
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -8,6 +8,7 @@
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.refusals import RefusalLog
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
@@ -15,6 +16,7 @@
     CANCEL_SUFFIX,
     JOBS_TABLE,
     PROGRESS_SUFFIX,
+    is_job_key,
     job_keys,
     job_partitions,
     queue_of,
@@ -27,9 +29,9 @@
     PartitionView,
     locate_job,
 )
-from corianderpitch.domain.scheduling.progress import ActiveJob
+from corianderpitch.domain.scheduling.progress import ActiveJob, ProgressRecord
 from corianderpitch.domain.scheduling.scheduler import Scheduler
-from corianderpitch.errors import HistoryLost, RowConflict
+from corianderpitch.errors import HistoryLost, MalformedData, RowConflict
 from corianderpitch.ids import JobId
 from corianderpitch.ports import Check, PartitionedKey, Row, RowStore, Snapshot, Write
 
@@ -83,6 +85,7 @@
         self._pending_rows: dict[JobId, dict[str, RowsBySuffix]] = {}
         self._to_divert: set[JobId] = set()
         self._misplaced_rows: dict[PartitionedKey, int] = {}
+        self._refusals = RefusalLog()
 
     # Reading.
 
@@ -197,9 +200,12 @@
         """Keep a row until the partition that serves its job is decided.
 
         If the job is in the scheduler already, a cancellation takes effect at once.
+        A row with a key that no job has is passed over.
         """
         job_id, suffix = split_row_name(row.key.name)
-        if job_id in self._scheduler.jobs or job_id in self._scheduler.ended:
+        if not is_job_key(row.key):
+            self._refusals.record(row.key, MalformedData("not the key of a job's row"))
+        elif job_id in self._scheduler.jobs or job_id in self._scheduler.ended:
             if suffix == CANCEL_SUFFIX:
                 self._scheduler.cancel_job(job_id)
             self._mark_if_misplaced(job_id, row)
@@ -248,36 +254,61 @@
     def _serve(self, job_id: JobId, part: str) -> None:
         """Add a job to the scheduler from its rows in one partition.
 
-        A cancel row takes effect in either partition.
+        A job whose rows cannot be read is passed over until one of them changes.
         """
         by_part = self._pending_rows.pop(job_id)
         self._to_divert.discard(job_id)
-        rows = by_part[part]
+        try:
+            self._add_job(job_id, by_part[part], by_part)
+        except MalformedData as error:
+            self._refusals.record(PartitionedKey(JOBS_TABLE, part, job_id), error)
+            return
+        for other_part, rows in by_part.items():
+            for row in rows.values() if other_part != part else ():
+                self._mark_if_misplaced(job_id, row)
+
+    def _add_job(
+        self, job_id: JobId, rows: RowsBySuffix, by_part: dict[str, RowsBySuffix]
+    ) -> None:
+        """Add a job, or note its end; a cancel row takes effect in either partition.
+
+        Raises
+        ------
+        MalformedData
+            If a row of the job cannot be read.
+        """
         progress = rows.get(PROGRESS_SUFFIX)
         record = unpack_progress(progress.value) if progress is not None else None
         if record is not None and record.state.has_ended:
-            self._commits.ended_ms_by_key.setdefault(progress.key, record.ended_ms)
+            self._commits.ended_ms_by_key.setdefault(progress.key, _ended_ms(record))
             self._scheduler.ended.add(job_id)
         elif "" in rows:
-            job = self._make_job(rows[""], by_part)
-            if record is not None:
-                job.restore(record)
+            job = self._make_job(rows[""], by_part, record)
+            if progress is not None:
                 job.progress_version = progress.version
             self._scheduler.add_job(job)
-            if any(CANCEL_SUFFIX in rows for rows in by_part.values()):
+            if any(CANCEL_SUFFIX in others for others in by_part.values()):
                 self._scheduler.cancel_job(job_id)
-        for other_part, rows in by_part.items():
-            for row in rows.values() if other_part != part else ():
-                self._mark_if_misplaced(job_id, row)
 
-    def _make_job(self, row: Row, by_part: dict[str, RowsBySuffix]) -> ActiveJob:
+    def _make_job(
+        self,
+        row: Row,
+        by_part: dict[str, RowsBySuffix],
+        record: ProgressRecord | None,
+    ) -> ActiveJob:
         """Create a job whose age is that of the oldest of its submitted rows."""
         submitted = [rows[""] for rows in by_part.values() if "" in rows]
-        accepted_ms = min(unpack_workload(r.key, r.value)[1] for r in submitted)
-        workload, _ = unpack_workload(row.key, row.value)
-        age_ms = max(0.0, self._store.time_ms() - accepted_ms)
-        version = min(r.version for r in submitted)
-        return ActiveJob(workload, self._clock.now_ms() - age_ms, version)
+        try:
+            accepted_ms = min(unpack_workload(r.key, r.value)[1] for r in submitted)
+            workload, _ = unpack_workload(row.key, row.value)
+            age_ms = max(0.0, self._store.time_ms() - accepted_ms)
+            version = min(r.version for r in submitted)
+            job = ActiveJob(workload, self._clock.now_ms() - age_ms, version)
+            if record is not None:
+                job.restore(record)
+        except (TypeError, LookupError) as error:
+            raise MalformedData("not the rows of a job") from error
+        return job
 
     # Recording diversions and deleting misplaced rows.
 
@@ -336,3 +367,9 @@
                     log.info("Stale rows deleted.", jobs=len(batch), partition=part)
                 case Failure(error):
                     log.debug("Could not delete stale rows.", cause=repr(error))
+
+
+def _ended_ms(record: ProgressRecord) -> float:
+    if not isinstance(record.ended_ms, int | float):
+        raise MalformedData("not the time of an end")
+    return record.ended_ms
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -7,16 +7,18 @@
 that cannot be stored in its home partition is stored in its fallback partition.
 """
 
+import functools
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, fields
-from typing import Any
+from typing import Any, ParamSpec, TypeVar
 
 import msgpack
 
 from corianderpitch.domain.jobs import JobState, Shape
 from corianderpitch.domain.scheduling.progress import ProgressRecord, StepRecord
 from corianderpitch.domain.scheduling.workloads import Schedule, Step, Workload
+from corianderpitch.errors import MalformedData
 from corianderpitch.ids import JobId, QueueName, VmId, WorkerId
 from corianderpitch.ports import PartitionedKey
 
@@ -36,6 +38,34 @@
 }
 
 
+# The errors by which decoding or unpacking a value of another kind can fail.
+_DECODING_ERRORS = (ValueError, TypeError, AttributeError, LookupError)
+
+Decoded = TypeVar("Decoded")
+Arguments = ParamSpec("Arguments")
+
+
+def _decodes(
+    what: str,
+) -> Callable[[Callable[Arguments, Decoded]], Callable[Arguments, Decoded]]:
+    """Return a decorator of a function that decodes ``what``.
+
+    The function raises ``MalformedData`` for a value that it cannot decode.
+    """
+
+    def decorate(decode: Callable[Arguments, Decoded]) -> Callable[Arguments, Decoded]:
+        @functools.wraps(decode)
+        def decode_checked(*args: Arguments.args, **kwargs: Arguments.kwargs):
+            try:
+                return decode(*args, **kwargs)
+            except _DECODING_ERRORS as error:
+                raise MalformedData(f"not {what}") from error
+
+        return decode_checked
+
+    return decorate
+
+
 def home_partition(queue: QueueName, job_id: JobId) -> str:
     """Return the home partition of a job's rows."""
     return job_partitions(queue, job_id)[0]
@@ -103,6 +133,14 @@
     return JobId(job_id), dot + suffix
 
 
+def is_job_key(key: PartitionedKey) -> bool:
+    """Return whether a key is one that a row of some job may have."""
+    job_id, suffix = split_row_name(key.name)
+    return suffix in ("", CANCEL_SUFFIX, PROGRESS_SUFFIX) and (
+        key.part in job_partitions(queue_of(key.part), job_id)
+    )
+
+
 def job_id_of(key: PartitionedKey) -> JobId:
     """Return the id of the job that a row's key belongs to."""
     return split_row_name(key.name)[0]
@@ -113,6 +151,7 @@
     return msgpack.packb(sorted(job_ids))
 
 
+@_decodes("a set of jobs")
 def unpack_job_ids(value: bytes) -> set[JobId]:
     """Decode a set of jobs."""
     return {JobId(name) for name in msgpack.unpackb(value)}
@@ -123,6 +162,7 @@
     return msgpack.packb(sorted(worker_ids))
 
 
+@_decodes("a list of workers")
 def unpack_workers(value: bytes) -> tuple[WorkerId, ...]:
     """Decode the workers that a predecessor may have sent orders to."""
     return tuple(WorkerId(name) for name in msgpack.unpackb(value))
@@ -154,6 +194,7 @@
     return msgpack.packb([record.ordered_ms, begun, record.due_ms])
 
 
+@_decodes("a record of VM orders")
 def unpack_vm_orders(value: bytes) -> VmOrdersRecord:
     """Decode the record of a predecessor's orders about VMs.
 
@@ -180,6 +221,7 @@
     )
 
 
+@_decodes("a job")
 def unpack_workload(key: PartitionedKey, value: bytes) -> tuple[Workload, float]:
     """Decode a job and the store's time of its acceptance in milliseconds."""
     text, steps, schedule, accepted_ms = msgpack.unpackb(value)
@@ -221,6 +263,7 @@
     return msgpack.packb([record.state.value, record.finished, steps, record.ended_ms])
 
 
+@_decodes("the progress of a job")
 def unpack_progress(value: bytes) -> ProgressRecord:
     """Decode a job's progress."""
     state, finished, packed, ended_ms = msgpack.unpackb(value, strict_map_key=False)
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgpack
 import pytest
 from returns.result import Failure, Success
 from schedulers import QUEUE, add_worker, done, make_job, report, starts
@@ -19,7 +20,9 @@
 from corianderpitch.daemon.scheduling.rows import (
     DIVERTED_KEY,
     JOBS_TABLE,
+    PROGRESS_SUFFIX,
     WORKERS_KEY,
+    home_partition,
     job_partitions,
     queue_partitions,
 )
@@ -28,6 +31,7 @@
 from corianderpitch.domain.scheduling.workers import ReportedRun
 from corianderpitch.errors import OutcomeLost, PlatformUnavailable
 from corianderpitch.ids import EntryId, JobId, WorkerId
+from corianderpitch.ports import PartitionedKey, Write
 
 LEASE_MS = 2000.0
 BACKOFF_MS = 600.0  # longer than the breaker and partition back-off
@@ -486,3 +490,95 @@
     for name in ended:
         shown = Intake(store, clock).show(QUEUE.name, JobId(name))
         assert shown.state is JobState.CANCELLED
+
+
+STEP = {"shape": [1.0, 100, 0], "count": 1, "estimate_ms": 100.0}
+
+
+def packed_job(*steps, text="", schedule=(0, 0.0, 0.0), accepted_ms=0.0):
+    return msgpack.packb([text, list(steps), list(schedule), accepted_ms])
+
+
+def packed_progress(state="running", finished=0, steps=(), ended_ms=0.0):
+    return msgpack.packb([state, finished, list(steps), ended_ms])
+
+
+ODD_BYTES = [b"", b"\xc1", b"\xff" * 9, b"\x91" * 100_000, msgpack.packb("a" * 9)]
+ODD_JOBS = [
+    *ODD_BYTES,
+    msgpack.packb([]),
+    packed_job(7),
+    packed_job({}),
+    packed_job(STEP | {"shape": 1}),
+    packed_job(STEP | {"count": "many"}),
+    packed_job(STEP | {"unheard_of": 1}),
+    packed_job(STEP | {"after": [5]}),
+    packed_job(STEP | {"after": ["0"]}),
+    packed_job(STEP, schedule=(1, 2, 3, 4)),
+    packed_job(STEP, accepted_ms="yesterday"),
+]
+ODD_PROGRESS = [
+    *ODD_BYTES,
+    msgpack.packb({}),
+    packed_progress(state="lost"),
+    packed_progress(state=["done"]),
+    packed_progress(state="done", ended_ms="yesterday"),
+    packed_progress(steps=[[0, 0]]),
+    packed_progress(steps=[[0, 5, [], {}, {}, {}]]),
+    packed_progress(steps=[[0, 0, 7, {}, {}, {}]]),
+    packed_progress(steps=[[0, 0, [], [], {}, {}]]),
+]
+
+
+def put_row(store, job_id, suffix, value):
+    part = home_partition(QUEUE.name, JobId(job_id))
+    key = PartitionedKey(JOBS_TABLE, part, job_id + suffix)
+    assert isinstance(store.commit((), (Write(key, value),)), Success)
+
+
+@pytest.mark.parametrize("odd", ODD_JOBS, ids=range(len(ODD_JOBS)))
+def test_an_odd_job_is_passed_over_and_the_others_are_served(store, clock, odd):
+    """The holder failed while it loaded, and a follower read no job any more."""
+    assert submit(store, clock, "a") is IntakeKind.DONE
+    put_row(store, "odd", "", odd)
+    holder = TermHarness(store, clock, "e1").load()
+    assert set(holder.scheduler.jobs) == {"a"}
+    put_row(store, "odd", "", odd)
+    assert submit(store, clock, "b") is IntakeKind.DONE
+    holder.follow()
+    assert set(holder.scheduler.jobs) == {"a", "b"}
+
+
+@pytest.mark.parametrize("odd", ODD_PROGRESS, ids=range(len(ODD_PROGRESS)))
+def test_a_job_with_odd_progress_is_not_started_and_the_others_are_served(
+    store, clock, odd
+):
+    """Its tasks may have ended, so it is not served as if it had no progress."""
+    assert submit(store, clock, "a") is IntakeKind.DONE
+    assert submit(store, clock, "odd") is IntakeKind.DONE
+    put_row(store, "odd", PROGRESS_SUFFIX, odd)
+    holder = TermHarness(store, clock, "e1").load()
+    assert set(holder.scheduler.jobs) == {"a"}
+    assert not holder.scheduler.ended
+
+
+@pytest.mark.parametrize("odd", ODD_BYTES, ids=range(len(ODD_BYTES)))
+def test_a_call_about_a_job_with_odd_progress_is_refused(store, clock, odd):
+    """It ended in an exception, and a caller got no answer that says what to do."""
+    assert submit(store, clock, "odd") is IntakeKind.DONE
+    put_row(store, "odd", PROGRESS_SUFFIX, odd)
+    intake = Intake(store, clock)
+    assert intake.show(QUEUE.name, JobId("odd")).kind is IntakeKind.NOT_DONE
+    assert intake.cancel(QUEUE.name, JobId("odd")).kind is IntakeKind.NOT_DONE
+
+
+@pytest.mark.parametrize("part", ["", "x", "/", "quotes/99", "quotes/0/1"])
+@pytest.mark.parametrize("name", ["x", ".", ".cancel", "a.unknown", "a.cancel.cancel"])
+def test_rows_with_odd_keys_are_passed_over(store, clock, part, name):
+    assert submit(store, clock, "a") is IntakeKind.DONE
+    key = PartitionedKey(JOBS_TABLE, part, name)
+    store.commit((), (Write(key, b"\xc1"),))
+    holder = TermHarness(store, clock, "e1").load()
+    assert set(holder.scheduler.jobs) == {"a"}
+    holder.follow()
+    assert set(holder.scheduler.jobs) == {"a"}
