--- a/tests/adapter/test_front.py
+++ b/tests/adapter/test_front.py
@@ -1,13 +1,15 @@
 """HTTP responses of the job interface, by the result of the intake."""
 
 import io
+import json
 
 import pytest
 
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.scheduling.intake import IntakeKind, IntakeResult
 from corianderpitch.daemon.scheduling.meters import JobMeters
-from corianderpitch.domain.jobs import JobState
+from corianderpitch.daemon.scheduling.rows import pack_workload
+from corianderpitch.domain.jobs import JobState, Shape
 from corianderpitch.domain.scheduling.catalog import Catalog, Route
 from corianderpitch.ids import QueueName
 from corianderpitch_platform.front import JobsApp
@@ -86,3 +88,86 @@
     headers = call(app)["headers"]
     assert ("Retry-After", "1") in headers
     assert headers.count(("Connection", "close")) == 1
+
+
+class StoringIntake(FixedResultIntake):
+    """Encodes each job, as storing it does."""
+
+    def __init__(self):
+        super().__init__(IntakeResult(IntakeKind.DONE))
+        self.workloads = []
+
+    def submit(self, workload):
+        pack_workload(workload, 0.0)
+        self.workloads.append(workload)
+        return self.result
+
+
+def submit(body):
+    """Submit a job; returns the status, and the job if it was accepted."""
+    app = app_with_result(None)
+    app._intake = intake = StoringIntake()
+    response = call(app, "POST", body=body)
+    return response["status"], next(iter(intake.workloads), None)
+
+
+STEP = {"count": 4, "cpu": 500, "mem_mb": 256, "estimate_ms": 900}
+
+
+def job(step=(), **fields):
+    return json.dumps({"spec": "x", "steps": [STEP | dict(step)]} | fields).encode()
+
+
+def test_a_job_is_read():
+    step = {"gpus": 1, "requires": "a", "long_running": True, "after": []}
+    status, workload = submit(job(step, repeats=3, start_ms=5, period_ms=2.5))
+    assert status == 200
+    (read,) = workload.steps
+    assert (read.count, read.shape) == (4, Shape(0.5, 256, 1))
+    assert (read.label, read.is_lasting) == ("a", True)
+    assert (workload.schedule.repeats, workload.schedule.period_ms) == (3, 2.5)
+
+
+ODD_JOBS = {
+    "empty": b"",
+    "not JSON": b"{",
+    "a list": b"[]",
+    "not UTF-8": b'{"spec": "\xff"}',
+    "nested": b'{"spec": "x", "steps": ' + b"[" * 20_000 + b"]" * 20_000 + b"}",
+    "lone surrogate": job(spec="\ud800"),
+    "spec a list": job(spec=["x"]),
+    "long spec": job(spec="é" * 2001),
+    "steps an object": job(steps={"0": STEP}),
+    "step a number": job(steps=[7]),
+    "no steps": job(steps=[]),
+    "too many steps": job(steps=[STEP] * 1001),
+    "infinite count": job({"count": float("inf")}),
+    "count not a number": job({"count": float("nan")}),
+    "count 0": job({"count": 0}),
+    "count of 400 digits": job({"count": int("9" * 400)}),
+    "count true": job({"count": True}),
+    "count a text": job({"count": "4"}),
+    "half a task": job({"count": 1.5}),
+    "infinite estimate": job({"estimate_ms": float("inf")}),
+    "estimate 1e400": job({"estimate_ms": "E"}).replace(b'"E"', b"1e400"),
+    "negative estimate": job({"estimate_ms": -1}),
+    "cpu of 400 digits": job({"cpu": int("9" * 400)}),
+    "memory of 30 digits": job({"mem_mb": int("9" * 30)}),
+    "negative memory": job({"mem_mb": -1}),
+    "label a list": job({"requires": ["a"]}),
+    "label a lone surrogate": job({"requires": "\ud800"}),
+    "rack a number": job({"data_rack": 5}),
+    "image an object": job({"image": {}}),
+    "after a text": job({"after": "0"}),
+    "after itself": job({"after": [0]}),
+    "after a fraction": job({"after": [0.5]}),
+    "after true": job(steps=[STEP, STEP, STEP | {"after": [True]}]),
+    "repeats of 30 digits": job(repeats=int("9" * 30)),
+    "infinite start": job(start_ms=float("inf")),
+}
+
+
+@pytest.mark.parametrize("odd", ODD_JOBS)
+def test_an_odd_job_is_rejected(odd):
+    """Some ended in an exception, and some were stored and hurt all later terms."""
+    assert submit(ODD_JOBS[odd]) == (400, None)
