Show with real entries that an odd row stops no holder

The stand-in of the platform can write a row as a text that need not be valid. The test writes one of three odd rows among those of the workers, hands a job in, kills the holder, and hands in another one at an entry that is left.

--- a/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
@@ -104,8 +104,12 @@
 
     def write(self, table: str, name: str, fields: dict[str, Any]) -> None:
         """Write a row unconditionally, as operators and workers do."""
+        self.write_text(table, name, json.dumps(fields))
+
+    def write_text(self, table: str, name: str, text: str) -> None:
+        """Write a row that need not be valid, as another client may do."""
         key = PartitionedKey(table, "", name)
-        self.rows.commit((), (Write(key, json.dumps(fields).encode()),))
+        self.rows.commit((), (Write(key, text.encode()),))
 
     def _serve_store(self, name: str, body: dict[str, Any]) -> Reply:
         if self.is_store_down:
@@ -317,6 +321,8 @@
                 worker.start_incarnation(self.clock.now_ms())
             case "write":
                 self.write(body["table"], body["name"], body["fields"])
+            case "write_text":
+                self.write_text(body["table"], body["name"], body["text"])
         done = sum(len(ends) for ends in self.ledger.done.values())
         running = sum(len(worker.runs) for worker in self.workers.values())
         status = self.rows.read("status", "").unwrap().rows
--- a/tests/integration/test_userplatform.py
+++ b/tests/integration/test_userplatform.py
@@ -248,6 +248,43 @@
     wait_until(lambda: fleet.job_state(job) == "completed", 15.0, "completed")
 
 
+ODD_WORKER = json.dumps(
+    {
+        "service": "counter",
+        "address": f"{HOST}:1",
+        "zone": "here",
+        "state": "ready",
+        "capacity": {"cpu": "CPU", "mem_mb": 8000, "gpus": 0},
+        "labels": ["a", "r1"],
+        "born": "BORN",
+    }
+)
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "[" * 100_000 + "]" * 100_000,
+        ODD_WORKER.replace('"CPU"', "9" * 400).replace('"BORN"', "5"),
+        ODD_WORKER.replace('"CPU"', "4000").replace('"BORN"', "1e400"),
+    ],
+    ids=["nested", "large", "infinite"],
+)
+def test_an_odd_row_stops_no_holder_and_none_of_its_successors(fleet, text):
+    """The holder followed the list no longer, and no successor could load it."""
+    wait_until(fleet.current_scheduler, 10.0, "a scheduler")
+    fleet.control("write_text", table="servers", name="i-odd", text=text)
+    job = fleet.submit(STEPS)
+    wait_until(lambda: fleet.job_state(job) == "completed", 15.0, "completed")
+    current_scheduler = fleet.current_scheduler()
+    process = fleet.entries[current_scheduler][0]
+    process.send_signal(signal.SIGKILL)
+    process.wait()
+    other = next(name for name in fleet.entries if name != current_scheduler)
+    later = fleet.submit(STEPS, other)
+    wait_until(lambda: fleet.job_state(later, other) == "completed", 20.0, "later")
+
+
 @pytest.mark.parametrize(
     ("method", "path", "body", "status"),
     [
