--- a/packages/corianderpitch/corianderpitch/daemon/roles.py
+++ b/packages/corianderpitch/corianderpitch/daemon/roles.py
@@ -19,6 +19,8 @@
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.refusals import RefusalLog
+from corianderpitch.errors import MalformedData
 from corianderpitch.ids import EntryId
 from corianderpitch.ports import (
     Check,
@@ -31,6 +33,7 @@
 )
 from corianderpitch.records import RoleEpoch, RoleHeartbeat, decode_row, encode_row
 
+UNKNOWN_TIME_MS = 0.0
 RELEASED_SEQUENCE = -1  # sequence of the heartbeat that releases the role
 
 # Entries of earlier versions may renew with a time that lags behind by this.
@@ -63,6 +66,7 @@
         self._clock = clock
         self._renew_interval_ms = renew_interval_ms
         self._lease_ms = lease_ms
+        self._refusals = RefusalLog()
         self._epoch_key = f"role/{name}/epoch"
         self._heartbeat_key = f"role/{name}/beat"
         self._epoch = 0
@@ -189,37 +193,61 @@
         epoch_row = rows.get(self._epoch_key)
         if epoch_row is None:
             return unchanged_ms >= min_free_ms
-        epoch = decode_row(RoleEpoch, epoch_row.value)
+        epoch = self._decode_epoch(epoch_row)
         heartbeat_row = rows.get(self._heartbeat_key)
-        heartbeat = (
-            decode_row(RoleHeartbeat, heartbeat_row.value) if heartbeat_row else None
-        )
+        heartbeat = self._decode_heartbeat(heartbeat_row) if heartbeat_row else None
         has_heartbeat = heartbeat is not None and heartbeat.epoch == epoch.epoch
         if has_heartbeat and heartbeat.sequence == RELEASED_SEQUENCE:
             return unchanged_ms >= min_free_ms
+        is_unreadable = heartbeat_row is not None and heartbeat is None
         renewed_ms = heartbeat.sent_ms if has_heartbeat else epoch.taken_ms
+        if is_unreadable:
+            renewed_ms = UNKNOWN_TIME_MS
         required_age_ms = self._lease_ms + min_free_ms
         return unchanged_ms >= required_age_ms or self._is_renewal_older(
             renewed_ms, required_age_ms
         )
 
+    def _decode_epoch(self, row: Row) -> RoleEpoch:
+        """Decode the epoch row.
+
+        If it cannot be read, the row's version stands for the epoch. It is higher
+        than the number of every earlier epoch, as each took a transaction. The role
+        is then free once the rows have not changed for the duration of the lease.
+        """
+        try:
+            return decode_row(RoleEpoch, row.value)
+        except MalformedData as error:
+            self._refusals.record(row.key, error)
+            return RoleEpoch(EntryId(""), row.version)
+
+    def _decode_heartbeat(self, row: Row) -> RoleHeartbeat | None:
+        """Decode the heartbeat row; ``None`` if it cannot be read."""
+        try:
+            return decode_row(RoleHeartbeat, row.value)
+        except MalformedData as error:
+            self._refusals.record(row.key, error)
+            return None
+
     def _is_renewal_older(self, renewed_ms: float, age_ms: float) -> bool:
         """Return whether a renewal is certain to be at least ``age_ms`` old.
 
-        ``renewed_ms`` is the table's time of the renewal, or 0.0 if the table has
-        no clock; the age is then unknown.
+        ``renewed_ms`` is the table's time of the renewal, or ``UNKNOWN_TIME_MS``, as
+        if the table has no clock; the age is then unknown.
         """
-        if renewed_ms == 0.0 or self._table_clock is None:
+        if renewed_ms == UNKNOWN_TIME_MS or self._table_clock is None:
             return False
         unchanged_ms = self._table_clock.time_ms() - renewed_ms
         return unchanged_ms >= age_ms + TABLE_TIME_MAX_LAG_MS
 
     def _latest_table_time_ms(self) -> float:
-        """Return the time of a renewal that is sent now, 0.0 without a clock.
+        """Return the time of a renewal that is sent now, if the table has a clock.
 
         It must not be too early: the lease would look lapsed before it has.
         """
-        return self._table_clock.latest_time_ms() if self._table_clock else 0.0
+        if self._table_clock is None:
+            return UNKNOWN_TIME_MS
+        return self._table_clock.latest_time_ms()
 
     def _acquire(self, rows: Mapping[str, Row]) -> bool:
         """Acquire the role unless one of its rows has changed since ``rows``.
@@ -229,7 +257,7 @@
         """
         began_ms = self._clock.now_ms()
         epoch_row = rows.get(self._epoch_key)
-        previous = decode_row(RoleEpoch, epoch_row.value) if epoch_row else None
+        previous = self._decode_epoch(epoch_row) if epoch_row else None
         epoch_number = previous.epoch + 1 if previous else 1
         epoch = RoleEpoch(self._entry, epoch_number, self._latest_table_time_ms())
         heartbeat_version = version_of(rows.get(self._heartbeat_key))
