Send no further order about a VM right after one without an answer

Cause: the second between repeats counted from before the connection was made, and an attempt may last 1.2 s. The other waves did not know of the unanswered order at all.

A VM whose order got no answer now counts as busy for a second after that, for waves, new moves and repeats alike. Both new tests failed before.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -205,10 +205,11 @@
         return orders, evacuating
 
     def _moves_to_repeat(self, now_ms: float) -> list[MoveVm]:
+        busy = self._orders.busy()
         return [
             MoveVm(vm, move.pool)
             for vm, move in self._moves.items()
-            if now_ms - move.asked_ms >= ORDER_RETRY_INTERVAL_MS
+            if now_ms - move.asked_ms >= ORDER_RETRY_INTERVAL_MS and vm not in busy
         ]
 
     def _plan_moves(
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -24,7 +24,9 @@
 MAX_INTENT_AGE_MS = 500.0  # later orders of a round are recorded again before they go
 HOLDER_CHANGE_SLACK_MS = 100.0
 ROLE_MARGIN_MS = 500.0
-BUSY_BACKOFF_MS = 1000.0  # a VM that is draining or moving stays so for seconds
+# A VM that is draining or moving stays so for seconds, and an order without an answer
+# may still be carried out.
+BUSY_BACKOFF_MS = 1000.0
 
 log = logger("vms")
 
@@ -130,7 +132,10 @@
         return set(self._predecessor_arrives_by_ms)
 
     def busy(self) -> set[VmId]:
-        """Return the VMs that were busy at an order in the last ``BUSY_BACKOFF_MS``."""
+        """Return the VMs that get no order now.
+
+        They were busy at one, or gave no answer, in the last ``BUSY_BACKOFF_MS``.
+        """
         oldest_ms = self._clock.now_ms() - BUSY_BACKOFF_MS
         self._busy_ms = {vm: at for vm, at in self._busy_ms.items() if at > oldest_ms}
         return set(self._busy_ms)
@@ -288,7 +293,7 @@
             renewal_age_ms=round(timing.renewal_age_ms),
             took_ms=round(self._clock.now_ms() - timing.sent_ms),
         )
-        if result is VmOrderResult.BUSY:
+        if result in (VmOrderResult.BUSY, VmOrderResult.NO_ANSWER):
             self._busy_ms[vm] = self._clock.now_ms()
         elif result is VmOrderResult.SUPERSEDED:
             self._scheduler.is_superseded = True
--- a/packages/corianderpitch/tests/test_maintainers.py
+++ b/packages/corianderpitch/tests/test_maintainers.py
@@ -5,7 +5,7 @@
 from schedulers import make_scheduler
 
 from corianderpitch.clock import ManualClock
-from corianderpitch.daemon.scheduling.maintainers import MaintenanceTask
+from corianderpitch.daemon.scheduling.maintainers import MaintenanceTask, PendingMove
 from corianderpitch.domain.scheduling.catalog import ServicePool, WaveOrder
 from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition
 from corianderpitch.domain.scheduling.sizing import MoveVm
@@ -127,6 +127,17 @@
     assert orders.sent == [VM]
 
 
+def test_a_move_without_an_answer_is_not_repeated_while_the_vm_is_busy():
+    # The repeat went out 0.1 s after the first was given up, and could overtake it.
+    orders = RecordingOrders()
+    task = make_task(orders, 64.0)
+    task._moves[VM] = PendingMove(ServiceName("s"), 0.0)
+    orders.busy = lambda: {VM}
+    assert task._moves_to_repeat(5000.0) == []
+    orders.busy = set
+    assert task._moves_to_repeat(5000.0) == [MoveVm(VM, ServiceName("s"))]
+
+
 def test_an_exception_in_an_order_is_raised():
     orders = SlowOrders()
     orders.move = lambda vm, pool: 1 / 0
--- a/packages/corianderpitch/tests/test_vmorders.py
+++ b/packages/corianderpitch/tests/test_vmorders.py
@@ -179,6 +179,18 @@
     assert first.move(VM, STANDBY_POOL) is VmOrderResult.NOT_SENT
 
 
+def test_a_vm_whose_order_got_no_answer_gets_no_other_for_a_while():
+    # An order of another wave could overtake the one that may still be carried out.
+    cluster = Cluster()
+    orders = cluster.holder("e1")
+    assert orders.record_intent([VM])
+    cluster.pools.result = VmOrderResult.NO_ANSWER
+    orders.maintain(VM, 1)
+    assert orders.busy() == {VM}
+    cluster.clock.advance(BUSY_BACKOFF_MS)
+    assert orders.busy() == set()
+
+
 def test_fence_numbers_increase_with_each_order_also_across_holders():
     cluster = Cluster()
     first = cluster.holder("e1")
