Release a role that is acquired while its entry is stopped

Cause: resign() finds neither a term nor a held role while the acquisition is under way. The acquisition then succeeds, and a term begins in an entry that is about to exit.

The role is released instead.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/holder.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/holder.py
@@ -44,7 +44,7 @@
                 eventlet.sleep(NO_PRIORITY_RETRY_MS / 1000.0)
                 continue
             if self._role.try_acquire(priority.extra_wait_ms):
-                self._serve_term()
+                self._serve_unless_resigning()
             eventlet.sleep(priority.interval_ms / 1000.0)
 
     def _has_larger_candidate(self) -> bool:
@@ -55,6 +55,13 @@
             and priority.larger_candidate_sent_ms > self._role.acquired_ms
         )
 
+    def _serve_unless_resigning(self) -> None:
+        """Serve a term, or release the role if ``resign`` was called meanwhile."""
+        if self._is_resigning:
+            self._release_role()
+        else:
+            self._serve_term()
+
     def _serve_term(self) -> None:
         self.term = self._create_term(self._has_larger_candidate)
         log.info(
--- a/packages/corianderpitch/tests/fakes.py
+++ b/packages/corianderpitch/tests/fakes.py
@@ -93,3 +93,15 @@
 
     def time_ms(self):
         return self._store.time_ms() - self._lag_ms
+
+
+class RacingStore(DeferringStore):
+    """A store that calls a function once, right before it applies a commit."""
+
+    before_commit = None
+
+    def commit(self, checks, writes):
+        call, self.before_commit = self.before_commit, None
+        if call is not None:
+            call()
+        return super().commit(checks, writes)
--- a/packages/corianderpitch/tests/test_roles.py
+++ b/packages/corianderpitch/tests/test_roles.py
@@ -1,7 +1,7 @@
 """Acquisition of roles by entries that have just started, in a table with a clock."""
 
 import pytest
-from fakes import DeferringStore, LaggingStore
+from fakes import DeferringStore, LaggingStore, RacingStore
 from returns.result import Success
 
 from corianderpitch.adapters.partedtable import PartitionedTable
@@ -14,18 +14,6 @@
 LEASE_MS = 2000.0
 
 
-class RacingStore(DeferringStore):
-    """A store that calls a function once, right before it applies a commit."""
-
-    before_commit = None
-
-    def commit(self, checks, writes):
-        call, self.before_commit = self.before_commit, None
-        if call is not None:
-            call()
-        return super().commit(checks, writes)
-
-
 def make_leases(*entries, store=None):
     """Return a clock and the entries' leases of one role, in a shared table."""
     clock = store.clock if store else ManualClock(1000.0)
