Log an order about a VM also if the end of the term interrupts it

The log line of an order came with its answer.

The line is written in any case; such an order has no answer. The new test failed before.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/vmorders.py
@@ -281,18 +281,21 @@
             timing = self._timing(vm)
             return self._is_safe_to_order(vm)
 
-        result = send(fence, may_send)
-        log.info(
-            message,
-            vm=vm,
-            **details,
-            fence=fence,
-            result=result.value,
-            term=self._scheduler.term.number,
-            record_age_ms=round(timing.record_age_ms),
-            renewal_age_ms=round(timing.renewal_age_ms),
-            took_ms=round(self._clock.now_ms() - timing.sent_ms),
-        )
+        result = VmOrderResult.NO_ANSWER  # of a term that ends in the meantime
+        try:
+            result = send(fence, may_send)
+        finally:
+            log.info(
+                message,
+                vm=vm,
+                **details,
+                fence=fence,
+                result=result.value,
+                term=self._scheduler.term.number,
+                record_age_ms=round(timing.record_age_ms),
+                renewal_age_ms=round(timing.renewal_age_ms),
+                took_ms=round(self._clock.now_ms() - timing.sent_ms),
+            )
         if result in (VmOrderResult.BUSY, VmOrderResult.NO_ANSWER):
             self._busy_ms[vm] = self._clock.now_ms()
         elif result is VmOrderResult.SUPERSEDED:
--- a/packages/corianderpitch/tests/test_vmorders.py
+++ b/packages/corianderpitch/tests/test_vmorders.py
@@ -3,6 +3,8 @@
 import itertools
 import math
 
+import eventlet
+import logbook
 import pytest
 from fakes import LaggingStore
 from returns.result import Failure, Success
@@ -191,6 +193,20 @@
     assert orders.busy() == set()
 
 
+def test_an_order_that_the_end_of_the_term_interrupts_is_logged():
+    # Of all orders, those right before a hand-over were missing in the log.
+    cluster = Cluster()
+    orders = cluster.holder("e1")
+    assert orders.record_intent([VM])
+    cluster.pools.before_send = lambda: eventlet.sleep(60.0)
+    thread = eventlet.spawn(orders.move, VM, POOL)
+    eventlet.sleep(0)
+    with logbook.TestHandler().applicationbound() as handler:
+        thread.kill()
+    results = [r.kwargs["result"] for r in handler.records if "ordered" in r.message]
+    assert results == [VmOrderResult.NO_ANSWER.value]
+
+
 def test_fence_numbers_increase_with_each_order_also_across_holders():
     cluster = Cluster()
     first = cluster.holder("e1")
