Leave workers of an unknown service out until it is configured

What callers would see: an entry of another writer with valid fields, a service that the configuration does not name and an address where nobody answers was asked for a report about three times a second for as long as it stood there. It was recorded among the workers that may run something, so that each new holder waited for its report, in vain, until the end of all leases before it started the tasks of older jobs again.

Cause: all rows with valid fields were taken for workers, whatever their service.

The fix: a worker is added once the configuration names its service, which is looked at in each planning round. One that is known stays, because runs on it hold leases.

Not changed: a new holder no longer watches workers of a service that was removed from the configuration before its term; what runs there ends with its lease.

The test test_a_worker_of_an_unknown_service_is_not_used failed with the condition taken out; the one about a known worker passes either way.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -1,6 +1,6 @@
 """One term of the scheduler's role: state it loads, changes it follows, its tasks."""
 
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Container, Iterable, Mapping, Sequence
 from typing import Protocol
 
 import eventlet
@@ -23,7 +23,7 @@
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import Queue
 from corianderpitch.errors import HistoryLost
-from corianderpitch.ids import QueueName, WorkerId
+from corianderpitch.ids import QueueName, ServiceName, WorkerId
 from corianderpitch.ports import RowStore, WorkerChanges, WorkerLink, WorkerList
 
 FOLLOW_WAIT_MS = 1000
@@ -70,6 +70,8 @@
         Counters and histograms of this entry.
     queues : callable
         Returns the queues of the configuration in force.
+    services : callable
+        Returns the services of the configuration in force.
     lease_ms : float
         Length of the lease that a worker gets with each report, in milliseconds.
     role_lease_ms : float
@@ -92,6 +94,7 @@
         clock: Clock,
         meters: JobMeters,
         queues: Callable[[], Mapping[QueueName, Queue]],
+        services: Callable[[], Container[ServiceName]],
         lease_ms: float,
         role_lease_ms: float,
         keep_ended_ms: float,
@@ -107,6 +110,7 @@
         self._clock = clock
         self._meters = meters
         self._queues = queues
+        self._services = services
         self._lease_ms = lease_ms
         self._role_lease_ms = role_lease_ms
         self._has_larger_candidate = has_larger_candidate
@@ -143,6 +147,7 @@
         self._wake_event = Event()
         self._is_stopped = False
         self._workers_version = 0
+        self._workers_without_service: dict[WorkerId, WorkerInfo] = {}
         self._next_expiry_ms = 0.0
 
     def run(self) -> None:
@@ -225,6 +230,7 @@
         match self._workers.read():
             case Success(changes):
                 listed = {info.worker for info in changes.listed}
+                self._workers_without_service.clear()
                 for worker_id in set(self.scheduler.workers) - listed:
                     self.scheduler.unlist_worker(worker_id)
                 self._apply_worker_changes(changes)
@@ -248,14 +254,27 @@
                     eventlet.sleep(FOLLOW_RETRY_S)
 
     def _apply_worker_changes(self, changes: WorkerChanges) -> None:
-        now_ms = self._clock.now_ms()
         for info in changes.listed:
-            if self.scheduler.set_worker(info, now_ms):
-                self._start_worker_tasks(info)
+            self._set_worker(info)
         for worker_id in changes.gone:
+            self._workers_without_service.pop(worker_id, None)
             self.scheduler.unlist_worker(worker_id)
         self._workers_version = max(self._workers_version, changes.version)
 
+    def _set_worker(self, info: WorkerInfo) -> None:
+        """Add or update a worker; one of an unknown service waits for that service.
+
+        Such an entry may come from another writer. It would be asked for reports and
+        recorded, and each successor would wait for its report.
+        """
+        is_known = info.worker in self.scheduler.workers
+        if not is_known and info.service not in self._services():
+            self._workers_without_service[info.worker] = info
+            return
+        self._workers_without_service.pop(info.worker, None)
+        if self.scheduler.set_worker(info, self._clock.now_ms()):
+            self._start_worker_tasks(info)
+
     def _update_known_workers(self, listed: Iterable[WorkerInfo]) -> None:
         """Apply the entries of workers that are known and have not restarted.
 
@@ -308,6 +327,8 @@
 
     def _plan(self, now_ms: float) -> None:
         self.scheduler.set_queues(self._queues())
+        for info in list(self._workers_without_service.values()):
+            self._set_worker(info)
         if now_ms >= self._next_expiry_ms:
             self._next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS
             self.scheduler.expire(now_ms)
--- a/tests/adapter/test_workerlist.py
+++ b/tests/adapter/test_workerlist.py
@@ -145,7 +145,13 @@
 
 
 @pytest.fixture
-def start_term(store):
+def services():
+    """Return the services of the configuration."""
+    return {"counter"}
+
+
+@pytest.fixture
+def start_term(store, services):
     """Return a function that acquires the role and begins a term."""
     terms = []
 
@@ -169,6 +175,7 @@
             clock,
             JobMeters(),
             dict,
+            lambda: services,
             6000.0,
             ROLE_LEASE_MS,
             120_000.0,
@@ -299,3 +306,28 @@
         workers.read()
     causes = [record.kwargs["cause"] for record in handler.records]
     assert causes == ["not JSON", "address is not an address"]
+
+
+def test_a_worker_of_an_unknown_service_is_not_used(store, start_term, services):
+    """It was recorded, and each successor waited for its report or its lease."""
+    store.put_worker("odd", ROW | {"service": "unheard-of"})
+    store.put_worker("w1", ROW)
+    term = start_term()
+    wait_until(lambda: processors_of(term, "w1") == 8.0)
+    store.put_worker("w2", ROW)
+    wait_until(lambda: processors_of(term, "w2") == 8.0)
+    assert term.scheduler.workers_to_record() == {"w1", "w2"}
+    services.add("unheard-of")
+    wait_until(lambda: processors_of(term, "odd") == 8.0)
+
+
+def test_a_known_worker_is_followed_after_its_service_was_removed(
+    store, start_term, services
+):
+    """Its runs hold leases, and end there."""
+    store.put_worker("w1", ROW)
+    term = start_term()
+    wait_until(lambda: processors_of(term, "w1") == 8.0)
+    services.clear()
+    store.put_worker("w1", with_cpu(2000))
+    wait_until(lambda: processors_of(term, "w1") == 2.0)
