Limit the occurrences of a job that are active at a time

What callers would see: one job with a large number of repeats and a period of 0, all due at once, stopped the planning of all queues: every occurrence was begun in one round, each with its own set of tasks, and the work that remains was summed up anew for each of them. 3,000 occurrences took some seconds here; the front takes any number.

Cause: `begin_due_occurrences` had no limit.

The fix: at most 100 occurrences of a job are active. The next one begins when the first has ended; nothing changes for a job with fewer at a time.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -13,6 +13,8 @@
 )
 from corianderpitch.ids import JobId, WorkerId
 
+MAX_ACTIVE_OCCURRENCES = 100  # of a job; a caller may ask for any number at once
+
 
 @dataclass(frozen=True, slots=True)
 class StepRecord:
@@ -209,12 +211,16 @@
                     yield step
 
     def begin_due_occurrences(self, wall_ms: float) -> None:
-        """Begin the occurrences that are due."""
+        """Begin the occurrences that are due, up to ``MAX_ACTIVE_OCCURRENCES``."""
         schedule = self.workload.schedule
         if schedule.repeats == 0:
             return
         upcoming = max(self.occurrences, default=self.finished - 1) + 1
-        while upcoming < schedule.occurrences and wall_ms >= schedule.due_ms(upcoming):
+        while (
+            upcoming < schedule.occurrences
+            and wall_ms >= schedule.due_ms(upcoming)
+            and len(self.occurrences) < MAX_ACTIVE_OCCURRENCES
+        ):
             self.begin_occurrence(upcoming)
             upcoming += 1
 
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -1,5 +1,6 @@
 """Regression tests for single scheduler decisions that were once wrong."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 
 import eventlet
@@ -39,6 +40,10 @@
 )
 from corianderpitch.domain.scheduling.orders import OrderResult, StopRun
 from corianderpitch.domain.scheduling.planning import plan
+from corianderpitch.domain.scheduling.progress import (
+    MAX_ACTIVE_OCCURRENCES,
+    ActiveJob,
+)
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
@@ -46,7 +51,7 @@
     ReportedRun,
     WorkerInfo,
 )
-from corianderpitch.domain.scheduling.workloads import Step, TaskRef
+from corianderpitch.domain.scheduling.workloads import Schedule, Step, TaskRef
 from corianderpitch.errors import OutcomeLost, WorkerError, WorkerProblem
 from corianderpitch.ids import (
     EntryId,
@@ -601,3 +606,20 @@
         assert scheduler.workers[WorkerId("w1")].committed_sequence == 0
         scheduler.mark_committed(scheduler.pop_changes())
         assert scheduler.workers[WorkerId("w1")].committed_sequence == 2
+
+
+def test_a_job_that_repeats_without_a_pause_does_not_stop_the_planning_of_others():
+    """All occurrences that were due began in one round, however many there were."""
+    scheduler = make_scheduler()
+    workload = replace(make_job("b").workload, schedule=Schedule(3000, 1.0, 0.0))
+    endless = ActiveJob(workload, 0.0, 9)
+    scheduler.add_job(endless)
+    scheduler.add_job(make_job("a"))
+    plan(scheduler, NOW_MS, 10.0)
+    assert len(endless.occurrences) == MAX_ACTIVE_OCCURRENCES
+    orders = scheduler.pop_orders()
+    for sequence, order in enumerate(orders, 1):
+        report(scheduler, order.worker, ended=[done(order, sequence)])
+    plan(scheduler, NOW_MS, 10.0)
+    assert endless.finished > 0
+    assert len(endless.occurrences) == MAX_ACTIVE_OCCURRENCES
