Let the lease of a start outlast the report that an idle worker owes

Cause: a worker on which nothing runs is asked for a report that it holds back for up to 2 s, without a lease. A task that is started right after that request gets a lease of 2 s with its start, and the next renewal goes out only after the report has come. The margin is the time between the request and the start, less two round trips. A worker that has just come is asked and given waiting tasks within milliseconds, so a holder that was a little late let the lease expire. Short tasks end before that; their end brings the report early.

The lease of a start is now as long as an idle worker may hold a report back, and a second more. The workers are asked no more often than before. That a start without an answer may be carried out a second later changes nothing: the fence that is raised after it refuses it, and a lease is still bounded by the age of the role's last renewal.

Ruled out: stops for evacuations (they count tasks that have not begun as away; no such stop could be ordered with six away) and moves of VMs (no run was lost with its worker).

The new test of test_links.py fails without the change, with a holder that is 0.5 s late.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -28,7 +28,11 @@
 REPORT_WAIT_MS = 1000  # limits the time to detect a dead connection
 IDLE_REPORT_WAIT_MS = 2000  # applies to a worker on which nothing runs
 FREQUENT_REPORT_WAIT_MS = 400  # tail latencies cover the last half second
-START_LEASE_MS = 2000.0  # a start that is executed later than this is refused
+
+# A start that is executed later than this is refused. The first renewal may have to
+# wait for a report of the idle worker that was requested before the start.
+START_LEASE_MS = IDLE_REPORT_WAIT_MS + 1000.0
+
 COMMIT_WAIT_MS = 150.0
 SILENT_RETRY_MS = 300.0
 UNREAD_RETRY_MS = 200.0
--- a/packages/corianderpitch/tests/test_links.py
+++ b/packages/corianderpitch/tests/test_links.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+from returns.result import Success
 from schedulers import NOW_MS, make_job, make_scheduler, starts
 
 from corianderpitch.clock import ManualClock
@@ -10,7 +11,7 @@
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.orders import LossCause, OrderResult
-from corianderpitch.domain.scheduling.workers import RunState
+from corianderpitch.domain.scheduling.workers import RunState, WorkerReport
 from corianderpitch.domain.scheduling.workloads import Step
 from corianderpitch.ids import WorkerId
 
@@ -30,9 +31,43 @@
         return OrderResult.DONE if is_current else OrderResult.SUPERSEDED
 
 
-def make_task(scheduler, link):
+class IdleWorkerLink:
+    """A worker that holds its first report back for the time that it may wait.
+
+    ``while_waiting`` is called as the wait begins. The worker is removed with the
+    second report, which arrives after the holder has lost ``holder_delay_ms``.
+    """
+
+    def __init__(self, scheduler, clock, holder_delay_ms):
+        self.scheduler = scheduler
+        self.clock = clock
+        self.holder_delay_ms = holder_delay_ms
+        self.while_waiting = lambda: None
+        self.leased_until_ms = 0.0
+        self.lease_left_ms = None
+
+    def start(self, info, order, until_ms):
+        self.leased_until_ms = until_ms
+        return OrderResult.DONE
+
+    def report(self, info, fence, last_seen, until_ms, wait_ms):
+        if self.leased_until_ms == 0.0:
+            self.clock.advance(1.0)
+            self.while_waiting()
+            self.clock.advance(wait_ms + self.holder_delay_ms)
+        else:
+            assert until_ms is not None
+            self.lease_left_ms = self.leased_until_ms - self.clock.now_ms()
+            del self.scheduler.workers[info.worker]
+        return Success(WorkerReport("1", self.clock.now_ms(), (), ()))
+
+    def disconnect(self, info):
+        pass
+
+
+def make_task(scheduler, link, clock=None):
     role = SimpleNamespace(renewal_age_ms=0.0)
-    clock = ManualClock(NOW_MS)
+    clock = clock or ManualClock(NOW_MS)
     return WorkerTask(
         WorkerId("w1"),
         scheduler,
@@ -96,3 +131,26 @@
     assert len(link.fences) == 1 + 2
     assert len(worker.runs) == 2
     assert worker.free.processors == 0.0
+
+
+def test_a_start_right_after_a_report_of_an_idle_worker_was_requested_is_renewed():
+    """The lease is renewed only once that report has arrived.
+
+    A holder that was a few milliseconds late let the lease expire, and the tasks that
+    it had just started ended: lasting ones were away without need.
+    """
+    clock = ManualClock(NOW_MS)
+    scheduler = make_scheduler(("w1",))
+    scheduler.add_job(make_job("a"))
+    link = IdleWorkerLink(scheduler, clock, holder_delay_ms=500.0)
+    task = make_task(scheduler, link, clock)
+    worker = scheduler.workers[WorkerId("w1")]
+    worker.clock_ms, worker.clock_received_ms = clock.now_ms(), clock.now_ms()
+
+    def start():
+        (order,) = starts(scheduler)
+        task._execute(order)
+
+    link.while_waiting = start
+    task.watch()
+    assert link.lease_left_ms > 0.0
--- a/packages/corianderpitch/tests/test_scheduler_rules.py
+++ b/packages/corianderpitch/tests/test_scheduler_rules.py
@@ -29,7 +29,7 @@
 
 QUEUE = Queue(QueueName("quotes"), ServiceName("counter"), max_attempts=3)
 LEASE_MS = 6000.0
-START_LEASE_MS = 2000.0
+START_LEASE_MS = 3000.0
 ROLE_LEASE_MS = 2000.0
 WORKERS = ("w1", "w2", "w3")
 DELIVERIES = ("prompt", "prompt", "answers_lost", "held")
