Check orders about VMs across holders in simulated time

Nothing tested the role, the term, the orders and the HTTP clients together while holders change: the tests of VmOrders send one order at a time and the process tests have one wave and no slow machine service.

Two to four entries run their real tasks on an eventlet hub whose clock jumps to the next timer. Their clients' connections go to the stand-ins of the store (moved out of the stand-in of the platform, unchanged) and of the machine service (new). A seeded script kills, stops, freezes and cuts off entries, mostly the holder, and makes the services slow, silent or lossy. The check sees what the machine service received: holder, fence, VM and time of arrival.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 bench: $(STAMP)
 	$(BIN)/python -m corianderpitch_standins.bench
 
-# A longer run of the property tests, with fresh seeds.
+# A longer run of the property tests and the simulated holders, with fresh seeds.
 explore: $(STAMP)
-	HYPOTHESIS_PROFILE=explore $(BIN)/python -m pytest packages/corianderpitch/tests
+	HYPOTHESIS_PROFILE=explore $(BIN)/python -m pytest packages/corianderpitch/tests \
+		tests/adapter/test_holder_changes.py
--- a/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
@@ -5,28 +5,26 @@
 the platform's configuration as JSON and the number of workers.
 """
 
-import base64
 import json
 import sys
 import traceback
-from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
 
 import eventlet
 from eventlet import wsgi
 from eventlet.event import Event
-from returns.result import Failure, Success
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.clock import SystemClock
 from corianderpitch.domain.scheduling.orders import OrderResult, StartRun, StopRun
 from corianderpitch.domain.scheduling.workers import EndKind
 from corianderpitch.domain.scheduling.workloads import TaskRef
-from corianderpitch.errors import HistoryLost
 from corianderpitch.ids import JobId, WorkerId
-from corianderpitch.ports import Check, PartitionedKey, Row, Write
+from corianderpitch.ports import PartitionedKey, Write
 from corianderpitch_standins.simulatedworkers import RunLedger, SimulatedWorker
+from corianderpitch_standins.userprotocol import Reply
+from corianderpitch_standins.userstore import StoreService
 
 HOST = "127.0.0.1"
 ADVANCE_INTERVAL_S = 0.01
@@ -46,20 +44,13 @@
 }
 
 
-@dataclass
-class Reply:
-    """An HTTP reply with a JSON body."""
-
-    status: int
-    body: dict[str, Any]
-
-
 class UserPlatform:
     """Store, workers and machines, each served on its own port."""
 
     def __init__(self, config: dict[str, Any], workers: int):
         self.clock = SystemClock()
         self.rows = MemoryRowStore(self.clock)
+        self.store = StoreService(self.rows, self.clock)
         self.ledger = RunLedger()
         self.handler_errors: list[str] = []
         self.is_store_down = False
@@ -114,60 +105,7 @@
     def _serve_store(self, name: str, body: dict[str, Any]) -> Reply:
         if self.is_store_down:
             return Reply(503, {})
-        match name:
-            case "rows-tx":
-                return self._commit(body)
-            case "rows-get":
-                page = self.rows.read(
-                    body["table"],
-                    body.get("part", ""),
-                    body.get("from", ""),
-                    body.get("to", ""),
-                ).unwrap()
-                rows = [_row_fields(row) for row in page.rows]
-                return self._store_reply(
-                    {"rows": rows, "has_more": False}, page.version
-                )
-            case "rows-parts":
-                parts = self.rows.list_partitions(body["table"]).unwrap()
-                return self._store_reply({"parts": list(parts)}, 0)
-            case "rows-feed":
-                return self._read_feed(body)
-        return Reply(404, {})
-
-    def _commit(self, body: dict[str, Any]) -> Reply:
-        checks = tuple(
-            Check(_parse_key(r), r["row_version"]) for r in body["expected_rev"]
-        )
-        writes = [
-            Write(_parse_key(r), base64.b64decode(r["value"])) for r in body["put"]
-        ]
-        writes += [Write(_parse_key(r), None) for r in body["remove"]]
-        keys = {entry.key for entry in (*checks, *writes)}
-        if len(checks) + len(writes) > 100:
-            return Reply(400, {})
-        if len({key.part for key in keys}) > 1 and not body.get("cross_shard"):
-            return Reply(400, {})
-        match self.rows.commit(checks, tuple(writes)):
-            case Success(version):
-                return self._store_reply({}, version)
-        return Reply(412, {"rows": []})
-
-    def _read_feed(self, body: dict[str, Any]) -> Reply:
-        result = self.rows.follow(
-            body["table"], int(body["after"]), int(body["wait_ms"])
-        )
-        match result:
-            case Failure(HistoryLost()):
-                return Reply(410, {})
-        changes = result.unwrap()
-        rows = [_row_fields(row) for row in changes.rows]
-        rows += [_key_fields(key) | {"deleted": True} for key in changes.deleted]
-        return self._store_reply({"rows": rows}, changes.version)
-
-    def _store_reply(self, fields: dict[str, Any], version: int) -> Reply:
-        now_ms = int(self.clock.now_ms())
-        return Reply(200, fields | {"row_version": version, "now_ms": now_ms})
+        return self.store.serve(name, body)
 
     def _add_worker(self, name: str) -> None:
         worker = SimulatedWorker(name, self.ledger)
@@ -356,19 +294,6 @@
         eventlet.sleep(1.0)
 
 
-def _key_fields(key: PartitionedKey) -> dict[str, str]:
-    return {"table": key.table, "part": key.part, "key": key.name}
-
-
-def _parse_key(fields: dict[str, Any]) -> PartitionedKey:
-    return PartitionedKey(fields["table"], fields.get("part", ""), fields["key"])
-
-
-def _row_fields(row: Row) -> dict[str, Any]:
-    value = base64.b64encode(row.value).decode()
-    return _key_fields(row.key) | {"value": value, "row_version": row.version}
-
-
 def _parse_task(name: str) -> TaskRef:
     job_id, occurrence, step, index = name.split(".")
     return TaskRef(JobId(job_id), int(occurrence), int(step), int(index))
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -1,6 +1,7 @@
-"""Makes the platform's adapter importable."""
+"""Makes the platform's adapter and the helpers of its tests importable."""
 
 import sys
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "platform"))
+FOLDER = Path(__file__).resolve().parent
+sys.path[:0] = [str(FOLDER.parents[1] / "platform"), str(FOLDER)]
