Hit the simulated holders beside their calls of the machine service

Most troubles now begin beside a call of the machine service, and cuts take away the store and the machine service at once more often.

--- a/tests/adapter/simulation.py
+++ b/tests/adapter/simulation.py
@@ -150,6 +150,7 @@
         self.rows = SimulatedRows(self.clock)
         self.store = StoreService(self.rows, self.clock)
         self.machines = MachineService(self.clock, MAINTENANCE_MS)
+        self._machines_called = Event()
 
     def add_link(self, entry):
         """Return the host name and the link of a new process of an entry."""
@@ -173,6 +174,16 @@
         if link.is_dead:
             raise GreenletExit
 
+    def note_call(self, port):
+        """Wake who waits for a call of the machine service, before it is sent."""
+        if port == MACHINES_PORT:
+            called, self._machines_called = self._machines_called, Event()
+            called.send()
+
+    def wait_for_machine_call(self, timeout_ms):
+        with eventlet.Timeout(timeout_ms / 1000.0, False):
+            self._machines_called.wait()
+
     def faults_of(self, port):
         return self.store_faults if port == STORE_PORT else self.machine_faults
 
@@ -249,6 +260,7 @@
         self._network, self._link, self._port = network, link, port
         self._held_at_most_ms = delivery_timeout_ms or math.inf
         self._is_aborted = False
+        network.note_call(port)
         network.pause(link)
         needed_ms = network.rng.uniform(*network.faults_of(port).connect_ms)
         if network.is_cut(link, port):
@@ -259,6 +271,7 @@
             raise NotSentError("TimeoutError")
 
     def is_stale(self):
+        self._network.note_call(self._port)
         self._network.pause(self._link)
         return False
 
--- a/tests/adapter/test_holder_changes.py
+++ b/tests/adapter/test_holder_changes.py
@@ -34,6 +34,7 @@
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.terms import SchedulerTerm
 from corianderpitch.daemon.scheduling.vmorders import VmOrders
+from corianderpitch.daemon.scheduling.wavereports import WaveReports
 from corianderpitch.daemon.supervision import keep_running
 from corianderpitch.ids import EntryId
 from corianderpitch.ports import PartitionedKey, Write
@@ -51,6 +52,8 @@
 GRACE_MS = 600.0
 TROUBLED_MS, CALM_MS = 45_000.0, 25_000.0
 HOLDER_SHARE = 0.8  # of the troubles that hit an entry
+CALL_SHARE = 0.6  # of the troubles that begin beside a call of the machine service
+MAX_CALL_WAIT_MS, MAX_AFTER_CALL_MS = 2000.0, 40.0
 # Each seed failed on the code of its time; the value names the cause.
 SEEDS = {
     66: "orders sent seconds after the record of their round, holder killed",
@@ -102,7 +105,7 @@
             self._clock,
             RENEW_INTERVAL_MS,
             ROLE_LEASE_MS,
-            self._store.time_ms,
+            self._store,
         )
         candidates = CandidateTask(
             table, self._store, EntryId(name), processors, is_first_start=False
@@ -147,7 +150,7 @@
         )
         return MaintenanceTask(
             orders,
-            self._operators,
+            WaveReports(self._store, self._role, self._operators),
             self._catalogs,
             scheduler,
             self._clock,
@@ -207,6 +210,9 @@
         sleep_ms(4000.0)
         while self.network.clock.now_ms() < until_ms:
             sleep_ms(self.rng.uniform(100.0, 3000.0))
+            if self.rng.random() < CALL_SHARE:
+                self.network.wait_for_machine_call(MAX_CALL_WAIT_MS)
+                sleep_ms(self.rng.uniform(0.0, MAX_AFTER_CALL_MS))
             self._trouble()
         self.network.store_faults = ServiceFaults()
         self.network.machine_faults = ServiceFaults()
@@ -224,7 +230,7 @@
         entry = self._victim()
         if entry is None:
             return
-        duration_ms = self.rng.uniform(300.0, 6000.0)
+        duration_ms = self.rng.uniform(300.0, 7000.0)
         trouble = self.rng.choice(TROUBLES)
         now_ms = self.network.clock.now_ms()
         self.troubles.append(f"{now_ms:.0f} ms: {trouble} {entry.name}")
@@ -308,7 +314,7 @@
         }
 
 
-CUTS = ((True, False), (False, True), (True, True))
+CUTS = ((True, False), (False, True), (True, True), (True, True))
 TROUBLES = (
     "kill",
     "kill",
