Make slow orders and orderly stops more frequent for the simulated holders

A script drew a slow machine service in two of sixteen troubles, and the limit for the age of a record matters only beside one. It is four of nineteen now, and stops are four.

--- a/tests/adapter/test_holder_changes.py
+++ b/tests/adapter/test_holder_changes.py
@@ -54,16 +54,16 @@
 HOLDER_SHARE = 0.8  # of the troubles that hit an entry
 CALL_SHARE = 0.6  # of the troubles that begin beside a call of the machine service
 MAX_CALL_WAIT_MS, MAX_AFTER_CALL_MS = 2000.0, 40.0
-# Each seed failed on the code of its time; the value names the cause.
+# Each seed failed on the code before issue 29; the value names the cause.
 SEEDS = {
-    66: "orders sent seconds after the record of their round, holder killed",
-    109: "the same, holder cut off from the store",
-    285: "the same, holder frozen",
-    20: "an order of a holder that was cut off, delivered after its successor's",
-    131: "an order of a holder that was frozen, sent after its successor's",
-    272: "the same; and two orders about one VM side by side, named by two waves",
-    5: "two orders about one VM side by side, named by two waves",
-    16: "an old report of a wave as running, applied after its completion",
+    67: "turns: orders sent seconds after the record of their round",
+    91: "the same",
+    108: "the same",
+    44: "a lower fence after a higher one, by a holder that was cut off or frozen",
+    131: "the same",
+    116: "both",
+    27: "two orders about one VM side by side; a wave reported as running for good",
+    150: "a wave reported as running for good",
 }
 EXPLORED_SEEDS = 400
 CONFIG = {
@@ -316,22 +316,10 @@
 
 CUTS = ((True, False), (False, True), (True, True), (True, True))
 TROUBLES = (
-    "kill",
-    "kill",
-    "stop",
-    "stop",
-    "stop",
-    "freeze",
-    "freeze",
-    "late reader",
-    "cut",
-    "cut",
-    "slow machines",
-    "slow machines",
-    "silent machines",
-    "slow store",
-    "lossy store",
-    "store away",
+    *("kill", "kill", "stop", "stop", "stop", "stop"),
+    *("freeze", "freeze", "late reader", "cut", "cut"),
+    *("slow machines", "slow machines", "slow machines", "slow machines"),
+    *("silent machines", "slow store", "lossy store", "store away"),
 )
 
 
