Soak real entries on the users' platform under random troubles

No test had several troubles at once on real processes with the users' interface: each of test_userplatform.py brings about one, and the stand-in had one pool, no moves, no faults of the machine service, and restarted a maintained machine's worker under its old id.

The stand-in's machines now have pools, go down for moves and maintenance and come back with a new worker; calls for a worker that is gone are answered with 421; the store and the machine service can be slow or silent; it logs orders with their times of arrival. The soak runs entries behind the fault proxy, callers that keep their connections, moving load and waves, with a seeded script of signals, restarts, cuts and faults, and checks what the machine service, the workers and the callers saw (docs/standins/SOAK.md).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 PACKAGES := $(wildcard packages/*/pyproject.toml)
 
-.PHONY: setup test lint format demo bench explore
+.PHONY: setup test lint format demo bench explore soak
 
 setup: $(STAMP)
 
@@ -37,3 +37,7 @@
 explore: $(STAMP)
 	HYPOTHESIS_PROFILE=explore $(BIN)/python -m pytest packages/corianderpitch/tests \
 		tests/adapter/test_holder_changes.py
+
+# Fifty soaks of real entries in half an hour or more; logs in soak-logs.
+soak: $(STAMP)
+	$(BIN)/python -W ignore -m corianderpitch_standins.soak --seeds 50 --seconds 30
--- /dev/null
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soakcallers.py
@@ -0,0 +1,173 @@
+"""Callers of a soak, which submit jobs and ask for their states.
+
+A caller keeps using its connection until the process behind it is gone. What each
+attempt to hand a job in led to is recorded for the checks at the end.
+"""
+
+import http.client
+import json
+import random
+import select
+import socket
+import threading
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from corianderpitch_standins.soakfleet import SERVICES, SoakEntry, SoakFleet
+
+CALL_TIMEOUT_S = 5.0
+RETRY_S = 0.1
+VISIBLE_MS = 3000.0
+REFUSALS = (429, 503)
+UNKNOWN = (None, 502, 504)
+HEADERS = {"Host": "shop.example", "Content-Type": "application/json"}
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenCall:
+    """A call whose connection ended without a complete answer."""
+
+    entry: str
+    sent_ms: float
+    ended_ms: float
+
+
+@dataclass
+class Job:
+    """A job and the answers to the attempts to hand it in; ``None`` is no answer."""
+
+    path: str
+    answers: list[int | None] = field(default_factory=list)
+    accepted_ms: float = 0.0
+    state: str = ""
+
+    @property
+    def was_refused(self) -> bool:
+        """Return whether every attempt was answered with a refusal."""
+        return bool(self.answers) and all(a in REFUSALS for a in self.answers)
+
+
+class Caller(threading.Thread):
+    """One caller with one connection at a time."""
+
+    def __init__(self, fleet: SoakFleet, number: int, seed: int, is_busy: Any):
+        super().__init__(daemon=True)
+        self._fleet = fleet
+        self._number = number
+        self._rng = random.Random(seed * 1000 + number)
+        self._is_busy = is_busy
+        self._connection: http.client.HTTPConnection | None = None
+        self._entry: SoakEntry | None = None
+        self.jobs: list[Job] = []
+        self.broken_calls: list[BrokenCall] = []
+        self.findings: list[str] = []
+        self.is_submitting = True
+        self.is_stopped = False
+
+    def run(self) -> None:
+        """Submit jobs and ask for states until stopped."""
+        while not self.is_stopped:
+            if self.is_submitting:
+                self._submit(self._new_job())
+            open_jobs = [job for job in self.jobs if job.accepted_ms and not job.state]
+            for job in self._rng.sample(open_jobs, min(3, len(open_jobs))):
+                self._ask(job)
+            time.sleep(self._rng.uniform(0.02, 0.3))
+
+    def _new_job(self) -> Job:
+        """Return a job for the service whose turn it is, mostly."""
+        service = self._is_busy() if self._rng.random() < 0.8 else SERVICES[0]
+        number = self._number * 100_000 + len(self.jobs) + 1
+        job = Job(f"/{service}/{number:016x}")
+        self.jobs.append(job)
+        return job
+
+    def _submit(self, job: Job) -> None:
+        """Hand a job in, again after no answer, until it is accepted or refused."""
+        step = {"cpu": 1000, "mem_mb": 100, "estimate_ms": 150}
+        steps = [step | {"count": self._rng.randint(1, 8)}]
+        if self._rng.random() < 0.5:
+            steps.append(step | {"count": 2, "after": [0]})
+        body = {"spec": "soak", "steps": steps}
+        while not self.is_stopped:
+            status, _ = self._call("POST", job.path, body)
+            job.answers.append(status)
+            if status == 200:
+                job.accepted_ms = self._fleet.clock.now_ms()
+            if status not in UNKNOWN:
+                break
+            time.sleep(RETRY_S)
+        if job.answers[-1] not in (200, *REFUSALS, *UNKNOWN):
+            self.findings.append(f"{job.path}: answered {job.answers[-1]}")
+
+    def _ask(self, job: Job) -> None:
+        status, fields = self._call("GET", job.path)
+        if status == 200 and fields["state"] in ("completed", "failed", "cancelled"):
+            job.state = fields["state"]
+        if status in (200, *REFUSALS, *UNKNOWN):
+            return
+        now_ms = self._fleet.clock.now_ms()
+        age_ms = now_ms - job.accepted_ms
+        name = self._entry.name
+        if age_ms > VISIBLE_MS and not self._fleet.is_disturbed(name, now_ms, now_ms):
+            self.findings.append(
+                f"{job.path}: accepted {age_ms:.0f} ms before, {name} answers {status}"
+            )
+
+    def _call(self, method: str, path: str, body: Any = None) -> tuple[int | None, Any]:
+        """Make a call; the status is ``None`` if there was no complete answer."""
+        connection = self._connect()
+        if connection is None:
+            time.sleep(RETRY_S)
+            return None, None
+        sent_ms = self._fleet.clock.now_ms()
+        try:
+            content = json.dumps(body) if body is not None else None
+            connection.request(method, path, content, HEADERS)
+            sent_ms = self._fleet.clock.now_ms()
+            response = connection.getresponse()
+            data = response.read()
+            fields = json.loads(data) if data else {}
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            self._drop(error, sent_ms)
+            return None, None
+        self._check_no_second_answer(path)
+        return response.status, fields
+
+    def _check_no_second_answer(self, path: str) -> None:
+        """Add a finding if bytes follow an answer."""
+        opened = self._connection.sock if self._connection is not None else None
+        if opened is None or not select.select([opened], [], [], 0.0)[0]:
+            return
+        try:
+            extra = opened.recv(100, socket.MSG_PEEK)
+        except OSError:
+            return
+        if extra:
+            self.findings.append(f"{path}: bytes after the answer: {extra!r}")
+
+    def _connect(self) -> http.client.HTTPConnection | None:
+        """Return the open connection, or one to a ready entry if that is gone."""
+        if self._connection is not None and self._connection.sock is not None:
+            return self._connection
+        ready = [e for e in self._fleet.serving() if self._fleet.is_ready(e)]
+        if not ready:
+            return None
+        self._entry = self._rng.choice(ready)
+        self._connection = http.client.HTTPConnection(
+            self._entry.front, timeout=CALL_TIMEOUT_S
+        )
+        try:
+            self._connection.connect()
+        except OSError:
+            self._connection = None
+        return self._connection
+
+    def _drop(self, error: Exception, sent_ms: float) -> None:
+        now_ms = self._fleet.clock.now_ms()
+        if not isinstance(error, TimeoutError):
+            self.broken_calls.append(BrokenCall(self._entry.name, sent_ms, now_ms))
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
--- a/packages/corianderpitch-standins/corianderpitch_standins/usermachines.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/usermachines.py
@@ -36,7 +36,7 @@
     """A machine, its pool and the worker that runs on it.
 
     ``state`` is as the platform spells it; ``until_ms`` is when a machine that moves
-    or is maintained is up again.
+    or is maintained is up again, and ``lives`` how many workers it has had.
     """
 
     name: str
@@ -44,6 +44,7 @@
     worker: str = ""
     state: str = "up"
     until_ms: float = 0.0
+    lives: int = 0
     wave: str = ""
     begun_waves: set[str] = field(default_factory=set)
 
--- a/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
@@ -2,12 +2,17 @@
 
 It implements the HTTP interface that the platform documents. All parts run in one
 process, each on its own port, and keep their state in memory. The arguments are
-the platform's configuration as JSON and the number of workers.
+the platform's configuration as JSON, the number of workers, which are spread over the
+services, and the number of machines that are off in the standby service.
 """
 
 import json
+import random
 import sys
 import traceback
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from functools import partial
 from typing import Any
 from urllib.parse import parse_qs
 
@@ -23,13 +28,17 @@
 from corianderpitch.ids import JobId, WorkerId
 from corianderpitch.ports import PartitionedKey, Write
 from corianderpitch_standins.simulatedworkers import RunLedger, SimulatedWorker
-from corianderpitch_standins.userprotocol import Reply
+from corianderpitch_standins.usermachines import Machine, MachineService
+from corianderpitch_standins.userprotocol import Reply, Request
 from corianderpitch_standins.userstore import StoreService
 
 HOST = "127.0.0.1"
 ADVANCE_INTERVAL_S = 0.01
 HEARTBEAT_INTERVAL_S = 0.5
 TASK_RUN_MS = 150.0
+MACHINE_DOWN_MS = 1000.0
+SILENCE_S = 5.0  # longer than any caller waits for an answer
+MAX_LATE_MS = 2000.0
 
 _END_KIND_FIELDS = {
     EndKind.DONE: "done",
@@ -44,26 +53,46 @@
 }
 
 
+@dataclass
+class CallFaults:
+    """How the store or the machine service answers.
+
+    A call takes up to ``slow_ms`` longer. ``silent_share`` of the calls are carried
+    out, at once or later, and get no answer.
+    """
+
+    slow_ms: float = 0.0
+    silent_share: float = 0.0
+
+
 class UserPlatform:
     """Store, workers and machines, each served on its own port."""
 
-    def __init__(self, config: dict[str, Any], workers: int):
+    def __init__(self, config: dict[str, Any], workers: int, standby: int = 0):
         self.clock = SystemClock()
         self.rows = MemoryRowStore(self.clock)
         self.store = StoreService(self.rows, self.clock)
         self.ledger = RunLedger()
         self.handler_errors: list[str] = []
         self.is_store_down = False
+        self.store_faults, self.machine_faults = CallFaults(), CallFaults()
+        self._rng = random.Random(0)
+        self.machines = MachineService(
+            self.clock, MACHINE_DOWN_MS, self._stop_machine, self._start_machine
+        )
         self.store_address = self._serve_http(self._serve_store)
         self.machines_address = self._serve_http(self._serve_machines)
         self.control_address = self._serve_http(self._serve_control)
         self.workers: dict[str, SimulatedWorker] = {}
         self.addresses: dict[str, str] = {}
         self._end_events: dict[str, Event] = {}
-        self.maintained_machines: set[str] = set()
-        self._service = config["services"][0]["name"]
+        services = config["services"]
+        serving = [s["name"] for s in services if not s.get("standby")]
+        self._standby = [s["name"] for s in services if s.get("standby")]
         for number in range(workers):
-            self._add_worker(f"i-{number}")
+            self._add_worker(f"i-{number}", serving[number % len(serving)])
+        for number in range(workers, workers + standby):
+            self._add_worker(f"i-{number}", self._standby[0])
         self.write("op", "config", config)
         eventlet.spawn(self._advance_workers)
         eventlet.spawn(self._publish_heartbeats)
@@ -80,7 +109,10 @@
             }
             name = environ["PATH_INFO"].rpartition("/")[2]
             try:
-                reply = handler(name, body | query)
+                holder = environ.get("HTTP_X_DUTY_HOLDER", "")
+                fence = int(environ.get("HTTP_X_FENCE_TOKEN") or 0)
+                instance = environ.get("HTTP_X_EXPECT_INSTANCE", "")
+                reply = handler(Request(name, body | query, holder, fence, instance))
             except Exception as error:  # Tests read it from the control port.
                 traceback.print_exc()
                 self.handler_errors.append(str(error))
@@ -102,22 +134,66 @@
         key = PartitionedKey(table, "", name)
         self.rows.commit((), (Write(key, text.encode()),))
 
-    def _serve_store(self, name: str, body: dict[str, Any]) -> Reply:
+    def _serve_store(self, request: Request) -> Reply:
         if self.is_store_down:
             return Reply(503, {})
-        return self.store.serve(name, body)
+        return self._carry_out(
+            lambda: self.store.serve(request.name, request.fields), self.store_faults
+        )
 
-    def _add_worker(self, name: str) -> None:
+    def _carry_out(self, execute: Callable[[], Reply], faults: CallFaults) -> Reply:
+        """Carry out a call slowly, or without an answer."""
+        is_silent = self._rng.random() < faults.silent_share
+        late_ms = self._rng.choice((0.0, self._rng.uniform(0.0, MAX_LATE_MS)))
+        before_ms = late_ms if is_silent else self._rng.uniform(0.0, faults.slow_ms)
+        eventlet.sleep(before_ms / 1000.0)
+        reply = execute()
+        eventlet.sleep(self._rng.uniform(0.0, faults.slow_ms) / 1000.0)
+        if is_silent:
+            eventlet.sleep(SILENCE_S)
+        return reply
+
+    def _add_worker(self, name: str, service: str) -> None:
         worker = SimulatedWorker(name, self.ledger)
-        worker.start_incarnation(self.clock.now_ms())
         self.workers[name] = worker
+        machine = Machine(f"m-{name}", service)
         self.addresses[name] = self._serve_http(
-            lambda call, body: self._serve_worker(worker, call, body)
+            lambda request: self._serve_worker(machine, worker, request)
         )
+        self.machines.add(machine)
+        worker.crash()
+        self._start_machine(machine)
+
+    def _stop_machine(self, machine: Machine) -> None:
+        """End the worker of a machine and remove its row."""
+        if not machine.worker:
+            return
+        key = PartitionedKey("servers", "", machine.worker)
+        machine.worker = ""
+        self._worker_of(machine).crash()
+        self.rows.commit((), (Write(key, None),))
+
+    def _start_machine(self, machine: Machine) -> None:
+        """Start a worker with a new id on a machine, unless it is on standby."""
+        if machine.pool in self._standby:
+            return
+        machine.lives += 1
+        suffix = f".{machine.lives}" if machine.lives > 1 else ""
+        machine.worker = machine.name.removeprefix("m-") + suffix
+        self._worker_of(machine).start_incarnation(self.clock.now_ms())
+
+    def _worker_of(self, machine: Machine) -> SimulatedWorker:
+        return self.workers[machine.name.removeprefix("m-")]
 
     def _serve_worker(
-        self, worker: SimulatedWorker, name: str, body: dict[str, Any]
+        self, machine: Machine, worker: SimulatedWorker, request: Request
     ) -> Reply:
+        if not worker.is_up:
+            eventlet.sleep(SILENCE_S)
+            return Reply(503, {})
+        if request.instance not in ("", machine.worker):
+            return Reply(421, {})
+        name, body = request.name, request.fields
         now_ms = self.clock.now_ms()
         worker.advance(now_ms)
         if name == "hold":
@@ -146,7 +222,10 @@
         """
         until_ms = self.clock.now_ms() + body.get("wait_ms", 0)
         last_seen = body["last_seen"]
+        incarnation_id = worker.incarnation_id
         while True:
+            if not worker.is_up or worker.incarnation_id != incarnation_id:
+                return Reply(421, {})  # the process that was asked has ended
             report = worker.report(
                 body["fence_token"],
                 body["last_seen"],
@@ -195,6 +274,7 @@
     def _advance_workers(self) -> None:
         while True:
             eventlet.sleep(ADVANCE_INTERVAL_S)
+            self.machines.advance()
             for worker in self.workers.values():
                 if worker.is_up:
                     worker.advance(self.clock.now_ms())
@@ -203,14 +283,16 @@
 
     def _publish_heartbeats(self) -> None:
         while True:
-            for name, worker in self.workers.items():
-                self.write("servers", name, self._worker_row(name, worker))
+            for machine in self.machines.machines.values():
+                if machine.worker:
+                    self.write("servers", machine.worker, self._worker_row(machine))
             eventlet.sleep(HEARTBEAT_INTERVAL_S)
 
-    def _worker_row(self, name: str, worker: SimulatedWorker) -> dict[str, Any]:
+    def _worker_row(self, machine: Machine) -> dict[str, Any]:
+        worker = self._worker_of(machine)
         return {
-            "service": self._service,
-            "address": self.addresses[name],
+            "service": machine.pool,
+            "address": self.addresses[worker.name],
             "zone": "here",
             "version": "v1",
             "slots": 8,
@@ -218,51 +300,52 @@
             "cold_left_ms": 0,
             "capacity": {"cpu": 4000, "mem_mb": 8000, "gpus": 0},
             "labels": ["a", "r1"],
-            "machine": f"m-{name}",
+            "machine": machine.name,
             "born": int(worker.incarnation_id),
             "clock_ms": int(worker.clock_ms(self.clock.now_ms())),
             "seq": 1,
         }
 
-    def _serve_machines(self, name: str, body: dict[str, Any]) -> Reply:
-        if name == "machines":
-            machines = [
-                {
-                    "machine": f"m-{worker}",
-                    "pool": self._service,
-                    "state": "up",
-                    "zone": "here",
-                    "labels": ["a", "r1"],
-                    "capacity": {"cpu": 4000, "mem_mb": 8000, "gpus": 0},
-                    "id": worker,
-                }
-                for worker in self.workers
-            ]
-            return Reply(200, {"machines": machines, "next_token": None})
-        worker = self.workers[body["machine"].removeprefix("m-")]
-        if body["machine"] not in self.maintained_machines:
-            self.maintained_machines.add(body["machine"])
-            worker.crash()
-            worker.start_incarnation(self.clock.now_ms())
-        return Reply(200, {})
-
-    def _serve_control(self, name: str, body: dict[str, Any]) -> Reply:
+    def _serve_machines(self, request: Request) -> Reply:
+        if request.name == "machines":
+            execute = self.machines.list_machines
+        else:
+            order = self.machines.receive(
+                request.name, request.fields, request.holder, request.fence
+            )
+            execute = partial(self.machines.carry_out, order)
+        return self._carry_out(execute, self.machine_faults)
+
+    def _serve_control(self, request: Request) -> Reply:
         """Switch faults or write a row as operators do, and return the counts."""
-        match name:
+        body = request.fields
+        match request.name:
             case "store":
                 self.is_store_down = body["away"]
+            case "store-faults":
+                self.store_faults = CallFaults(**body)
+            case "machine-faults":
+                self.machine_faults = CallFaults(**body)
+            case "orders":
+                orders = [asdict(order) for order in self.machines.arrivals]
+                return Reply(200, {"orders": orders})
+            case "runs":
+                jobs = {task.job_id for task in self.ledger.running}
+                return Reply(200, {"started_jobs": sorted(jobs)})
             case "history":
                 self.rows.truncate_history()
             case "crash":
                 worker = self.workers[body["worker"]]
-                worker.crash()
-                worker.start_incarnation(self.clock.now_ms())
+                if worker.is_up:
+                    worker.crash()
+                    worker.start_incarnation(self.clock.now_ms())
             case "write":
                 self.write(body["table"], body["name"], body["fields"])
             case "write_text":
                 self.write_text(body["table"], body["name"], body["text"])
         done = sum(len(ends) for ends in self.ledger.done.values())
         running = sum(len(worker.runs) for worker in self.workers.values())
+        maintained = [m.name for m in self.machines.machines.values() if m.begun_waves]
         status = self.rows.read("status", "").unwrap().rows
         return Reply(
             200,
@@ -270,7 +353,8 @@
                 "problems": self.handler_errors,
                 "done": done,
                 "running": running,
-                "maintained": sorted(self.maintained_machines),
+                "maintained": sorted(maintained),
+                "most_down": self.machines.most_down,
                 "status": {r.key.name: json.loads(r.value) for r in status},
             },
         )
@@ -283,7 +367,8 @@
     machines and the control port.
     """
     config = json.loads(sys.argv[1])
-    platform = UserPlatform(config, workers=int(sys.argv[2]))
+    counts = [int(argument) for argument in sys.argv[2:]]
+    platform = UserPlatform(config, *counts)
     addresses = {
         "store": platform.store_address,
         "machines": platform.machines_address,
