--- a/tests/adapter/test_holder_changes.py
+++ b/tests/adapter/test_holder_changes.py
@@ -130,6 +130,7 @@
             self._clock,
             JobMeters(),
             lambda: self._catalogs.catalog.queues,
+            lambda: self._catalogs.catalog.pools,
             HOLD_MAX_MS,
             ROLE_LEASE_MS,
             KEEP_ENDED_MS,
