Count crashes in a row, so that no verdict is lost with its holder

The successors knew the count, but waited for a crash of their own.

A count alone could not end the job: it held crashes of long proven runs as well, which hit any task that works for long. The committed count now holds only crashes soon after a start, and starts again once a run has passed its probation. Three in a row end the job at once, whoever saw them; two do as before, if the second was in isolation and without a common cause. Crashes under proven runs are kept apart, and not committed; two of them lead to isolation with a longer probation. Crashes that a successor finds in the recorded runs are logged ("Worker crashed before this term.").

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -16,7 +16,11 @@
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.supervision import keep_running
-from corianderpitch.domain.scheduling.crashes import Verdict, WorkerCrash
+from corianderpitch.domain.scheduling.crashes import (
+    EarlierCrash,
+    Verdict,
+    WorkerCrash,
+)
 from corianderpitch.domain.scheduling.evacuation import evacuate
 from corianderpitch.domain.scheduling.orders import RunNotice
 from corianderpitch.domain.scheduling.pacing import pace_fillers
@@ -388,10 +392,16 @@
                 suspects=sorted({task.job_id for task in notice.suspects}),
                 crashes=notice.crashes,
             )
+        case EarlierCrash():
+            log.warning(
+                "Worker crashed before this term.",
+                worker=notice.worker,
+                suspects=sorted({task.job_id for task in notice.suspects}),
+            )
         case Verdict():
             log.warning(
                 "Job given up: its task crashes workers.",
-                job=notice.job_id,
+                job=notice.task.job_id,
                 task=notice.task.position,
                 crashes=notice.crashes,
             )
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -6,8 +6,10 @@
 ``PROBATION_MS`` yet become suspects. They are started again in isolation (see
 ``isolation``), so that a second crash names the job that caused it.
 
-The crashes are counted for each task by the numbers of its runs, and committed with
-its job's progress, so that a successor continues the count.
+The crashes are counted for each task by the numbers of its runs, until a run passes
+its probation. They are committed with the job's progress, so that a successor
+continues the count. A third crash in a row ends the job in any case: verdicts on
+earlier ones may have been lost with their holder.
 """
 
 from collections.abc import Iterable, Mapping
@@ -19,15 +21,23 @@
 from corianderpitch.ids import JobId, WorkerId
 
 PROBATION_MS = 300.0
-REPEATED_PROBATION_MS = 3000.0  # of a task that was at work in several crashes
-REPEATED_CRASHES = 3
-CRASHES_TO_GIVE_UP = 2
-CRASHES_TO_GIVE_UP_IN_OUTAGE = 3
+LATE_PROBATION_MS = 3000.0
+LATE_CRASHES_TO_SUSPECT = 2
+CRASHES_TO_GIVE_UP = 2  # the second one in isolation, and without a common cause
+CRASHES_TO_GIVE_UP_ALWAYS = 3
 VERDICT_DELAY_MS = 500.0  # crashes with a common cause are noticed one by one
 COMMON_CAUSE_WINDOW_MS = 1000.0
 COMMON_CAUSE_WORKERS = 2  # that crash at about the same time as another one
 
 
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Decision that a task has crashed workers, and its job is to be given up."""
+
+    task: TaskRef
+    crashes: int
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerCrash:
     """End of a worker's process that no order or draining explains.
@@ -52,14 +62,21 @@
         """Return the highest count of crashes among the suspects."""
         return max(self.suspects.values(), default=0)
 
+    def verdict(self) -> Verdict:
+        """Return the verdict that its most suspect task is the cause."""
+        task = max(self.suspects, key=lambda suspect: self.suspects[suspect])
+        return Verdict(task, self.suspects[task])
+
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
-    """Decision that a job is to be given up after ``crashes`` crashes of workers."""
+class EarlierCrash:
+    """Crash of a worker before the term, with its suspects and their counts."""
+
+    worker: WorkerId
+    suspects: Mapping[TaskRef, int]
 
-    job_id: JobId
-    task: TaskRef
-    crashes: int
+
+CrashNotice = WorkerCrash | EarlierCrash | Verdict
 
 
 @dataclass(slots=True)
@@ -83,29 +100,26 @@
     _undecided: list[tuple[float, WorkerCrash]] = field(default_factory=list)
 
     def add(self, crash: WorkerCrash) -> None:
-        """Add a crash; the next call of ``pop_due`` sets its time."""
+        """Add a crash; the next call of ``pop_verdicts`` sets its time."""
         self._new.append(crash)
 
-    def pop_due(self, now_ms: float) -> list[tuple[WorkerCrash, bool]]:
-        """Return the crashes to decide on, and whether each has a common cause."""
+    def pop_verdicts(self, now_ms: float) -> list[Verdict]:
+        """Return the verdicts on crashes that some time has passed since."""
         for crash in self._new:
             self._recent.append((now_ms, crash))
             if _may_be_decisive(crash):
                 self._undecided.append((now_ms, crash))
         self._new.clear()
-        due = [
-            (crash, self._has_common_cause(at_ms, crash))
-            for at_ms, crash in self._undecided
-            if now_ms - at_ms >= VERDICT_DELAY_MS
-        ]
-        self._undecided = [
-            (at_ms, crash)
-            for at_ms, crash in self._undecided
-            if now_ms - at_ms < VERDICT_DELAY_MS
+        due = [c for c in self._undecided if now_ms - c[0] >= VERDICT_DELAY_MS]
+        self._undecided = [c for c in self._undecided if c not in due]
+        verdicts = [
+            crash.verdict()
+            for at_ms, crash in due
+            if not self._has_common_cause(at_ms, crash)
         ]
         oldest_ms = now_ms - VERDICT_DELAY_MS - COMMON_CAUSE_WINDOW_MS
         self._recent = [(at, crash) for at, crash in self._recent if at >= oldest_ms]
-        return due
+        return verdicts
 
     def is_undecided(self, job_id: JobId) -> bool:
         """Return whether a crash that a job may have caused is not decided on yet."""
@@ -139,8 +153,8 @@
 
 def probation_ms(step: ActiveStep, index: int) -> float:
     """Return how long a task must run until it is no suspect any more."""
-    if step.crash_count(index) >= REPEATED_CRASHES:
-        return REPEATED_PROBATION_MS
+    if len(step.late_crashed.get(index, ())) >= LATE_CRASHES_TO_SUSPECT:
+        return LATE_PROBATION_MS
     return PROBATION_MS
 
 
@@ -148,17 +162,19 @@
     """Count a crash of a worker during a run; return whether its task is a suspect.
 
     A run that had passed its probation is unlikely to be the cause. Its task becomes
-    a suspect after ``REPEATED_CRASHES``, but for lasting tasks, which run through many
-    crashes of their workers.
+    a suspect after ``LATE_CRASHES_TO_SUSPECT``, but for lasting tasks, which run
+    through many crashes of their workers.
     """
     if index in step.done or (is_proven and step.step.is_lasting):
         return False
-    step.crashed.setdefault(index, set()).add(number)
-    if is_proven and step.crash_count(index) < REPEATED_CRASHES:
-        return False
+    if is_proven:
+        late = step.late_crashed.setdefault(index, set())
+        late.add(number)
+        if len(late) < LATE_CRASHES_TO_SUSPECT:
+            return False
     if any(run.is_proven and run.number > number for run in step.runs.get(index, ())):
         return False  # noticed late: a later run has passed its probation since
-    step.suspects.add(index)
+    step.crashed.setdefault(index, set()).add(number)
     return True
 
 
@@ -167,15 +183,6 @@
     return now_ms - run.state_since_ms >= probation_ms(step, run.task.index)
 
 
-def judge(crash: WorkerCrash, has_common_cause: bool) -> Verdict | None:
-    """Decide whether the job that was alone suspected of a crash is to be given up."""
-    needed = CRASHES_TO_GIVE_UP_IN_OUTAGE if has_common_cause else CRASHES_TO_GIVE_UP
-    if crash.culprit is None or crash.crashes < needed:
-        return None
-    task = max(crash.suspects, key=lambda suspect: crash.suspects[suspect])
-    return Verdict(crash.culprit, task, crash.crashes)
-
-
 @dataclass(slots=True)
 class RecordedRuns:
     """Runs that predecessors recorded, by worker, until the worker is heard of.
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
@@ -3,13 +3,15 @@
 from collections.abc import Mapping
 
 from corianderpitch.domain.scheduling.crashes import (
+    CRASHES_TO_GIVE_UP_ALWAYS,
     Cell,
     CrashLog,
+    CrashNotice,
+    EarlierCrash,
     RecordedRuns,
     Verdict,
     WorkerCrash,
     count_crash,
-    judge,
 )
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.workers import WorkerView
@@ -28,13 +30,16 @@
         self._jobs = jobs
         self._log = CrashLog()
         self._recorded_runs = RecordedRuns()
+        self._verdicts: dict[JobId, Verdict] = {}
+        self._notices: list[CrashNotice] = []
         self.suspect_jobs: set[JobId] = set()
         self.cells: dict[JobId, Cell] = {}
 
     def add_job(self, job: ActiveJob, workers: Mapping[WorkerId, WorkerView]) -> None:
         """Add a job, new or recovered, with what predecessors have recorded of it."""
-        if job.has_suspects:
-            self.suspect_jobs.add(job.job_id)
+        for step in job.steps():
+            for index in step.suspects:
+                self._suspect(TaskRef(job.job_id, step.occurrence, step.number, index))
         for worker_id in self._recorded_runs.add(job):
             worker = workers.get(worker_id)
             if worker is not None and worker.incarnation is not None:
@@ -46,20 +51,25 @@
 
     def clear(self, job: ActiveJob, step: ActiveStep, index: int) -> None:
         """Clear a task of suspicion: its run has ended or passed its probation."""
-        step.suspects.discard(index)
+        step.crashed.pop(index, None)
         if not job.has_suspects:
             self.suspect_jobs.discard(job.job_id)
 
-    def count(self, worker: WorkerView) -> WorkerCrash | None:
+    def pop_notices(self) -> list[CrashNotice]:
+        """Return the crashes and verdicts since the last call, for the log."""
+        notices, self._notices = self._notices, []
+        return notices
+
+    def count(self, worker: WorkerView) -> None:
         """Count the end of a worker's process for the tasks that were at work there.
 
-        Returns ``None`` for a planned end and if nothing was at work. Runs that had
-        passed their probation are blamed only if all runs had.
+        A planned end does not count. Runs that had passed their probation are blamed
+        only if all runs had.
         """
         runs = [*worker.runs.values(), *worker.lapsed_runs]
         worker.lapsed_runs.clear()
         if not runs or worker.is_leaving:
-            return None
+            return
         unproven = [run for run in runs if not run.is_proven]
         blamed = {run.task for run in unproven or runs}
         is_explained = any(self._is_suspect(task) for task in blamed)
@@ -70,24 +80,27 @@
                 suspects[run.task] = crashes
         crash = WorkerCrash(worker.info, suspects, is_explained)
         self._log.add(crash)
-        return crash
+        self._notices.append(crash)
 
     def count_before_term(self, worker_id: WorkerId, incarnation: str | None) -> None:
         """Count a crash before this term for the runs that a predecessor recorded.
 
         ``incarnation`` is the worker's present one, ``None`` if its process has ended.
         """
-        for task, number in self._recorded_runs.pop_crashed(worker_id, incarnation):
-            self._count_run(task, number, False)
+        runs = self._recorded_runs.pop_crashed(worker_id, incarnation)
+        counts = {task: self._count_run(task, number, False) for task, number in runs}
+        suspects = {task: crashes for task, crashes in counts.items() if crashes}
+        if suspects:
+            self._notices.append(EarlierCrash(worker_id, suspects))
 
     def pop_verdicts(self, now_ms: float) -> list[Verdict]:
-        """Return the open jobs that are to be given up now."""
-        verdicts = [
-            judge(crash, has_common_cause)
-            for crash, has_common_cause in self._log.pop_due(now_ms)
-        ]
-        by_job = {v.job_id: v for v in verdicts if v is not None}
-        return [v for job_id, v in by_job.items() if job_id in self._jobs]
+        """Return the verdicts on open jobs that are to be given up now."""
+        for verdict in self._log.pop_verdicts(now_ms):
+            self._verdicts.setdefault(verdict.task.job_id, verdict)
+        passed, self._verdicts = self._verdicts, {}
+        verdicts = [v for job_id, v in passed.items() if job_id in self._jobs]
+        self._notices += verdicts
+        return verdicts
 
     def awaits_verdict(self, job_id: JobId) -> bool:
         """Return whether a crash that a job may have caused is not decided on yet."""
@@ -111,5 +124,13 @@
         job.is_dirty = True
         if not count_crash(step, task.index, number, is_proven):
             return 0
-        self.suspect_jobs.add(job.job_id)
-        return step.crash_count(task.index)
+        return self._suspect(task)
+
+    def _suspect(self, task: TaskRef) -> int:
+        """Isolate the job of a suspect, or give it up; return the suspect's count."""
+        found = self._find(task)
+        crashes = found[1].crash_count(task.index) if found is not None else 0
+        self.suspect_jobs.add(task.job_id)
+        if crashes >= CRASHES_TO_GIVE_UP_ALWAYS:
+            self._verdicts.setdefault(task.job_id, Verdict(task, crashes))
+        return crashes
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -1,6 +1,6 @@
 """Progress of active jobs, and the records from which a successor resumes them."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -34,7 +34,7 @@
 
     ``failed`` holds the numbers of each task's failed runs, so that an end that is
     reported twice counts once. ``placed`` names each task's runs. ``crashed`` holds
-    the numbers of the runs during which the worker has crashed.
+    the numbers of the runs soon after whose start the worker has crashed.
     """
 
     done: tuple[int, ...] = ()
@@ -75,8 +75,9 @@
     ``ever_started`` holds the tasks that have been started at least once.
     ``tickets`` were issued by the advice service, and ``denied`` holds the workers
     that it does not allow, each with its incarnation. ``crashed`` holds the numbers
-    of each task's runs during which the worker has crashed, and ``suspects`` the tasks
-    that may be the cause.
+    of each task's runs soon after whose start the worker has crashed, since a run
+    last passed its probation. ``late_crashed`` holds those of other runs during which
+    the worker has crashed.
     """
 
     step: Step
@@ -91,7 +92,7 @@
     tickets: dict[WorkerId, Ticket] = field(default_factory=dict)
     denied: set[tuple[WorkerId, str]] = field(default_factory=set)
     crashed: dict[int, set[int]] = field(default_factory=dict)
-    suspects: set[int] = field(default_factory=set)
+    late_crashed: dict[int, set[int]] = field(default_factory=dict)
 
     @property
     def is_done(self) -> bool:
@@ -107,8 +108,13 @@
             return len(self.failed.get(index, ()))
         return len(set().union(*self.failed.values()))
 
+    @property
+    def suspects(self) -> Set[int]:
+        """Return the tasks that may crash the workers that start them."""
+        return self.crashed.keys()
+
     def crash_count(self, index: int) -> int:
-        """Return how many workers have crashed during runs of a task."""
+        """Return how many workers have crashed soon after a task was started there."""
         return len(self.crashed.get(index, ()))
 
     def ticket_for(self, worker: WorkerId) -> str:
@@ -120,7 +126,7 @@
         """Mark a task as done."""
         self.done.add(index)
         self.pending.discard(index)
-        self.suspects.discard(index)
+        self.crashed.pop(index, None)
         self.checkpoints.pop(index, None)
 
     def record(self) -> StepRecord:
@@ -134,11 +140,7 @@
             {i: tuple(sorted(numbers)) for i, numbers in self.failed.items()},
             dict(self.checkpoints),
             placed,
-            {
-                i: tuple(sorted(numbers))
-                for i, numbers in self.crashed.items()
-                if i not in self.done
-            },
+            {i: tuple(sorted(numbers)) for i, numbers in self.crashed.items()},
         )
 
     def restore(self, record: StepRecord) -> None:
@@ -148,7 +150,6 @@
         self.failed = {i: set(numbers) for i, numbers in record.failed.items()}
         self.checkpoints = dict(record.checkpoints)
         self.crashed = {i: set(numbers) for i, numbers in record.crashed.items()}
-        self.suspects = self.crashed.keys() - self.done
         self.ever_started = {
             *record.failed,
             *record.checkpoints,
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -10,8 +10,7 @@
 
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.crashes import (
-    Verdict,
-    WorkerCrash,
+    CrashNotice,
     has_passed_probation,
 )
 from corianderpitch.domain.scheduling.crashtracker import CrashTracker
@@ -92,7 +91,7 @@
         return self.record.state.has_ended
 
 
-Notice = RunNotice | WorkerCrash | Verdict
+Notice = RunNotice | CrashNotice
 
 
 class Scheduler:
@@ -118,7 +117,7 @@
         self._last_run_number = term.number * RUNS_PER_TERM
         self._last_fence_increment = 0
         self._orders: list[Order] = []
-        self._notices: list[Notice] = []
+        self._notices: list[RunNotice] = []
         self._final_changes: dict[JobId, tuple[ActiveJob, ProgressRecord]] = {}
         self._awaiting_final_commit: dict[JobId, ActiveJob] = {}
         self._stops_sent_ms: dict[tuple[TaskRef, int], float] = {}
@@ -253,7 +252,7 @@
                 self.crashes.count_before_term(worker_id, None)
             if worker is not None and worker.is_silent:
                 worker.has_unread_runs = False
-                self._count_crash(worker)
+                self.crashes.count(worker)
                 self._mark_all_lost(worker, LossCause.PROCESS_ENDED)
 
     def workers_to_record(self) -> set[WorkerId]:
@@ -401,8 +400,7 @@
     def give_up_culprits(self, now_ms: float) -> None:
         """Give up the jobs that are shown to crash the workers that start them."""
         for verdict in self.crashes.pop_verdicts(now_ms):
-            self._notices.append(verdict)
-            self._end_job(self.jobs[verdict.job_id], JobState.FAILED)
+            self._end_job(self.jobs[verdict.task.job_id], JobState.FAILED)
 
     def pop_notices(self) -> list[Notice]:
         """Return what is to be logged about runs and workers since the last call.
@@ -411,7 +409,7 @@
         up for such crashes.
         """
         notices, self._notices = self._notices, []
-        return notices
+        return [*self.crashes.pop_notices(), *notices]
 
     def pop_changes(self) -> list[JobChange]:
         """Return the changes to commit, each with the ends that it includes."""
@@ -469,7 +467,7 @@
         """
         if worker.incarnation is not None:
             self._raise_fence(worker)
-            self._count_crash(worker)
+            self.crashes.count(worker)
             self._mark_all_lost(worker, LossCause.NEW_INCARNATION)
         worker.incarnation = incarnation
         if incarnation is not None:
@@ -483,11 +481,6 @@
         worker.leased_until_ms = 0.0
         worker.consecutive_failed_jobs.clear()
 
-    def _count_crash(self, worker: WorkerView) -> None:
-        crash = self.crashes.count(worker)
-        if crash is not None:
-            self._notices.append(crash)
-
     def _add_notice(
         self,
         worker: WorkerView,
@@ -546,7 +539,6 @@
         index = end.task.index
         if run is not None and run.number == end.number:
             self._remove_run(step, run)
-            self.crashes.clear(job, step, index)
         if index in step.done:
             return
         self._mark_changed(job)
@@ -559,6 +551,7 @@
                 return
             case EndKind.FAILED if not step.step.is_lasting:
                 step.failed.setdefault(index, set()).add(end.number)
+                self.crashes.clear(job, step, index)
                 job.add_failed_worker(step.number, index, worker.info.worker)
                 self._count_worker_failure(worker, job, now_ms)
                 if step.failure_count(index) >= self._max_attempts(job):
@@ -585,6 +578,7 @@
         """Mark a task as done; all tasks of a gang are done together."""
         for done_index in range(step.step.count) if step.step.is_gang else (index,):
             step.mark_done(done_index)
+            self.crashes.clear(job, step, done_index)
             for copy in step.runs.get(done_index, ()):
                 self.stop(copy, now_ms)
         job.update_remaining_work()
