List the partitions of jobs again after they were read

Cause: a new holder lists the partitions of jobs, reads them, and follows changes from the lowest version of these reads. The first jobs of three partitions were accepted between the list and the reads of the others (versions 1037 to 1039; the lowest read was at 1039). Partitions that are not listed are not read, and their rows up to 1039 do not follow. The same could happen whenever the store's history was discarded and all jobs were read again.

The partitions are now listed until there is none that was not read. A partition that is not in the last list has only rows that are newer than all reads, and these follow. This costs one more call for each new term.

Ruled out: pages of one read (its version is that of the first page), an unread partition (none was logged as unread) and a diversion (the jobs were accepted in their home partitions).

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 import eventlet
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
@@ -31,7 +31,12 @@
 )
 from corianderpitch.domain.scheduling.progress import ActiveJob, ProgressRecord
 from corianderpitch.domain.scheduling.scheduler import Scheduler
-from corianderpitch.errors import HistoryLost, MalformedData, RowConflict
+from corianderpitch.errors import (
+    HistoryLost,
+    MalformedData,
+    PlatformError,
+    RowConflict,
+)
 from corianderpitch.ids import JobId
 from corianderpitch.ports import Check, PartitionedKey, Row, RowStore, Snapshot, Write
 
@@ -99,11 +104,11 @@
         The jobs of the partitions that could be read are served; the other
         partitions are read again by ``run_cleanup``.
         """
-        parts = self._store.list_partitions(JOBS_TABLE)
-        if not isinstance(parts, Success):
+        read = self._read_listed_parts()
+        if not isinstance(read, Success):
             return False
-        versions = self._read_parts(parts.unwrap())
-        if parts.unwrap() and not versions:
+        versions = read.unwrap()
+        if self._unread and not versions:
             return False
         self._version = min(versions, default=self._version)
         log.info(
@@ -115,6 +120,25 @@
         )
         return True
 
+    def _read_listed_parts(self) -> Result[list[int], PlatformError]:
+        """Read all partitions; returns the versions at which they were read.
+
+        A partition that is new since the list would be missed, and so would its rows
+        that are older than the reads of the others. The partitions are therefore
+        listed until there is no new one: rows of later ones are newer than all reads.
+        """
+        versions: list[int] = []
+        listed: set[str] = set()
+        while True:
+            match self._store.list_partitions(JOBS_TABLE):
+                case Success(parts) if listed.issuperset(parts):
+                    return Success(versions)
+                case Success(parts):
+                    versions += self._read_parts(set(parts) - listed)
+                    listed |= set(parts)
+                case failure:
+                    return failure
+
     def _read_parts(self, parts: Iterable[str]) -> list[int]:
         """Read partitions and those still unread, and assign their jobs.
 
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -582,3 +582,31 @@
     assert set(holder.scheduler.jobs) == {"a"}
     holder.follow()
     assert set(holder.scheduler.jobs) == {"a"}
+
+
+class GrowingStore(PartialOutageStore):
+    """A store in which jobs are submitted after the first list of its partitions."""
+
+    names = ()
+
+    def list_partitions(self, table):
+        result = super().list_partitions(table)
+        names, self.names = self.names, ()
+        for name in names:
+            assert submit(self, self._clock, name) is IntakeKind.DONE
+        return result
+
+
+def test_a_job_in_a_partition_that_is_new_since_the_list_is_found(clock):
+    """The first job of a partition was accepted while a new holder read the others.
+
+    The partition was not listed, and its row was older than the reads of the other
+    partitions, from which the holder followed the changes: the job was never run.
+    """
+    store = GrowingStore(clock)
+    assert submit(store, clock, "a") is IntakeKind.DONE
+    store.names = [f"job{number}" for number in range(8)]
+    holder = TermHarness(store, clock, "e1").load()
+    holder.version = holder.reader._version
+    holder.follow()
+    assert len(holder.scheduler.jobs) == 9
