Wait for the waves of the simulated holders until their work is done

The run now waits until each VM has begun its maintenance, at most 120 s, and then 3 s for the reports; the check also asserts the former.

--- a/tests/adapter/test_holder_changes.py
+++ b/tests/adapter/test_holder_changes.py
@@ -50,7 +50,9 @@
 HOLD_MAX_MS, KEEP_ENDED_MS = 6000.0, 120_000.0
 ROLE_LEASE_MS, RENEW_INTERVAL_MS = 2000.0, 500.0
 GRACE_MS = 600.0
-TROUBLED_MS, CALM_MS = 45_000.0, 25_000.0
+TROUBLED_MS, CALM_MS = 45_000.0, 12_000.0
+MAX_WORK_MS = 120_000.0  # for the waves that are still open, two VMs at a time
+REPORT_MS = 3000.0
 HOLDER_SHARE = 0.8  # of the troubles that hit an entry
 CALL_SHARE = 0.6  # of the troubles that begin beside a call of the machine service
 MAX_CALL_WAIT_MS, MAX_AFTER_CALL_MS = 2000.0, 40.0
@@ -178,6 +180,7 @@
         self.orders_per_s = self.rng.choice((64.0, 215.0))
         self.entries = []
         self.waves = {}
+        self.vms_by_wave = {}
         self.troubles = []
         names = [f"m{n}" for n in range(self.rng.randint(6, 16))]
         for name in names:
@@ -202,6 +205,7 @@
         number = len(self.waves) + 1
         cap = self.rng.choice((2, 4, len(names)))
         self.waves[number] = cap
+        self.vms_by_wave[number] = names
         fields = {"wave": number, "machines": names, "deadline_s": 30, "cap": cap}
         self.write(f"wave/{number}", fields)
 
@@ -218,9 +222,24 @@
         self.network.store_faults = ServiceFaults()
         self.network.machine_faults = ServiceFaults()
         sleep_ms(CALM_MS)
+        self._wait_for_waves(self.network.clock.now_ms() + MAX_WORK_MS)
         for entry in self.entries:
             entry.kill()
 
+    def _wait_for_waves(self, until_ms):
+        """Wait until every VM has begun its maintenance, and for the reports of it."""
+        while self.network.clock.now_ms() < until_ms and not self.all_begun():
+            sleep_ms(500.0)
+        sleep_ms(REPORT_MS)
+
+    def all_begun(self):
+        machines = self.network.machines.machines
+        return all(
+            str(number) in machines[name].begun_waves
+            for number, names in self.vms_by_wave.items()
+            for name in names
+        )
+
     def _add_waves(self, until_ms):
         while self.network.clock.now_ms() < until_ms:
             self.add_wave()
@@ -352,4 +371,5 @@
 
 
 def test_waves_are_reported_as_completed_once_the_troubles_are_over(play):
+    assert play.all_begun()
     assert play.completed_waves() == set(play.waves)
