Test each guard of the orders about VMs, and of the role

Users see no change. The guards that keep two holders from ordering one VM in turn could be broken one by one without a failing test: the service of the tests received an order at the moment of its check, the clock stood still, and the orders of the maintenance task always answered that no VM is held and every record succeeded.

The tests' VM service now delivers an order up to its time-out after the check, the store's upper bound can lie ahead, and the maintenance task meets held VMs, failed records and unanswered orders. PlatformVmPools and JsonClient are tested for the check next to the send on a new connection, the role for an entry that reads an answer late, RemoteClock for a clock that drifts.

Still without a test here: main.py giving the role no store clock, or the SystemClock in place of the BootClock.

The test of orders sent side by side uses a new function for its rounds, and expects what it did.

--- a/packages/corianderpitch/tests/fakes.py
+++ b/packages/corianderpitch/tests/fakes.py
@@ -82,11 +82,15 @@
 
 
 class LaggingStore:
-    """A store whose time is known to within a lag only, as its answers come late."""
+    """A store whose time is known within bounds only, as its answers come late.
 
-    def __init__(self, store, lag_ms):
+    Its lower bound is ``lag_ms`` too early, and its upper bound ``lead_ms`` too late.
+    """
+
+    def __init__(self, store, lag_ms, lead_ms=0.0):
         self._store = store
         self._lag_ms = lag_ms
+        self._lead_ms = lead_ms
 
     def __getattr__(self, name):
         return getattr(self._store, name)
@@ -94,6 +98,9 @@
     def time_ms(self):
         return self._store.time_ms() - self._lag_ms
 
+    def latest_time_ms(self):
+        return self._store.latest_time_ms() + self._lead_ms
+
 
 class RacingStore(DeferringStore):
     """A store that calls a function once, right before it applies a commit."""
--- a/packages/corianderpitch/tests/test_maintainers.py
+++ b/packages/corianderpitch/tests/test_maintainers.py
@@ -45,10 +45,12 @@
         self.vms = {VM: PoolVm(VM, STANDBY, VmCondition.UP, None)}
         self.begun = {}
         self.is_recorded = True
+        self.is_store_away = False
+        self.held = set()
         self.sent = []
 
     def held_by_predecessor(self):
-        return set()
+        return self.held
 
     def busy(self):
         return set()
@@ -57,7 +59,7 @@
         return deadline_ms
 
     def record_intent(self, vms):
-        return True
+        return not self.is_store_away
 
     def maintain(self, vm, wave):
         self.sent.append(vm)
@@ -115,14 +117,32 @@
     assert 0 < len(orders.moved) < len(MOVES)
 
 
-@pytest.mark.parametrize("waves", [(1,), (1, 2)], ids=["wave and move", "two waves"])
-def test_orders_about_a_vm_are_not_sent_side_by_side(waves):
-    # They arrived with the lower fence number last.
-    orders = RecordingOrders()
+def run_rounds(orders, waves, count=1):
+    """Run rounds of a task with these waves, and return the task."""
     task = make_task(orders, 310.0)
     task._catalogs = Catalogs(waves)
     task._reports = Reports()
     task._update_waves()
+    for _ in range(count):
+        task._run_round()
+    return task
+
+
+@pytest.mark.parametrize("waves", [(1,), (1, 2)], ids=["wave and move", "two waves"])
+def test_orders_about_a_vm_are_not_sent_side_by_side(waves):
+    # They arrived with the lower fence number last.
+    orders = RecordingOrders()
+    run_rounds(orders, waves)
+    assert orders.sent == [VM]
+
+
+@pytest.mark.parametrize("waves", [(), (1,)], ids=["move", "wave"])
+def test_a_vm_with_a_recent_order_of_a_predecessor_is_not_ordered(waves):
+    orders = RecordingOrders()
+    orders.held = {VM}
+    task = run_rounds(orders, waves)
+    assert orders.sent == []
+    orders.held = set()
     task._run_round()
     assert orders.sent == [VM]
 
@@ -138,6 +158,34 @@
     assert task._moves_to_repeat(5000.0) == [MoveVm(VM, ServiceName("s"))]
 
 
+@pytest.mark.parametrize("waves", [(), (1,)], ids=["move", "wave"])
+def test_no_order_is_sent_if_the_vms_could_not_be_recorded(waves):
+    orders = RecordingOrders()
+    orders.is_store_away = True
+    task = run_rounds(orders, waves)
+    assert orders.sent == []
+    orders.is_store_away = False
+    task._run_round()
+    assert orders.sent == [VM]
+
+
+def test_a_wave_does_not_order_a_vm_with_a_pending_move():
+    # The move may still be carried out, with the lower fence number, after the wave's.
+    orders = RecordingOrders()
+    task = run_rounds(orders, ())
+    assert orders.sent == [VM]
+    task._catalogs = Catalogs((1,))
+    task._update_waves()
+    task._run_round()
+    assert orders.sent == [VM]
+
+
+def test_a_vm_is_not_moved_while_the_order_of_a_wave_is_unanswered():
+    orders = RecordingOrders()
+    run_rounds(orders, (1,), count=2)
+    assert orders.sent == [VM]
+
+
 def test_an_exception_in_an_order_is_raised():
     orders = SlowOrders()
     orders.move = lambda vm, pool: 1 / 0
--- a/packages/corianderpitch/tests/test_remoteclock.py
+++ b/packages/corianderpitch/tests/test_remoteclock.py
@@ -49,3 +49,13 @@
     read(clock, 0.0, 2.0, 2.0)
     clock.add_reading(100.0, 104.0, 5.0)
     assert (clock.earliest_ms(104.0), clock.latest_ms(104.0)) == (5.0, 9.0)
+
+
+@pytest.mark.parametrize("rate", [0.999, 1.001], ids=["slower", "faster"])
+def test_a_clock_that_drifts_as_much_as_clocks_may_stays_within_the_bounds(rate):
+    clock = RemoteClock()
+    now_ms = 0.0
+    for _ in range(20):
+        clock.add_reading(now_ms, now_ms + 4.0, rate * (now_ms + 2.0))
+        now_ms += 10_000.0
+        assert clock.earliest_ms(now_ms) <= rate * now_ms <= clock.latest_ms(now_ms)
--- a/packages/corianderpitch/tests/test_roles.py
+++ b/packages/corianderpitch/tests/test_roles.py
@@ -14,6 +14,19 @@
 LEASE_MS = 2000.0
 
 
+class LateTable(PartitionedTable):
+    """A table that calls a function once, before its caller reads an answer."""
+
+    before_answer = None
+
+    def read(self, known):
+        rows = super().read(known)
+        call, self.before_answer = self.before_answer, None
+        if call is not None:
+            call()
+        return rows
+
+
 def make_leases(*entries, store=None):
     """Return a clock and the entries' leases of one role, in a shared table."""
     clock = store.clock if store else ManualClock(1000.0)
@@ -128,6 +141,59 @@
     assert holder.renew()
 
 
+def test_the_role_of_a_live_holder_is_not_acquired_by_an_entry_that_reads_late():
+    """An entry without processor time read rows that were true seconds before.
+
+    They looked unchanged for the duration of the lease, though the holder had renewed
+    it all the while.
+    """
+    store = DeferringStore(ManualClock(1000.0))
+    clock, (holder, other) = make_leases("e1", "e2", store=store)
+    other._table = late_table = LateTable(store)
+
+    def renew_for_a_while():
+        for _ in range(6):
+            clock.advance(500.0)
+            assert holder.renew()
+
+    assert holder.try_acquire()
+    assert holder.renew()
+    assert not other.try_acquire()
+    late_table.before_answer = renew_for_a_while
+    assert not other.try_acquire()
+    assert holder.has_valid_lease
+    clock.advance(500.0)
+    assert holder.renew()
+
+
+def test_a_renewed_lease_counts_from_before_the_store_was_asked():
+    store = DeferringStore(ManualClock(1000.0))
+    clock, (holder,) = make_leases("e1", store=store)
+    assert holder.try_acquire()
+    store.commit_ms = 700.0
+    assert holder.renew()
+    assert holder.renewal_age_ms == 700.0
+
+
+def test_a_live_lease_does_not_look_lapsed_if_the_time_may_be_much_later():
+    clock, (holder, started) = make_leases("e1", "e2")
+    started._table_clock = LaggingStore(started._table_clock, 0.0, lead_ms=2500.0)
+    assert holder.try_acquire()
+    assert holder.renew()
+    assert not started.try_acquire()
+
+
+def test_the_role_of_a_holder_of_an_earlier_version_is_not_acquired():
+    # It renews with the time of the answer read last, which lags.
+    clock, (holder, started) = make_leases("e1", "e2")
+    holder._table_clock = LaggingStore(holder._table_clock, 0.0, lead_ms=-299.0)
+    assert holder.try_acquire()
+    assert holder.renew()
+    clock.advance(LEASE_MS - 1.0)
+    assert holder.has_valid_lease
+    assert not started.try_acquire()
+
+
 def test_an_acquisition_applied_late_does_not_end_a_lease_that_was_renewed_since():
     store = DeferringStore(ManualClock(1000.0))
     clock, (holder, other) = make_leases("e1", "e2", store=store)
--- a/packages/corianderpitch/tests/test_vmorders.py
+++ b/packages/corianderpitch/tests/test_vmorders.py
@@ -8,12 +8,17 @@
 import pytest
 from fakes import LaggingStore
 from returns.result import Failure, Success
+from schedulers import QUEUE, add_worker, make_job, starts
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.adapters.partedtable import PartitionedTable
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.roles import RoleLease
-from corianderpitch.daemon.scheduling.vmorders import BUSY_BACKOFF_MS, VmOrders
+from corianderpitch.daemon.scheduling.vmorders import (
+    BUSY_BACKOFF_MS,
+    MAX_INTENT_AGE_MS,
+    VmOrders,
+)
 from corianderpitch.domain.scheduling.catalog import WaveOrder
 from corianderpitch.domain.scheduling.maintenance import (
     PoolVm,
@@ -23,7 +28,7 @@
 )
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
 from corianderpitch.errors import OutcomeLost, PlatformUnavailable
-from corianderpitch.ids import EntryId, ServiceName, VmId
+from corianderpitch.ids import EntryId, ServiceName, VmId, WorkerId
 from corianderpitch.ports import VmOrderResult, VmPools
 
 POOL, STANDBY_POOL = ServiceName("counter"), ServiceName("rest")
@@ -40,6 +45,8 @@
         self.clock = clock
         self.arrivals = []
         self.result = VmOrderResult.DONE
+        self.worker = None
+        self.delivery_ms = 0.0
         self.before_send = lambda: None
 
     @property
@@ -53,7 +60,7 @@
         return min(turns, default=math.inf)
 
     def list_vms(self):
-        return Success((PoolVm(VM, POOL, VmCondition.UP, None),))
+        return Success((PoolVm(VM, POOL, VmCondition.UP, self.worker),))
 
     def maintain(self, vm, wave, holder, fence, may_send):
         return self._send(holder, fence, may_send)
@@ -66,7 +73,8 @@
         before_send()
         if not may_send():
             return VmOrderResult.NOT_SENT
-        self.arrivals.append((holder, fence, self.clock.now_ms()))
+        arrival_ms = self.clock.now_ms() + self.delivery_ms
+        self.arrivals.append((holder, fence, arrival_ms))
         return self.result
 
 
@@ -161,6 +169,86 @@
     assert cluster.pools.shortest_turn_ms() >= HOLDER_CHANGE_MS
 
 
+@pytest.mark.parametrize("age_ms", [0.0, 500.0, 1200.0])
+def test_two_holders_do_not_order_a_vm_in_turn_if_an_order_arrives_late(age_ms):
+    # An order is sent some time after its record, and arrives some time after that.
+    cluster = Cluster()
+    first = cluster.holder("e1")
+    assert first.record_intent([VM])
+    cluster.clock.advance(age_ms)
+    cluster.pools.delivery_ms = cluster.pools.order_timeout_ms
+    result = first.move(VM, STANDBY_POOL)
+    assert result is VmOrderResult.DONE or age_ms > MAX_INTENT_AGE_MS
+    cluster.pools.delivery_ms = 0.0
+    first._role.release()
+    order_once_allowed(cluster, cluster.holder("e2"))
+    assert cluster.pools.shortest_turn_ms() >= HOLDER_CHANGE_MS
+
+
+def test_two_holders_do_not_order_a_vm_in_turn_if_the_second_expects_a_later_time():
+    # The time of the store is known within bounds; its upper bound may be far ahead.
+    cluster = Cluster()
+    first = cluster.holder("e1")
+    assert first.record_intent([VM])
+    first.move(VM, STANDBY_POOL)
+    first._role.release()
+    store = LaggingStore(cluster.store, 0.0, lead_ms=2500.0)
+    order_once_allowed(cluster, cluster.holder("e2", store))
+    assert cluster.pools.shortest_turn_ms() >= HOLDER_CHANGE_MS
+
+
+def test_a_record_of_the_next_holder_keeps_the_vms_that_its_predecessor_ordered():
+    # The holder after the next ordered the VM within the lease of the first.
+    cluster = Cluster()
+    first = cluster.holder("e1")
+    assert first.record_intent([VM])
+    first.move(VM, STANDBY_POOL)
+    first._role.release()
+    second = cluster.holder("e2")
+    assert second.record_intent([])
+    second._role.release()
+    order_once_allowed(cluster, cluster.holder("e3"))
+    assert cluster.pools.shortest_turn_ms() >= HOLDER_CHANGE_MS
+
+
+def test_a_record_keeps_an_order_that_has_arrived_until_a_successor_may_order():
+    cluster = Cluster()
+    first = cluster.holder("e1")
+    assert first.record_intent([VM])
+    first.move(VM, STANDBY_POOL)
+    cluster.clock.advance(MAX_INTENT_AGE_MS + cluster.pools.order_timeout_ms + 1.0)
+    assert first.record_intent([])
+    first._role.release()
+    order_once_allowed(cluster, cluster.holder("e2"))
+    assert cluster.pools.shortest_turn_ms() >= HOLDER_CHANGE_MS
+
+
+def test_no_order_is_sent_if_the_role_was_renewed_too_long_ago():
+    cluster = Cluster()
+    orders = cluster.holder("e1")
+    cluster.clock.advance(1300.0)
+    assert orders.record_intent([VM])
+    cluster.clock.advance(201.0)
+    assert orders.move(VM, STANDBY_POOL) is VmOrderResult.NOT_SENT
+    assert orders._role.renew()
+    assert orders.move(VM, STANDBY_POOL) is VmOrderResult.DONE
+
+
+def test_no_order_is_sent_about_a_vm_on_which_a_task_runs():
+    cluster = Cluster()
+    cluster.pools.worker = WorkerId("w1")
+    cluster.pools.result = VmOrderResult.REFUSED
+    orders = cluster.holder("e1")
+    scheduler = orders._scheduler
+    scheduler.set_queues({QUEUE.name: QUEUE})
+    add_worker(scheduler, "w1")
+    assert orders.record_intent([VM])
+    assert orders.maintain(VM, 1) is VmOrderResult.REFUSED
+    scheduler.add_job(make_job())
+    assert starts(scheduler)
+    assert orders.maintain(VM, 1) is VmOrderResult.NOT_SENT
+
+
 def test_an_order_is_not_sent_by_a_holder_that_was_frozen_before_its_send():
     # The check ran before the wait for a connection, and the order went out after it.
     cluster = Cluster()
--- a/tests/adapter/test_http.py
+++ b/tests/adapter/test_http.py
@@ -9,6 +9,7 @@
 from eventlet.hubs import trampoline
 
 from corianderpitch.ids import EntryId, ServiceName, VmId
+from corianderpitch.ports import VmOrderResult
 from corianderpitch_platform.http import JsonClient, NoResponse, Response
 from corianderpitch_platform.machines import PlatformVmPools
 
@@ -212,3 +213,40 @@
     assert not server.requests
     assert call(client, may_send=lambda: True) == Response(200, {"a": 1})
     assert server.accepted == 1
+
+
+def test_a_request_is_checked_once_the_server_has_its_connection():
+    # The check was made first, and the request sent after a wait for the connection.
+    server = Server([COMPLETE_RESPONSE])
+    accepted = []
+
+    def may_send():
+        with eventlet.Timeout(1.0, False):
+            while not server.accepted:
+                eventlet.sleep(0.005)
+        accepted.append(server.accepted)
+        return True
+
+    assert call(JsonClient(server.address), may_send=may_send) == Response(
+        200, {"a": 1}
+    )
+    assert accepted == [1]
+
+
+@pytest.mark.parametrize(
+    "send",
+    [
+        lambda pools, may_send: pools.maintain(VmId("m"), 1, EntryId("e"), 1, may_send),
+        lambda pools, may_send: pools.move(
+            VmId("m"), ServiceName("s"), EntryId("e"), 1, may_send
+        ),
+    ],
+    ids=["maintenance", "move"],
+)
+def test_no_order_about_a_vm_is_sent_once_it_may_not_be(send):
+    server = Server([COMPLETE_RESPONSE])
+    pools = PlatformVmPools(server.address)
+    assert send(pools, lambda: False) is VmOrderResult.NOT_SENT
+    assert not server.requests
+    assert send(pools, lambda: True) is VmOrderResult.DONE
+    assert len(server.requests) == 1
