Walk over interleavings of entries that renew and acquire a role

No test had two entries ask for a role between each other's calls to the store. 200 seeded walks now do, with commits that are applied late, and check that no two entries have a valid lease at once.

--- a/packages/corianderpitch/tests/test_roles.py
+++ b/packages/corianderpitch/tests/test_roles.py
@@ -1,5 +1,7 @@
 """Acquisition of roles by entries that have just started, in a table with a clock."""
 
+import random
+
 import pytest
 from fakes import DeferringStore, LaggingStore, RacingStore
 from returns.result import Success
@@ -249,3 +251,53 @@
     assert holder.has_valid_lease
     clock.advance(LEASE_MS - 1.0)
     assert not started.try_acquire()
+
+
+class InterleavingStore(DeferringStore):
+    """A store between whose calls other entries act, and that may apply writes late."""
+
+    def __init__(self, clock, rng):
+        super().__init__(clock)
+        self._rng = rng
+        self._is_busy = False
+        self.others_act = lambda: None
+
+    def _pause(self):
+        """Let time pass, and other entries act, before a call takes effect."""
+        self.clock.advance(self._rng.choice((0.0, 5.0, 50.0)))
+        if not self._is_busy:
+            self._is_busy = True
+            self.others_act()
+            self._is_busy = False
+
+    def read(self, table, part, first="", end=""):
+        self._pause()
+        return super().read(table, part, first, end)
+
+    def commit(self, checks, writes):
+        self._pause()
+        self.is_deferring = self._rng.random() < 0.15
+        return super().commit(checks, writes)
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_no_two_entries_have_a_valid_lease_at_the_same_time(seed):
+    """Entries renew and acquire between each other's reads and commits."""
+    rng = random.Random(seed)
+    store = InterleavingStore(ManualClock(1000.0), rng)
+    clock, leases = make_leases("e1", "e2", "e3", store=store)
+
+    def act():
+        lease = rng.choice(leases)
+        if lease.is_held:
+            lease.renew()
+        else:
+            lease.try_acquire()
+
+    store.others_act = act
+    for _ in range(150):
+        act()
+        assert sum(lease.has_valid_lease for lease in leases) <= 1
+        if rng.random() < 0.2:
+            store.apply_deferred()
+        clock.advance(rng.choice((10.0, 100.0, 400.0, LEASE_MS + 500.0)))
