Take in no jobs that were read after the lease of the role had lapsed

A holder could start a task of a job that its successor also started.

Cause: the holder checked its lease after each read of changes, but not when it read all jobs, at its term's start or after the store had discarded its history, and only before the read when it read a partition that had been unavailable. These reads may take longer than the lease lasts. A successor may have taken the role meanwhile. It takes jobs that are newer than its epoch for certainly not started, and the predecessor, which starts tasks that never ran even without a lease, could be the first to reach a worker.

What was read without a valid lease now remains unread, and is read again if the lease is renewed. The role is renewed while partitions are read, so that a slow store does not cost the holder its role. After a failed reload the reader pauses before it tries again.

Evidence: the three new tests of test_jobreader.py fail without the change: two of holders whose successor serves already, and one of reads that take longer than the lease.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -146,14 +146,22 @@
         function does not yield to other threads. A report that a worker sent before
         its jobs were added must not count as a complete list of their runs; all
         workers are therefore asked again if a partition is read late.
+
+        The role is renewed meanwhile, because the reads may take longer than its lease
+        lasts. If the lease has lapsed, what was read remains unread: a successor may
+        already serve jobs that were accepted since.
         """
         unread_before = set(self._unread)
         self._unread |= set(parts)
         pool = eventlet.GreenPool(MAX_CONCURRENT_READS)
         read: dict[str, Snapshot] = {}
         for part, snapshot in pool.imap(self._read_part, sorted(self._unread)):
+            if self._role.is_held:
+                self._role.renew()
             if isinstance(snapshot, Success):
                 read[part] = snapshot.unwrap()
+        if not self._role.has_valid_lease:
+            read.clear()
         if unread_before & read.keys():
             now_ms = self._clock.now_ms()
             self._scheduler.request_fresh_reports(now_ms + self._max_lease_ms)
@@ -201,7 +209,8 @@
                         self._wake()
                 case Failure(HistoryLost()):
                     log.warning("Job history truncated; reloading all jobs.")
-                    self.load_jobs()
+                    if not self.load_jobs():
+                        eventlet.sleep(FOLLOW_RETRY_S)
                     self._wake()
                 case Failure(error):
                     log.debug("Could not follow the jobs.", cause=repr(error))
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -44,8 +44,10 @@
         super().__init__(clock)
         self.unavailable = set()
         self.deferred = None  # a list that collects writes to be applied later
+        self.read_ms = 0.0
 
     def read(self, table, part, first="", end=""):
+        self._clock.advance(self.read_ms)
         if part in self.unavailable:
             return Failure(PlatformUnavailable("status 503", was_answered=True))
         return super().read(table, part, first, end)
@@ -610,3 +612,46 @@
     holder.version = holder.reader._version
     holder.follow()
     assert len(holder.scheduler.jobs) == 9
+
+
+def test_a_holder_whose_lease_has_lapsed_takes_in_no_jobs_that_it_reads_anew(
+    store, clock
+):
+    """The store discarded its history, and the holder was slow to read the jobs again.
+
+    Its successor served already, and both started a job that was accepted since.
+    """
+    holder = TermHarness(store, clock, "e1").load()
+    successor = TermHarness(store, clock, "e2").load()
+    assert submit(store, clock) is IntakeKind.DONE
+    assert not holder.reader.load_jobs()
+    assert not holder.scheduler.jobs
+    successor.follow()
+    assert successor.scheduler.jobs
+
+
+def test_a_holder_whose_lease_has_lapsed_takes_in_no_jobs_of_a_late_partition(
+    store, clock
+):
+    home, _ = job_partitions(QUEUE.name, JobId("a"))
+    for name in ("a", *(f"job{number}" for number in range(8))):
+        assert submit(store, clock, name) is IntakeKind.DONE
+    store.unavailable = {home}
+    holder = TermHarness(store, clock, "e1").load()
+    store.unavailable = set()
+    successor = TermHarness(store, clock, "e2").load()
+    holder.reader.read_unread()
+    assert "a" not in holder.scheduler.jobs
+    assert not holder.scheduler.has_read_all_jobs
+    assert "a" in successor.scheduler.jobs
+
+
+def test_the_role_is_renewed_while_the_partitions_are_read(store, clock):
+    """Reading a slow store's jobs may take longer than the lease lasts."""
+    for number in range(8):
+        assert submit(store, clock, f"job{number}") is IntakeKind.DONE
+    holder = TermHarness(store, clock, "e1")
+    store.read_ms = LEASE_MS / 4.0
+    assert holder.reader.load()
+    assert len(holder.scheduler.jobs) == 8
+    assert holder.role.has_valid_lease
