Keep a VM empty until its maintenance is confirmed

Users would see a wave that is late by one VM, or tasks that are cut short by the maintenance of their VM. After an order without an answer the worker was no longer marked as evacuated: the next round started tasks on it. The order may still be carried out, and then ends them; and its repeats are refused while a task runs, so that a lasting task holds up the wave, which uses a place of its limit all the while.

plan_wave left out the worker of a VM with an order in flight. It is now among the workers to be emptied until the order is confirmed or refused. Pending moves were handled in this way already.

Evidence: the new test failed before the change (the worker was not evacuated in the round after the order) and passes with it: no task is started on the worker, the repeat is confirmed, and the wave completes.

The orders of test_maintainers.py now have a result that a test can set; it is no answer, as before, unless set.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
@@ -111,7 +111,9 @@
     held_back: Set[VmId],
     now_ms: float,
 ) -> tuple[list[MaintainVm], set[WorkerId]]:
-    """Return the orders to send now, and the workers to empty for later orders.
+    """Return the orders to send now, and the workers to empty or to keep empty.
+
+    A worker is kept empty until the order about its VM is confirmed.
 
     Parameters
     ----------
@@ -139,6 +141,8 @@
     ):
         vm = vms[vm_id]
         if vm_id in wave.ordered_ms:
+            if vm.worker is not None:
+                emptying.add(vm.worker)  # the order may still be carried out
             if now_ms - wave.ordered_ms[vm_id] >= ORDER_RETRY_INTERVAL_MS:
                 orders.append(MaintainVm(vm_id, wave.order.number))
             continue
--- a/packages/corianderpitch/tests/test_maintainers.py
+++ b/packages/corianderpitch/tests/test_maintainers.py
@@ -2,14 +2,18 @@
 
 import eventlet
 import pytest
-from schedulers import make_scheduler
+from schedulers import QUEUE, make_job, make_scheduler, starts
 
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.scheduling.maintainers import MaintenanceTask, PendingMove
 from corianderpitch.domain.scheduling.catalog import ServicePool, WaveOrder
-from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition
+from corianderpitch.domain.scheduling.maintenance import (
+    ORDER_RETRY_INTERVAL_MS,
+    PoolVm,
+    VmCondition,
+)
 from corianderpitch.domain.scheduling.sizing import MoveVm
-from corianderpitch.ids import ServiceName, VmId
+from corianderpitch.ids import ServiceName, VmId, WorkerId
 from corianderpitch.ports import VmOrderResult
 
 ANSWER_S = 0.02
@@ -39,9 +43,10 @@
 
 
 class RecordingOrders:
-    """Accepts orders about one standby VM and records them."""
+    """Records the orders about one standby VM, and gives each the same result."""
 
     def __init__(self):
+        self.result = VmOrderResult.NO_ANSWER
         self.vms = {VM: PoolVm(VM, STANDBY, VmCondition.UP, None)}
         self.begun = {}
         self.is_recorded = True
@@ -63,11 +68,14 @@
 
     def maintain(self, vm, wave):
         self.sent.append(vm)
-        return VmOrderResult.NO_ANSWER
+        return self.result
 
     def move(self, vm, pool):
         self.sent.append(vm)
-        return VmOrderResult.NO_ANSWER
+        return self.result
+
+    def mark_begun(self, wave, vm):
+        self.begun.setdefault(wave, set()).add(vm)
 
 
 class Reports:
@@ -186,6 +194,26 @@
     assert orders.sent == [VM]
 
 
+def test_a_vm_stays_evacuated_until_its_maintenance_is_confirmed():
+    # A task was started on it, which the maintenance ended or which held up the wave.
+    orders = RecordingOrders()
+    orders.vms = {VM: PoolVm(VM, QUEUE.service, VmCondition.UP, WorkerId("w1"))}
+    task = run_rounds(orders, (1,), count=2)
+    assert orders.sent == [VM]
+    worker = task._scheduler.workers[WorkerId("w1")]
+    task._run_round()
+    assert worker.is_evacuating
+    task._scheduler.add_job(make_job())
+    assert [order.worker for order in starts(task._scheduler)] == [WorkerId("w2")]
+    orders.result = VmOrderResult.DONE
+    task._clock.advance(ORDER_RETRY_INTERVAL_MS)
+    task._run_round()
+    assert orders.begun == {1: {VM}}
+    task._run_round()
+    assert task._waves[1].is_completed
+    assert not worker.is_evacuating
+
+
 def test_an_exception_in_an_order_is_raised():
     orders = SlowOrders()
     orders.move = lambda vm, pool: 1 / 0
