Ask the budget again after a stop that had no effect

Users would see more tasks of a lasting step away at a time than its budget of unavailable tasks allows. A stop that the worker had refused as unhealthy, or that had not been sent, left the run in STOPPING, and was repeated every 500 ms without a look at the budget, also when other tasks of the step had failed meanwhile.

After such an answer a lasting run counts as running again, unless another order to stop it may have had an effect; the evacuation then asks the budget before it stops it again.

Not changed: a stop without an answer is repeated without asking, as the run may already have stopped; and a stop that waits in the queue of its worker is sent without another check.

Others check that the stop is repeated while the others serve, and that a run stays STOPPING if any stop was carried out or got no answer.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -220,6 +220,8 @@
         self, order: Order, result: OrderResult, now_ms: float
     ) -> None:
         """Apply the result of an order."""
+        if isinstance(order, StopRun):
+            self._apply_stop_result(order, result)
         match order:
             case StartRun():
                 self._apply_start_result(order, result, now_ms)
@@ -743,6 +745,22 @@
             if run.state is not RunState.UNSETTLED:
                 run.state = RunState.STOPPING
 
+    def _apply_stop_result(self, order: StopRun, result: OrderResult) -> None:
+        """Apply the result of a stop: a lasting run serves on if it had no effect.
+
+        Before the run is stopped again, the budget of unavailable tasks is checked.
+        """
+        worker = self.workers.get(order.worker)
+        run = worker.runs.get(order.task) if worker is not None else None
+        job = self.jobs.get(order.task.job_id)
+        step = job.find_step(order.task) if job is not None else None
+        if run is None or run.number != order.number or step is None:
+            return
+        if result not in (OrderResult.UNHEALTHY, OrderResult.NOT_SENT):
+            run.may_have_stopped = True
+        if step.step.is_lasting and run.state in (RunState.RUNNING, RunState.STOPPING):
+            run.state = RunState.STOPPING if run.may_have_stopped else RunState.RUNNING
+
     def _apply_start_result(
         self, order: StartRun, result: OrderResult, now_ms: float
     ) -> None:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -116,7 +116,8 @@
     the share of full speed that the worker last confirmed, and ``paced_ms`` the time
     of the last order to change it. ``incarnation`` is the worker's at the start.
     ``is_proven`` is set once the run has passed its probation: if its worker crashes
-    afterwards, the run is unlikely to be the cause.
+    afterwards, the run is unlikely to be the cause. ``may_have_stopped`` is set once
+    an order to stop it may have had an effect.
     """
 
     task: TaskRef
@@ -132,6 +133,7 @@
     paced_ms: float = 0.0
     incarnation: str = ""
     is_proven: bool = False
+    may_have_stopped: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/corianderpitch/tests/test_evacuation.py
+++ b/packages/corianderpitch/tests/test_evacuation.py
@@ -6,7 +6,7 @@
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.evacuation import evacuate
 from corianderpitch.domain.scheduling.orders import OrderResult, StopRun
-from corianderpitch.domain.scheduling.workers import ReportedRun
+from corianderpitch.domain.scheduling.workers import ReportedRun, RunState
 from corianderpitch.domain.scheduling.workloads import Step
 from corianderpitch.ids import WorkerId
 
@@ -44,3 +44,67 @@
 
 def test_no_lasting_task_moves_while_the_others_do_not_serve_yet():
     assert stops_at_once(24, 3, serving_percent=40.0) == 0
+
+
+def first_stop(scheduler):
+    """Start lasting tasks with a budget of one, and return the first order to stop."""
+    step = Step(8, Shape(0.1, 1), 1.0, is_lasting=True, max_unavailable=1)
+    scheduler.add_job(make_job("a", [step]))
+    orders = starts(scheduler)
+    for order in orders:
+        scheduler.apply_order_result(order, OrderResult.DONE, NOW_MS)
+    for name in WORKERS:
+        report_serving(scheduler, name, [o for o in orders if o.worker == name])
+    scheduler.workers[WorkerId("w1")].is_evacuating = True
+    evacuate(scheduler, NOW_MS)
+    (stop,) = scheduler.pop_orders()
+    return stop, [order for order in orders if order.worker == "w1"]
+
+
+def report_serving(scheduler, name, orders):
+    running = [ReportedRun(o.task, o.number, "", 100.0) for o in orders]
+    report(scheduler, name, running=running)
+
+
+def repeated_stops(scheduler, orders):
+    """Return the orders to stop of the next six seconds."""
+    stops = []
+    for passed_ms in range(100, 6000, 100):
+        evacuate(scheduler, NOW_MS + passed_ms)
+        report_serving(scheduler, "w1", orders)
+        stops += [o for o in scheduler.pop_orders() if isinstance(o, StopRun)]
+    return stops
+
+
+@pytest.mark.parametrize("result", [OrderResult.UNHEALTHY, OrderResult.NOT_SENT])
+def test_a_stop_without_effect_is_not_repeated_while_others_are_away(result):
+    """A lasting step had more tasks away than its budget of unavailable tasks.
+
+    A worker had not carried out a stop. It was repeated without another look at the
+    budget, after a VM with other tasks of the step had failed.
+    """
+    scheduler = make_scheduler(WORKERS, processors=0.4)
+    stop, orders = first_stop(scheduler)
+    scheduler.apply_order_result(stop, result, NOW_MS)
+    away = next(w for w in scheduler.workers.values() if w.runs and not w.is_evacuating)
+    scheduler.mark_silent(away.info.worker)
+    assert repeated_stops(scheduler, orders) == []
+
+
+def test_a_stop_without_effect_is_repeated_while_the_others_serve():
+    scheduler = make_scheduler(WORKERS, processors=0.4)
+    stop, orders = first_stop(scheduler)
+    scheduler.apply_order_result(stop, OrderResult.UNHEALTHY, NOW_MS)
+    assert repeated_stops(scheduler, orders)
+
+
+@pytest.mark.parametrize("result", [OrderResult.DONE, OrderResult.NO_ANSWER])
+def test_a_task_counts_as_away_if_any_stop_of_it_may_have_had_an_effect(result):
+    scheduler = make_scheduler(WORKERS, processors=0.4)
+    stop, orders = first_stop(scheduler)
+    scheduler.apply_order_result(stop, result, NOW_MS)
+    scheduler.apply_order_result(stop, OrderResult.NOT_SENT, NOW_MS)
+    stops = repeated_stops(scheduler, orders)
+    assert {order.task for order in stops} <= {stop.task}
+    run = scheduler.workers[WorkerId("w1")].runs[stop.task]
+    assert run.state is RunState.STOPPING
