--- a/tests/adapter/test_holder_changes.py
+++ b/tests/adapter/test_holder_changes.py
@@ -52,7 +52,7 @@
 GRACE_MS = 600.0
 TROUBLED_MS, CALM_MS = 45_000.0, 12_000.0
 MAX_WORK_MS = 120_000.0  # for the waves that are still open, two VMs at a time
-REPORT_MS = 3000.0
+REPORT_MS = 10_000.0  # a holder may yield to a larger entry meanwhile
 HOLDER_SHARE = 0.8  # of the troubles that hit an entry
 CALL_SHARE = 0.6  # of the troubles that begin beside a call of the machine service
 MAX_CALL_WAIT_MS, MAX_AFTER_CALL_MS = 2000.0, 40.0
@@ -222,15 +222,19 @@
         self.network.store_faults = ServiceFaults()
         self.network.machine_faults = ServiceFaults()
         sleep_ms(CALM_MS)
-        self._wait_for_waves(self.network.clock.now_ms() + MAX_WORK_MS)
+        self._wait_for_waves()
         for entry in self.entries:
             entry.kill()
 
-    def _wait_for_waves(self, until_ms):
+    def _wait_for_waves(self):
         """Wait until every VM has begun its maintenance, and for the reports of it."""
-        while self.network.clock.now_ms() < until_ms and not self.all_begun():
+        self._wait_until(self.all_begun, MAX_WORK_MS)
+        self._wait_until(lambda: self.completed_waves() == set(self.waves), REPORT_MS)
+
+    def _wait_until(self, condition, timeout_ms):
+        until_ms = self.network.clock.now_ms() + timeout_ms
+        while self.network.clock.now_ms() < until_ms and not condition():
             sleep_ms(500.0)
-        sleep_ms(REPORT_MS)
 
     def all_begun(self):
         machines = self.network.machines.machines
