--- a/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
@@ -339,6 +339,11 @@
                 if worker.is_up:
                     worker.crash()
                     worker.start_incarnation(self.clock.now_ms())
+            case "replace":
+                machine = self.machines.machines[f"m-{body['worker']}"]
+                if machine.worker:
+                    self._stop_machine(machine)
+                    self._start_machine(machine)
             case "write":
                 self.write(body["table"], body["name"], body["fields"])
             case "write_text":
