Report a wave as completed only once its progress is recorded

Operators could see a completed wave as running again, and its last VM maintained a second time: the report was written in the round before the store held that the VM had begun, and a holder that ended in between left a successor that did not know of it.

A wave counts as completed once all its VMs have begun and the store holds the progress of the waves.

Evidence: the new test failed before the change (completed with the progress not recorded) and passes with it.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -197,7 +197,8 @@
             taken = busy | {order.vm for order in orders}
             orders += [order for order in steps if order.vm not in taken]
             evacuating |= workers
-            is_completed = not wave.remaining_vms(self._orders.vms)
+            is_begun = not wave.remaining_vms(self._orders.vms)
+            is_completed = is_begun and self._orders.is_recorded
             is_reported = self._reports.report(wave.order.number, is_completed)
             if is_completed and is_reported:
                 wave.is_completed = True
--- a/packages/corianderpitch/tests/test_maintainers.py
+++ b/packages/corianderpitch/tests/test_maintainers.py
@@ -79,9 +79,13 @@
 
 
 class Reports:
-    """Accepts reports of waves."""
+    """Accepts reports of waves, and keeps the last one of each."""
+
+    def __init__(self):
+        self.is_completed = {}
 
     def report(self, wave, is_completed):
+        self.is_completed[wave] = is_completed
         return True
 
 
@@ -214,6 +218,19 @@
     assert not worker.is_evacuating
 
 
+def test_a_wave_is_reported_as_completed_only_once_its_progress_is_recorded():
+    # A successor that did not find the progress reported it as running again.
+    orders = RecordingOrders()
+    orders.result = VmOrderResult.DONE
+    task = run_rounds(orders, (1,))
+    orders.is_recorded = False
+    task._run_round()
+    assert task._reports.is_completed == {1: False}
+    orders.is_recorded = True
+    task._run_round()
+    assert task._reports.is_completed == {1: True}
+
+
 def test_an_exception_in_an_order_is_raised():
     orders = SlowOrders()
     orders.move = lambda vm, pool: 1 / 0
