--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -41,7 +41,7 @@
 
     The result is at least 1.
 
-    >>> orders_at_once(64.0), orders_at_once(215.0)
+    >>> max_concurrent_orders(64.0), max_concurrent_orders(215.0)
     (1, 3)
     """
     return max(1, int(orders_per_s * ORDER_LATENCY_MS / 1000.0))
