Give up at two crashes only if the worker fell silent soon after the start

The second crash now decides only if the worker fell silent within the probation; a third one in a row decides as before. mark_silent takes the time for that. Without it nothing counts as prompt.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -160,7 +160,7 @@
                 worker=self._worker_id,
                 problem=problem.value,
             )
-        self._scheduler.mark_silent(self._worker_id)
+        self._scheduler.mark_silent(self._worker_id, self._clock.now_ms())
 
     def _execute(self, order: RunOrder) -> None:
         worker = self._scheduler.workers[self._worker_id]
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -12,18 +12,19 @@
 earlier ones may have been lost with their holder.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
-from corianderpitch.domain.scheduling.workers import Run, WorkerInfo
+from corianderpitch.domain.scheduling.workers import Run, WorkerInfo, WorkerView
 from corianderpitch.domain.scheduling.workloads import TaskRef
 from corianderpitch.ids import JobId, WorkerId
 
 PROBATION_MS = 300.0
 LATE_PROBATION_MS = 3000.0
 LATE_CRASHES_TO_SUSPECT = 2
-CRASHES_TO_GIVE_UP = 2  # the second one in isolation, and without a common cause
+CRASHES_TO_GIVE_UP = 2  # the second one prompt, in isolation, without common cause
 CRASHES_TO_GIVE_UP_ALWAYS = 3
 VERDICT_DELAY_MS = 500.0  # crashes with a common cause are noticed one by one
 COMMON_CAUSE_WINDOW_MS = 1000.0
@@ -44,12 +45,14 @@
 
     ``suspects`` are the tasks that most likely caused it, each with the number of
     crashes counted for it so far. ``is_explained`` is true if one of them was a
-    suspect before, and therefore started in isolation.
+    suspect before, and therefore started in isolation. ``is_prompt`` is true if the
+    worker fell silent soon after the last of them was started.
     """
 
     worker: WorkerInfo
     suspects: Mapping[TaskRef, int]
     is_explained: bool = False
+    is_prompt: bool = False
 
     @property
     def culprit(self) -> JobId | None:
@@ -143,8 +146,12 @@
 
 
 def _may_be_decisive(crash: WorkerCrash) -> bool:
-    is_repeated = crash.crashes >= CRASHES_TO_GIVE_UP
-    return crash.culprit is not None and crash.is_explained and is_repeated
+    return (
+        crash.culprit is not None
+        and crash.is_explained
+        and crash.is_prompt
+        and crash.crashes >= CRASHES_TO_GIVE_UP
+    )
 
 
 def _are_related(one: WorkerInfo, other: WorkerInfo) -> bool:
@@ -178,6 +185,14 @@
     return True
 
 
+def is_prompt(worker: WorkerView, runs: Iterable[Run]) -> bool:
+    """Return whether a worker fell silent soon after the last of some runs began."""
+    if worker.silent_since_ms is None:
+        return False
+    started_ms = max((run.state_since_ms for run in runs), default=-math.inf)
+    return worker.silent_since_ms - started_ms <= PROBATION_MS
+
+
 def has_passed_probation(step: ActiveStep, run: Run, now_ms: float) -> bool:
     """Return whether a run that is now reported has passed its probation."""
     return now_ms - run.state_since_ms >= probation_ms(step, run.task.index)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
@@ -12,6 +12,7 @@
     Verdict,
     WorkerCrash,
     count_crash,
+    is_prompt,
 )
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.workers import WorkerView
@@ -70,15 +71,17 @@
         worker.lapsed_runs.clear()
         if not runs or worker.is_leaving:
             return
-        unproven = [run for run in runs if not run.is_proven]
-        blamed = {run.task for run in unproven or runs}
+        blamed_runs = [run for run in runs if not run.is_proven] or runs
+        blamed = {run.task for run in blamed_runs}
         is_explained = any(self._is_suspect(task) for task in blamed)
         suspects: dict[TaskRef, int] = {}
         for run in runs:
             crashes = self._count_run(run.task, run.number, run.is_proven)
-            if crashes and run.task in blamed:
+            if crashes is not None and run.task in blamed:
                 suspects[run.task] = crashes
-        crash = WorkerCrash(worker.info, suspects, is_explained)
+        crash = WorkerCrash(
+            worker.info, suspects, is_explained, is_prompt(worker, blamed_runs)
+        )
         self._log.add(crash)
         self._notices.append(crash)
 
@@ -89,7 +92,7 @@
         """
         runs = self._recorded_runs.pop_crashed(worker_id, incarnation)
         counts = {task: self._count_run(task, number, False) for task, number in runs}
-        suspects = {task: crashes for task, crashes in counts.items() if crashes}
+        suspects = {task: n for task, n in counts.items() if n is not None}
         if suspects:
             self._notices.append(EarlierCrash(worker_id, suspects))
 
@@ -115,15 +118,15 @@
         found = self._find(task)
         return found is not None and task.index in found[1].suspects
 
-    def _count_run(self, task: TaskRef, number: int, is_proven: bool) -> int:
+    def _count_run(self, task: TaskRef, number: int, is_proven: bool) -> int | None:
         """Count a crash during a run; return its task's count if it is a suspect."""
         found = self._find(task)
         if found is None:
-            return 0
+            return None
         job, step = found
         job.is_dirty = True
         if not count_crash(step, task.index, number, is_proven):
-            return 0
+            return None
         return self._suspect(task)
 
     def _suspect(self, task: TaskRef) -> int:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -192,6 +192,7 @@
         worker.clock_ms = report.clock_ms
         worker.clock_received_ms = now_ms
         worker.is_silent = False
+        worker.silent_since_ms = None
         self._process_ends(worker, report.ended, now_ms)
         reported_runs = {(run.task, run.number) for run in report.running}
         worker.has_unread_runs = any(
@@ -207,13 +208,16 @@
                 self._process_missing_run(worker, run, requested_ms)
         self.awaiting_report.discard(worker_id)
 
-    def mark_silent(self, worker_id: WorkerId) -> None:
+    def mark_silent(self, worker_id: WorkerId, now_ms: float | None = None) -> None:
         """Mark a worker as silent after a call without an answer.
 
-        No new task is started on a silent worker.
+        No new task is started on a silent worker. Without ``now_ms`` it is not known
+        since when the worker has been silent.
         """
         worker = self.workers.get(worker_id)
         if worker is not None:
+            if not worker.is_silent:
+                worker.silent_since_ms = now_ms
             worker.is_silent = True
 
     def apply_order_result(
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -171,6 +171,7 @@
     clock_received_ms: float = 0.0
     leased_until_ms: float = 0.0
     is_silent: bool = False
+    silent_since_ms: float | None = None  # None while it answers, or if not known
     has_unread_ends: bool = False
     has_unread_runs: bool = False  # of jobs that could not be read yet
     has_unneeded_runs: bool = False  # reported ones that are not in ``runs``
