End a soak in order even if it is told to end twice

Two SIGTERMs in a row, as from timeout, interrupted the soak while it ended its processes and left five of them running. The second one is ignored now: tried with two signals 0.3 s apart, nothing was left.

--- a/packages/corianderpitch-standins/corianderpitch_standins/soak.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soak.py
@@ -193,6 +193,12 @@
     return SERVICES[int(time.monotonic() / PEAK_S) % len(SERVICES)]
 
 
+def _end(number: int, frame: object) -> None:
+    """End the soak in order; a second SIGTERM must not interrupt that."""
+    signal.signal(number, signal.SIG_IGN)
+    sys.exit(1)
+
+
 def main(
     *,
     seed: int = 1,
@@ -220,7 +226,7 @@
         Whether a worker that crashes starts anew under its old id.
     """
     # Without it, SIGTERM would end the soak before it ends its processes.
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
+    signal.signal(signal.SIGTERM, _end)
     failed = []
     for number in range(seed, seed + seeds):
         seed_folder = folder / f"seed-{number}"
