Start nothing on a worker whose VM was ordered away

Cause: a confirmed order takes the worker out of the list of VMs at once, and with that its mark as evacuated, but the worker's own entry stays for some hundred milliseconds. New tasks were started there, ended with the VM, and since nothing told that this end was planned, it counted as a crash under them. Such starts were wasted before as well.

The worker of a VM with a confirmed order now stays marked until it is gone, or until a list shows that it serves on, because the order had been carried out before. The test of an unconfirmed order asks for that list now.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -99,6 +99,7 @@
         self._waves: dict[int, WaveProgress] = {}
         self._moves: dict[VmId, PendingMove] = {}
         self._refused: set[MoveVm] = set()
+        self._ending_workers: dict[VmId, WorkerId] = {}
         self._demand = DemandWindow()
         self._arrivals = ArrivalForecast()
         self._ended_workers: set[WorkerId] = set()
@@ -113,6 +114,7 @@
             if self._orders.refresh():
                 self._detect_ended_workers(self._orders.listed_ms)
                 self._drop_finished_moves()
+                self._update_ending_workers()
                 for wave in self._waves.values():
                     wave.update_finished(self._orders.vms)
             if self._orders.vms:
@@ -147,7 +149,7 @@
             listed = self._orders.vms.get(vm)
             if listed is not None and listed.worker is not None:
                 evacuating.add(listed.worker)
-        self._mark_evacuated(evacuating)
+        self._mark_evacuated(evacuating | set(self._ending_workers.values()))
         targets = {order.vm for order in maintains} | {move.vm for move in moves}
         if (targets or not self._orders.is_recorded) and self._orders.record_intent(
             targets
@@ -270,6 +272,30 @@
             if vm is None or vm.pool == move.pool:
                 del self._moves[vm_id]
 
+    def _update_ending_workers(self) -> None:
+        """Drop workers that are gone, or serve on as their order had no effect.
+
+        An order that was carried out before is confirmed without any effect.
+        """
+        for vm_id, worker_id in list(self._ending_workers.items()):
+            vm = self._orders.vms.get(vm_id)
+            serves_on = vm is not None and vm.worker == worker_id
+            if serves_on or worker_id not in self._scheduler.workers:
+                del self._ending_workers[vm_id]
+
+    def _note_ending_worker(self, vm: VmId, worker: WorkerId | None) -> None:
+        """Note that a worker ends with a confirmed order about its VM.
+
+        It stays listed for a while. Until then nothing may be started on it, and its
+        end is no crash.
+        """
+        if worker is not None:
+            self._ending_workers[vm] = worker
+
+    def _worker_on(self, vm_id: VmId) -> WorkerId | None:
+        vm = self._orders.vms.get(vm_id)
+        return vm.worker if vm is not None else None
+
     def _standby_pools(self) -> frozenset[ServiceName]:
         catalog = self._catalogs.catalog
         pools = catalog.pools.values() if catalog is not None else ()
@@ -287,8 +313,10 @@
         wave = self._waves[order.wave]
         was_ordered = order.vm in wave.ordered_ms
         wave.ordered_ms[order.vm] = self._clock.now_ms()
+        worker = self._worker_on(order.vm)
         match self._orders.maintain(order.vm, order.wave):
             case VmOrderResult.DONE:
+                self._note_ending_worker(order.vm, worker)
                 wave.started_vms.add(order.vm)
                 self._orders.mark_begun(order.wave, order.vm)
             case VmOrderResult.REFUSED:
@@ -300,8 +328,10 @@
         """Order a move; a move without an answer stays pending and is repeated."""
         was_ordered = move.vm in self._moves
         self._moves[move.vm] = PendingMove(move.pool, self._clock.now_ms())
+        worker = self._worker_on(move.vm)
         match self._orders.move(move.vm, move.pool):
             case VmOrderResult.DONE:
+                self._note_ending_worker(move.vm, worker)
                 del self._moves[move.vm]
             case VmOrderResult.REFUSED:
                 self._refused.add(move)
--- a/packages/corianderpitch/tests/test_maintainers.py
+++ b/packages/corianderpitch/tests/test_maintainers.py
@@ -9,6 +9,7 @@
 from corianderpitch.domain.scheduling.catalog import ServicePool, WaveOrder
 from corianderpitch.domain.scheduling.maintenance import (
     ORDER_RETRY_INTERVAL_MS,
+    MaintainVm,
     PoolVm,
     VmCondition,
 )
@@ -25,6 +26,7 @@
     def __init__(self):
         self.in_flight = 0
         self.max_in_flight = 0
+        self.vms = {}
         self.moved = []
 
     def move(self, vm, pool):
@@ -215,9 +217,38 @@
     assert orders.begun == {1: {VM}}
     task._run_round()
     assert task._waves[1].is_completed
+    task._update_ending_workers()  # the list shows that it serves on
+    task._run_round()
     assert not worker.is_evacuating
 
 
+@pytest.mark.parametrize("is_wave", [True, False], ids=["maintenance", "move"])
+def test_no_task_is_started_on_a_worker_whose_vm_was_ordered_away(is_wave):
+    # It ended with the VM at once, as if the task had crashed its worker, and a job
+    # was given up for two such ends.
+    worker_id = WorkerId("w1")
+    orders = RecordingOrders()
+    orders.vms = {VM: PoolVm(VM, QUEUE.service, VmCondition.UP, worker_id)}
+    orders.result = VmOrderResult.DONE
+    task = run_rounds(orders, (), count=0)
+    task._catalogs = Catalogs((1,))
+    task._update_waves()
+    if is_wave:
+        task._maintain(MaintainVm(VM, 1))
+    else:
+        task._move(MoveVm(VM, STANDBY))
+    orders.vms = {VM: PoolVm(VM, STANDBY, VmCondition.MOVING, None)}
+    task._update_ending_workers()
+    task._run_round()
+    worker = task._scheduler.workers[worker_id]
+    assert worker.is_leaving
+    task._scheduler.add_job(make_job())
+    assert [order.worker for order in starts(task._scheduler)] == [WorkerId("w2")]
+    del task._scheduler.workers[worker_id]
+    task._update_ending_workers()
+    assert not task._ending_workers
+
+
 def test_a_wave_is_reported_as_completed_only_once_its_progress_is_recorded():
     # A successor that did not find the progress reported it as running again.
     orders = RecordingOrders()
