--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -18,7 +18,7 @@
 from corianderpitch.daemon.supervision import keep_running
 from corianderpitch.domain.scheduling.crashes import (
     EarlierCrash,
-    Verdict,
+    JobGivenUp,
     WorkerCrash,
 )
 from corianderpitch.domain.scheduling.evacuation import evacuate
@@ -398,7 +398,7 @@
                 worker=notice.worker,
                 suspects=sorted({task.job_id for task in notice.suspects}),
             )
-        case Verdict():
+        case JobGivenUp():
             log.warning(
                 "Job given up: its task crashes workers.",
                 job=notice.task.job_id,
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -1,4 +1,4 @@
-"""Tasks that crash the workers that start them: evidence, suspects and verdicts.
+"""Tasks that crash the workers that start them: evidence, suspects and decisions.
 
 Such a task ends its worker's process soon after its start, and with it all other
 runs there. One crash says little: the worker may have failed by itself, and several
@@ -8,7 +8,7 @@
 
 The crashes are counted for each task by the numbers of its runs, until a run passes
 its probation. They are committed with the job's progress, so that a successor
-continues the count. A third crash in a row ends the job in any case: verdicts on
+continues the count. A third crash in a row ends the job in any case: decisions on
 earlier ones may have been lost with their holder.
 """
 
@@ -26,13 +26,13 @@
 LATE_CRASHES_TO_SUSPECT = 2
 CRASHES_TO_GIVE_UP = 2  # the second one prompt, in isolation, without common cause
 CRASHES_TO_GIVE_UP_ALWAYS = 3
-VERDICT_DELAY_MS = 500.0  # crashes with a common cause are noticed one by one
+DECISION_DELAY_MS = 500.0  # crashes with a common cause are noticed one by one
 COMMON_CAUSE_WINDOW_MS = 1000.0
 COMMON_CAUSE_WORKERS = 2  # that crash at about the same time as another one
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
+class JobGivenUp:
     """Decision that a task has crashed workers, and its job is to be given up."""
 
     task: TaskRef
@@ -55,7 +55,7 @@
     is_prompt: bool = False
 
     @property
-    def culprit(self) -> JobId | None:
+    def only_job(self) -> JobId | None:
         """Return the job of all suspects, ``None`` if there are several or none."""
         job_ids = {task.job_id for task in self.suspects}
         return job_ids.pop() if len(job_ids) == 1 else None
@@ -65,10 +65,10 @@
         """Return the highest count of crashes among the suspects."""
         return max(self.suspects.values(), default=0)
 
-    def verdict(self) -> Verdict:
-        """Return the verdict that its most suspect task is the cause."""
+    def decision(self) -> JobGivenUp:
+        """Return the decision that its most suspect task is the cause."""
         task = max(self.suspects, key=lambda suspect: self.suspects[suspect])
-        return Verdict(task, self.suspects[task])
+        return JobGivenUp(task, self.suspects[task])
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,11 +79,11 @@
     suspects: Mapping[TaskRef, int]
 
 
-CrashNotice = WorkerCrash | EarlierCrash | Verdict
+CrashNotice = WorkerCrash | EarlierCrash | JobGivenUp
 
 
 @dataclass(slots=True)
-class Cell:
+class IsolationGroup:
     """Workers on which only one suspect job starts tasks; see ``isolation``.
 
     ``asked_ms`` is the time of the last request for the reports of these workers.
@@ -96,37 +96,37 @@
 
 @dataclass(slots=True)
 class CrashLog:
-    """Recent crashes of workers, and those on which no verdict was passed yet."""
+    """Recent crashes of workers, and those that are not decided on yet."""
 
     _new: list[WorkerCrash] = field(default_factory=list)
     _recent: list[tuple[float, WorkerCrash]] = field(default_factory=list)
     _undecided: list[tuple[float, WorkerCrash]] = field(default_factory=list)
 
     def add(self, crash: WorkerCrash) -> None:
-        """Add a crash; the next call of ``pop_verdicts`` sets its time."""
+        """Add a crash; the next call of ``pop_given_up`` sets its time."""
         self._new.append(crash)
 
-    def pop_verdicts(self, now_ms: float) -> list[Verdict]:
-        """Return the verdicts on crashes that some time has passed since."""
+    def pop_given_up(self, now_ms: float) -> list[JobGivenUp]:
+        """Return the jobs to give up for crashes of some time ago."""
         for crash in self._new:
             self._recent.append((now_ms, crash))
             if _may_be_decisive(crash):
                 self._undecided.append((now_ms, crash))
         self._new.clear()
-        due = [c for c in self._undecided if now_ms - c[0] >= VERDICT_DELAY_MS]
+        due = [c for c in self._undecided if now_ms - c[0] >= DECISION_DELAY_MS]
         self._undecided = [c for c in self._undecided if c not in due]
-        verdicts = [
-            crash.verdict()
+        decisions = [
+            crash.decision()
             for at_ms, crash in due
             if not self._has_common_cause(at_ms, crash)
         ]
-        oldest_ms = now_ms - VERDICT_DELAY_MS - COMMON_CAUSE_WINDOW_MS
+        oldest_ms = now_ms - DECISION_DELAY_MS - COMMON_CAUSE_WINDOW_MS
         self._recent = [(at, crash) for at, crash in self._recent if at >= oldest_ms]
-        return verdicts
+        return decisions
 
     def is_undecided(self, job_id: JobId) -> bool:
         """Return whether a crash that a job may have caused is not decided on yet."""
-        return any(crash.culprit == job_id for _, crash in self._undecided)
+        return any(crash.only_job == job_id for _, crash in self._undecided)
 
     def _has_common_cause(self, at_ms: float, crash: WorkerCrash) -> bool:
         """Return whether several related workers crashed at about the same time.
@@ -147,7 +147,7 @@
 
 def _may_be_decisive(crash: WorkerCrash) -> bool:
     return (
-        crash.culprit is not None
+        crash.only_job is not None
         and crash.is_explained
         and crash.is_prompt
         and crash.crashes >= CRASHES_TO_GIVE_UP
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
@@ -4,12 +4,12 @@
 
 from corianderpitch.domain.scheduling.crashes import (
     CRASHES_TO_GIVE_UP_ALWAYS,
-    Cell,
     CrashLog,
     CrashNotice,
     EarlierCrash,
+    IsolationGroup,
+    JobGivenUp,
     RecordedRuns,
-    Verdict,
     WorkerCrash,
     count_crash,
     is_prompt,
@@ -21,20 +21,20 @@
 
 
 class CrashTracker:
-    """Counts crashes for the tasks of ``jobs``, and passes verdicts on them.
+    """Counts crashes for the tasks of ``jobs``, and decides which of them to give up.
 
     ``suspect_jobs`` have tasks that may crash the workers that start them, and
-    ``cells`` holds the workers on which each of these is started in isolation.
+    ``groups`` holds the workers on which each of these is started in isolation.
     """
 
     def __init__(self, jobs: Mapping[JobId, ActiveJob]):
         self._jobs = jobs
         self._log = CrashLog()
         self._recorded_runs = RecordedRuns()
-        self._verdicts: dict[JobId, Verdict] = {}
+        self._given_up: dict[JobId, JobGivenUp] = {}
         self._notices: list[CrashNotice] = []
         self.suspect_jobs: set[JobId] = set()
-        self.cells: dict[JobId, Cell] = {}
+        self.groups: dict[JobId, IsolationGroup] = {}
 
     def add_job(self, job: ActiveJob, workers: Mapping[WorkerId, WorkerView]) -> None:
         """Add a job, new or recovered, with what predecessors have recorded of it."""
@@ -57,30 +57,30 @@
             self.suspect_jobs.discard(job.job_id)
 
     def pop_notices(self) -> list[CrashNotice]:
-        """Return the crashes and verdicts since the last call, for the log."""
+        """Return the crashes and decisions since the last call, for the log."""
         notices, self._notices = self._notices, []
         return notices
 
     def count(self, worker: WorkerView) -> None:
         """Count the end of a worker's process for the tasks that were at work there.
 
-        A planned end does not count. Runs that had passed their probation are blamed
+        A planned end does not count. Runs that had passed their probation are likely
         only if all runs had.
         """
         runs = [*worker.runs.values(), *worker.lapsed_runs]
         worker.lapsed_runs.clear()
         if not runs or worker.is_leaving:
             return
-        blamed_runs = [run for run in runs if not run.is_proven] or runs
-        blamed = {run.task for run in blamed_runs}
-        is_explained = any(self._is_suspect(task) for task in blamed)
+        likely_runs = [run for run in runs if not run.is_proven] or runs
+        likely = {run.task for run in likely_runs}
+        is_explained = any(self._is_suspect(task) for task in likely)
         suspects: dict[TaskRef, int] = {}
         for run in runs:
             crashes = self._count_run(run.task, run.number, run.is_proven)
-            if crashes is not None and run.task in blamed:
+            if crashes is not None and run.task in likely:
                 suspects[run.task] = crashes
         crash = WorkerCrash(
-            worker.info, suspects, is_explained, is_prompt(worker, blamed_runs)
+            worker.info, suspects, is_explained, is_prompt(worker, likely_runs)
         )
         self._log.add(crash)
         self._notices.append(crash)
@@ -96,16 +96,16 @@
         if suspects:
             self._notices.append(EarlierCrash(worker_id, suspects))
 
-    def pop_verdicts(self, now_ms: float) -> list[Verdict]:
-        """Return the verdicts on open jobs that are to be given up now."""
-        for verdict in self._log.pop_verdicts(now_ms):
-            self._verdicts.setdefault(verdict.task.job_id, verdict)
-        passed, self._verdicts = self._verdicts, {}
-        verdicts = [v for job_id, v in passed.items() if job_id in self._jobs]
-        self._notices += verdicts
-        return verdicts
+    def pop_given_up(self, now_ms: float) -> list[JobGivenUp]:
+        """Return the open jobs that are to be given up now."""
+        for decision in self._log.pop_given_up(now_ms):
+            self._given_up.setdefault(decision.task.job_id, decision)
+        passed, self._given_up = self._given_up, {}
+        decisions = [v for job_id, v in passed.items() if job_id in self._jobs]
+        self._notices += decisions
+        return decisions
 
-    def awaits_verdict(self, job_id: JobId) -> bool:
+    def awaits_decision(self, job_id: JobId) -> bool:
         """Return whether a crash that a job may have caused is not decided on yet."""
         return self._log.is_undecided(job_id)
 
@@ -135,5 +135,5 @@
         crashes = found[1].crash_count(task.index) if found is not None else 0
         self.suspect_jobs.add(task.job_id)
         if crashes >= CRASHES_TO_GIVE_UP_ALWAYS:
-            self._verdicts.setdefault(task.job_id, Verdict(task, crashes))
+            self._given_up.setdefault(task.job_id, JobGivenUp(task, crashes))
         return crashes
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -1,17 +1,20 @@
 """Isolated starts of tasks that may crash the workers that start them.
 
-A suspect job gets a cell: a worker, or several for a gang, on which nothing else is
+A suspect job gets a group: a worker, or several for a gang, on which nothing else is
 started until the job's suspects have ended or passed their probation. They are
 started there once all other runs on the worker have passed theirs. If the worker
 crashes then, the job is the cause, and little else is lost. The other tasks of a
-suspect job wait. No new cell is chosen while half of a service's workers are in cells.
+suspect job wait. No new group is chosen while half of a service's workers are taken.
 """
 
 from collections.abc import Iterable, Sequence
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.advice import permitted_workers
-from corianderpitch.domain.scheduling.crashes import Cell, has_passed_probation
+from corianderpitch.domain.scheduling.crashes import (
+    IsolationGroup,
+    has_passed_probation,
+)
 from corianderpitch.domain.scheduling.ordering import order_key
 from corianderpitch.domain.scheduling.placing import (
     count_runs_on,
@@ -30,7 +33,7 @@
 from corianderpitch.ids import JobId, ServiceName, WorkerId
 
 MAX_ISOLATED_SHARE = 0.5  # of the workers of a service
-MAX_CELL_WAIT_MS = 3000.0  # until a cell in which nothing could be started is given up
+MAX_GROUP_WAIT_MS = 3000.0  # until a group in which nothing could start is dropped
 REPORT_INTERVAL_MS = 100.0
 
 Schedulable = dict[ServiceName, list[WorkerView]]
@@ -39,19 +42,19 @@
 def plan_isolated(
     scheduler: Scheduler, schedulable: Schedulable, now_ms: float, wall_ms: float
 ) -> None:
-    """Start the suspects that can be started, and remove cells from ``schedulable``."""
-    _drop_cells(scheduler, schedulable, now_ms)
+    """Start the suspects that can be started, and take groups off ``schedulable``."""
+    _drop_groups(scheduler, schedulable, now_ms)
     for queue, job in _suspect_jobs(scheduler, now_ms):
         workers = schedulable.get(queue.service, [])
         for step in list(job.ready_steps(wall_ms)):
             if step.suspects & step.pending:
                 permitted = permitted_workers(step, queue.advice, workers, now_ms)
-                _start_in_cell(scheduler, job, step, workers, permitted, now_ms)
+                _start_in_group(scheduler, job, step, workers, permitted, now_ms)
     isolated = _isolated_workers(scheduler)
     for service, workers in schedulable.items():
         schedulable[service] = [w for w in workers if w.info.worker not in isolated]
-    for cell in scheduler.crashes.cells.values():
-        _request_reports(scheduler, cell, now_ms)
+    for group in scheduler.crashes.groups.values():
+        _request_reports(scheduler, group, now_ms)
 
 
 def _suspect_jobs(scheduler: Scheduler, now_ms: float) -> list[tuple[Queue, ActiveJob]]:
@@ -62,7 +65,7 @@
         queue = scheduler.queues.get(job.workload.queue)
         if (
             queue is not None
-            and not scheduler.crashes.awaits_verdict(job_id)
+            and not scheduler.crashes.awaits_decision(job_id)
             and scheduler.is_safe_to_start(job, now_ms)
         ):
             ready.append((queue, job))
@@ -70,33 +73,35 @@
     return ready
 
 
-def _drop_cells(scheduler: Scheduler, schedulable: Schedulable, now_ms: float) -> None:
-    """Drop the cells of cleared jobs, and those that are of no use any more."""
+def _drop_groups(scheduler: Scheduler, schedulable: Schedulable, now_ms: float) -> None:
+    """Drop the groups of cleared jobs, and those that are of no use any more."""
     available = {w.info.worker for ws in schedulable.values() for w in ws}
-    for job_id, cell in list(scheduler.crashes.cells.items()):
-        is_in_use = _has_unproven(scheduler, cell, job_id)
-        is_useless = not available.issuperset(cell.workers) or (
-            now_ms - cell.chosen_ms >= MAX_CELL_WAIT_MS
+    for job_id, group in list(scheduler.crashes.groups.items()):
+        is_in_use = _has_unproven(scheduler, group, job_id)
+        is_useless = not available.issuperset(group.workers) or (
+            now_ms - group.chosen_ms >= MAX_GROUP_WAIT_MS
         )
         is_cleared = job_id not in scheduler.crashes.suspect_jobs
         if is_cleared or (is_useless and not is_in_use):
-            del scheduler.crashes.cells[job_id]
+            del scheduler.crashes.groups[job_id]
 
 
 def _isolated_workers(scheduler: Scheduler) -> set[WorkerId]:
     return {
-        worker for cell in scheduler.crashes.cells.values() for worker in cell.workers
+        worker
+        for group in scheduler.crashes.groups.values()
+        for worker in group.workers
     }
 
 
-def _runs_in(scheduler: Scheduler, cell: Cell) -> Iterable[Run]:
-    for worker_id in cell.workers:
+def _runs_in(scheduler: Scheduler, group: IsolationGroup) -> Iterable[Run]:
+    for worker_id in group.workers:
         worker = scheduler.workers.get(worker_id)
         if worker is not None:
             yield from worker.runs.values()
 
 
-def _start_in_cell(
+def _start_in_group(
     scheduler: Scheduler,
     job: ActiveJob,
     step: ActiveStep,
@@ -104,18 +109,18 @@
     permitted: Sequence[WorkerView],
     now_ms: float,
 ) -> None:
-    """Start the suspects of a step in the job's cell, which is chosen if needed."""
-    cell = scheduler.crashes.cells.get(job.job_id)
-    if cell is None or not _has_room(scheduler, cell, step, permitted):
-        if cell is not None and _has_unproven(scheduler, cell, job.job_id):
+    """Start the suspects of a step in the job's group, which is chosen if needed."""
+    group = scheduler.crashes.groups.get(job.job_id)
+    if group is None or not _has_room(scheduler, group, step, permitted):
+        if group is not None and _has_unproven(scheduler, group, job.job_id):
             return
-        cell = _choose_cell(scheduler, step, workers, permitted, now_ms)
-        if cell is None:
+        group = _choose_group(scheduler, step, workers, permitted, now_ms)
+        if group is None:
             return
-        scheduler.crashes.cells[job.job_id] = cell
-    if _has_others_unproven(scheduler, cell, job.job_id):
+        scheduler.crashes.groups[job.job_id] = group
+    if _has_others_unproven(scheduler, group, job.job_id):
         return
-    chosen = [w for w in permitted if w.info.worker in cell.workers]
+    chosen = [w for w in permitted if w.info.worker in group.workers]
     if step.step.is_gang:
         start_gang(scheduler, job, step, chosen, now_ms)
     else:
@@ -125,38 +130,40 @@
 
 def _has_room(
     scheduler: Scheduler,
-    cell: Cell,
+    group: IsolationGroup,
     step: ActiveStep,
     permitted: Iterable[WorkerView],
 ) -> bool:
-    """Return whether a cell's workers can run tasks of a step, now or when emptied."""
-    inside = [w for w in permitted if w.info.worker in cell.workers]
+    """Return whether a group's workers can run tasks of a step, now or when emptied."""
+    inside = [w for w in permitted if w.info.worker in group.workers]
     if step.step.is_gang:
-        return len(inside) == len(cell.workers) and not step.runs
+        return len(inside) == len(group.workers) and not step.runs
     return any(_can_be_emptied_for(scheduler, step, w) for w in inside)
 
 
-def _has_unproven(scheduler: Scheduler, cell: Cell, job_id: JobId) -> bool:
+def _has_unproven(scheduler: Scheduler, group: IsolationGroup, job_id: JobId) -> bool:
     return any(
         run.task.job_id == job_id and not run.is_proven
-        for run in _runs_in(scheduler, cell)
+        for run in _runs_in(scheduler, group)
     )
 
 
-def _has_others_unproven(scheduler: Scheduler, cell: Cell, job_id: JobId) -> bool:
+def _has_others_unproven(
+    scheduler: Scheduler, group: IsolationGroup, job_id: JobId
+) -> bool:
     return any(
         run.task.job_id != job_id and not run.is_proven
-        for run in _runs_in(scheduler, cell)
+        for run in _runs_in(scheduler, group)
     )
 
 
-def _choose_cell(
+def _choose_group(
     scheduler: Scheduler,
     step: ActiveStep,
     workers: Sequence[WorkerView],
     permitted: Iterable[WorkerView],
     now_ms: float,
-) -> Cell | None:
+) -> IsolationGroup | None:
     """Choose the workers that will lose the least work and are free the soonest."""
     isolated = _isolated_workers(scheduler)
     taken = sum(1 for worker in workers if worker.info.worker in isolated)
@@ -178,7 +185,7 @@
         chosen = _choose_for_gang(step, candidates)
     if not chosen:
         return None
-    return Cell(tuple(worker.info.worker for worker in chosen), now_ms)
+    return IsolationGroup(tuple(worker.info.worker for worker in chosen), now_ms)
 
 
 def _rank(step: ActiveStep, worker: WorkerView) -> tuple[bool, bool, float]:
@@ -220,17 +227,19 @@
     return step.step.reservation.fits_in(free)
 
 
-def _request_reports(scheduler: Scheduler, cell: Cell, now_ms: float) -> None:
-    """Request the reports that show whether runs in a cell have passed probation."""
-    if now_ms - cell.asked_ms < REPORT_INTERVAL_MS:
+def _request_reports(
+    scheduler: Scheduler, group: IsolationGroup, now_ms: float
+) -> None:
+    """Request the reports that show whether runs in a group have passed probation."""
+    if now_ms - group.asked_ms < REPORT_INTERVAL_MS:
         return
-    for worker_id in cell.workers:
+    for worker_id in group.workers:
         worker = scheduler.workers.get(worker_id)
         if worker is None or not any(
             _is_due(scheduler, run, now_ms) for run in worker.runs.values()
         ):
             continue
-        cell.asked_ms = now_ms
+        group.asked_ms = now_ms
         scheduler.request_report(worker_id)
 
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -25,7 +25,7 @@
     consider a run lost although its successor has already recorded its end. Tasks
     that may crash their workers are started in isolation, before all others.
     """
-    scheduler.give_up_culprits(now_ms)
+    scheduler.give_up_crashing_jobs(now_ms)
     schedulable = _schedulable_by_service(scheduler, now_ms)
     if may_restart:
         plan_isolated(scheduler, schedulable, now_ms, wall_ms)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -403,10 +403,10 @@
         """Order a report to be requested at once."""
         self._orders.append(RequestReport(worker_id))
 
-    def give_up_culprits(self, now_ms: float) -> None:
+    def give_up_crashing_jobs(self, now_ms: float) -> None:
         """Give up the jobs that are shown to crash the workers that start them."""
-        for verdict in self.crashes.pop_verdicts(now_ms):
-            self._end_job(self.jobs[verdict.task.job_id], JobState.FAILED)
+        for decision in self.crashes.pop_given_up(now_ms):
+            self._end_job(self.jobs[decision.task.job_id], JobState.FAILED)
 
     def pop_notices(self) -> list[Notice]:
         """Return what is to be logged about runs and workers since the last call.
--- a/packages/corianderpitch/tests/test_crashes.py
+++ b/packages/corianderpitch/tests/test_crashes.py
@@ -17,8 +17,8 @@
 from corianderpitch.daemon.scheduling.rows import pack_progress, unpack_progress
 from corianderpitch.domain.jobs import JobState, Shape
 from corianderpitch.domain.scheduling.crashes import (
+    DECISION_DELAY_MS,
     PROBATION_MS,
-    VERDICT_DELAY_MS,
 )
 from corianderpitch.domain.scheduling.orders import OrderResult
 from corianderpitch.domain.scheduling.progress import (
@@ -61,7 +61,7 @@
 
 def settle(scheduler, now_ms):
     """Let the time pass after which crashes are decided on, and plan twice."""
-    return starts(scheduler, now_ms) + starts(scheduler, now_ms + VERDICT_DELAY_MS)
+    return starts(scheduler, now_ms) + starts(scheduler, now_ms + DECISION_DELAY_MS)
 
 
 def ended_state(scheduler, name):
