--- a/tests/integration/test_userplatform.py
+++ b/tests/integration/test_userplatform.py
@@ -80,6 +80,8 @@
         self.addresses = json.loads(self.platform.stdout.readline())
         for number in range(entries):
             self.start_entry(f"e{number}")
+
+    def wait_ready(self):
         wait_until(self.all_ready, 15.0, "all entries ready")
 
     def start_entry(self, name):
@@ -156,9 +158,12 @@
 @pytest.fixture
 def fleet(tmp_path):
     user_platform_fleet = UserPlatformFleet(tmp_path, entries=3)
-    yield user_platform_fleet
-    report = user_platform_fleet.control()
-    user_platform_fleet.close()
+    try:
+        user_platform_fleet.wait_ready()
+        yield user_platform_fleet
+        report = user_platform_fleet.control()
+    finally:
+        user_platform_fleet.close()
     assert report["problems"] == []
 
 
