Suspect only runs whose begin was seen of the crash of their worker

Cause: each run on a worker counted as having just begun when the worker's process was found ended, unless a report had shown it for 0.3 s of this term. Silence was taken for proof: a start without an answer, or one still queued, stays among the worker's runs, so that an order to a worker that is dark already counted as a crash under it, and a prompt one. So did a run that a predecessor had started long ago, until its second report.

Now a run is related to a crash only if its worker confirmed its begin, by an answer or a report, and if it began less than its probation before the worker fell silent. The promptness counts from the order to start it. A run that was adopted has an unknown begin; it is no suspect.

Ruled out as a mend: asking for the last sign of life of the worker alone; a worker that was heard after the order was sent may still not have carried it out.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -6,12 +6,17 @@
 ``PROBATION_MS`` yet become suspects. They are started again in isolation (see
 ``isolation``), so that a second crash names the job that caused it.
 
+A run whose begin the worker has not confirmed is no evidence: its order may have
+found the worker dead already. Nor is one that a predecessor has started, as it may
+have run for long.
+
 The crashes are counted for each task by the numbers of its runs, until a run passes
 its probation. They are committed with the job's progress, so that a successor
 continues the count. A third crash in a row ends the job in any case: decisions on
 earlier ones may have been lost with their holder.
 """
 
+import enum
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -165,16 +170,51 @@
     return PROBATION_MS
 
 
-def count_crash(step: ActiveStep, index: int, number: int, is_proven: bool) -> bool:
+class CrashRelation(enum.Enum):
+    """Relation of a run to the crash of its worker.
+
+    A ``RECENT`` run began shortly before the worker fell silent, and is the likely
+    cause. A ``LATE`` one had passed its probation.
+    """
+
+    UNRELATED = "unrelated"
+    RECENT = "recent"
+    LATE = "late"
+
+
+def relate_to_crash(
+    step: ActiveStep, run: Run, silent_since_ms: float | None
+) -> CrashRelation:
+    """Return how a run is related to the crash of its worker.
+
+    ``silent_since_ms`` is ``None`` if it is not known since when the worker has been
+    silent.
+    """
+    if run.is_proven:
+        return CrashRelation.LATE
+    if run.begun_ms is None:
+        return CrashRelation.UNRELATED
+    if silent_since_ms is not None and (
+        silent_since_ms - run.begun_ms > probation_ms(step, run.task.index)
+    ):
+        return CrashRelation.LATE
+    return CrashRelation.RECENT
+
+
+def count_crash(
+    step: ActiveStep, index: int, number: int, relation: CrashRelation
+) -> bool:
     """Count a crash of a worker during a run; return whether its task is a suspect.
 
     A run that had passed its probation is unlikely to be the cause. Its task becomes
     a suspect after ``LATE_CRASHES_TO_SUSPECT``, but for lasting tasks, which run
     through many crashes of their workers.
     """
-    if index in step.done or (is_proven and step.step.is_lasting):
+    if index in step.done or relation is CrashRelation.UNRELATED:
         return False
-    if is_proven:
+    if relation is CrashRelation.LATE:
+        if step.step.is_lasting:
+            return False
         late = step.late_crashed.setdefault(index, set())
         late.add(number)
         if len(late) < LATE_CRASHES_TO_SUSPECT:
@@ -186,16 +226,17 @@
 
 
 def is_prompt(worker: WorkerView, runs: Iterable[Run]) -> bool:
-    """Return whether a worker fell silent soon after the last of some runs began."""
+    """Return whether a worker fell silent soon after the last of some starts."""
     if worker.silent_since_ms is None:
         return False
-    started_ms = max((run.state_since_ms for run in runs), default=-math.inf)
-    return worker.silent_since_ms - started_ms <= PROBATION_MS
+    ordered_ms = max((run.ordered_ms for run in runs), default=-math.inf)
+    return worker.silent_since_ms - ordered_ms <= PROBATION_MS
 
 
 def has_passed_probation(step: ActiveStep, run: Run, now_ms: float) -> bool:
     """Return whether a run that is now reported has passed its probation."""
-    return now_ms - run.state_since_ms >= probation_ms(step, run.task.index)
+    since_ms = run.state_since_ms if run.begun_ms is None else run.begun_ms
+    return now_ms - since_ms >= probation_ms(step, run.task.index)
 
 
 @dataclass(slots=True)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
@@ -1,11 +1,12 @@
 """Counts of crashes of workers, and the jobs suspected of them, during a term."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from corianderpitch.domain.scheduling.crashes import (
     CRASHES_TO_GIVE_UP_ALWAYS,
     CrashLog,
     CrashNotice,
+    CrashRelation,
     EarlierCrash,
     IsolationGroup,
     JobGivenUp,
@@ -13,9 +14,10 @@
     WorkerCrash,
     count_crash,
     is_prompt,
+    relate_to_crash,
 )
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
-from corianderpitch.domain.scheduling.workers import WorkerView
+from corianderpitch.domain.scheduling.workers import Run, WorkerView
 from corianderpitch.domain.scheduling.workloads import TaskRef
 from corianderpitch.ids import JobId, WorkerId
 
@@ -71,12 +73,13 @@
         worker.lapsed_runs.clear()
         if not runs or worker.is_leaving:
             return
-        likely_runs = [run for run in runs if not run.is_proven] or runs
+        relations = self._relate(worker, runs)
+        likely_runs = _likely_runs(relations)
         likely = {run.task for run in likely_runs}
         is_explained = any(self._is_suspect(task) for task in likely)
         suspects: dict[TaskRef, int] = {}
-        for run in runs:
-            crashes = self._count_run(run.task, run.number, run.is_proven)
+        for run, relation in relations:
+            crashes = self._count_run(run.task, run.number, relation)
             if crashes is not None and run.task in likely:
                 suspects[run.task] = crashes
         crash = WorkerCrash(
@@ -91,7 +94,10 @@
         ``incarnation`` is the worker's present one, ``None`` if its process has ended.
         """
         runs = self._recorded_runs.pop_crashed(worker_id, incarnation)
-        counts = {task: self._count_run(task, number, False) for task, number in runs}
+        counts = {
+            task: self._count_run(task, number, CrashRelation.RECENT)
+            for task, number in runs
+        }
         suspects = {task: n for task, n in counts.items() if n is not None}
         if suspects:
             self._notices.append(EarlierCrash(worker_id, suspects))
@@ -109,6 +115,18 @@
         """Return whether a crash that a job may have caused is not decided on yet."""
         return self._log.is_undecided(job_id)
 
+    def _relate(
+        self, worker: WorkerView, runs: Iterable[Run]
+    ) -> list[tuple[Run, CrashRelation]]:
+        """Return the runs of open jobs, each with its relation to a worker's crash."""
+        relations: list[tuple[Run, CrashRelation]] = []
+        for run in runs:
+            found = self._find(run.task)
+            if found is not None:
+                relation = relate_to_crash(found[1], run, worker.silent_since_ms)
+                relations.append((run, relation))
+        return relations
+
     def _find(self, task: TaskRef) -> tuple[ActiveJob, ActiveStep] | None:
         job = self._jobs.get(task.job_id)
         step = job.find_step(task) if job is not None else None
@@ -118,14 +136,16 @@
         found = self._find(task)
         return found is not None and task.index in found[1].suspects
 
-    def _count_run(self, task: TaskRef, number: int, is_proven: bool) -> int | None:
+    def _count_run(
+        self, task: TaskRef, number: int, relation: CrashRelation
+    ) -> int | None:
         """Count a crash during a run; return its task's count if it is a suspect."""
         found = self._find(task)
         if found is None:
             return None
         job, step = found
         job.is_dirty = True
-        if not count_crash(step, task.index, number, is_proven):
+        if not count_crash(step, task.index, number, relation):
             return None
         return self._suspect(task)
 
@@ -137,3 +157,11 @@
         if crashes >= CRASHES_TO_GIVE_UP_ALWAYS:
             self._given_up.setdefault(task.job_id, JobGivenUp(task, crashes))
         return crashes
+
+
+def _likely_runs(relations: Iterable[tuple[Run, CrashRelation]]) -> list[Run]:
+    """Return the recent runs, or the late ones if there are no recent ones."""
+    for relation in (CrashRelation.RECENT, CrashRelation.LATE):
+        if runs := [run for run, related in relations if related is relation]:
+            return runs
+    return []
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -364,6 +364,7 @@
             RunState.STARTING,
             now_ms,
             incarnation=worker.incarnation or "",
+            ordered_ms=now_ms,
         )
         worker.add_run(run)
         step.runs.setdefault(index, []).append(run)
@@ -623,6 +624,7 @@
         if run.state in (RunState.STARTING, RunState.UNSETTLED):
             run.state = RunState.RUNNING
             run.state_since_ms = now_ms  # reports requested earlier may miss it
+            run.begun_ms = now_ms
         if not run.is_proven and has_passed_probation(step, run, now_ms):
             run.is_proven = True
             self.crashes.clear(job, step, run.task.index)
@@ -776,6 +778,7 @@
             case OrderResult.DONE:
                 if run.state is RunState.STARTING:
                     run.state = RunState.RUNNING
+                    run.begun_ms = now_ms
                 run.state_since_ms = now_ms
                 return
             case OrderResult.NO_ANSWER:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -1,6 +1,7 @@
 """The scheduler's model of workers: capacity, leases, runs and reports."""
 
 import enum
+import math
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -115,9 +116,12 @@
     before ``state_since_ms`` may not reflect ``state`` yet. ``pace_percent`` is
     the share of full speed that the worker last confirmed, and ``paced_ms`` the time
     of the last order to change it. ``incarnation`` is the worker's at the start.
-    ``is_proven`` is set once the run has passed its probation: if its worker crashes
-    afterwards, the run is unlikely to be the cause. ``may_have_stopped`` is set once
-    an order to stop it may have had an effect.
+    ``ordered_ms`` is the time of the order to start it, and ``begun_ms`` the time by
+    which the worker had confirmed that it runs, ``None`` until then. Neither is known
+    for a run that a predecessor has started. ``is_proven`` is set once the run has
+    passed its probation: if its worker crashes afterwards, the run is unlikely to be
+    the cause. ``may_have_stopped`` is set once an order to stop it may have had an
+    effect.
     """
 
     task: TaskRef
@@ -132,6 +136,8 @@
     pace_percent: int = 100
     paced_ms: float = 0.0
     incarnation: str = ""
+    ordered_ms: float = -math.inf
+    begun_ms: float | None = None
     is_proven: bool = False
     may_have_stopped: bool = False
 
