Find the common cause of crashes by when workers fell silent

What callers saw: a job could be given up for the crash of a whole rack, if the other workers of the rack were idle, or their ends were noticed more than a second apart.

Cause: a common cause was looked for among the crashes of workers with runs, by the time at which each was noticed. The list of VMs shows ends 0.1 to 0.7 s late, a worker that waits before it answers falls silent up to two seconds late, and idle or silent workers were not in the count at all.

Now each outage lies between the last answer of a worker and the first call without one. Two unexplained outages of related workers that may have begun within half a second of a crash are a common cause, also of idle workers and of those that are only silent so far.

The test failed on the former code: the job was given up. CrashLog moved to a module of its own.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -35,9 +35,7 @@
 CRASHES_TO_GIVE_UP_ALWAYS = 3
 POSSIBLE_CRASHES_TO_GIVE_UP_ALWAYS = 4  # with two confirmed ones among them
 UNNOTICED_CRASH_MS = 3000.0  # a holder that serves on records a crash before that
-DECISION_DELAY_MS = 500.0  # crashes with a common cause are noticed one by one
-COMMON_CAUSE_WINDOW_MS = 1000.0
-COMMON_CAUSE_WORKERS = 2  # that crash at about the same time as another one
+DECISION_DELAY_MS = 500.0  # outages with a common cause are noticed one by one
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,6 +46,26 @@
     crashes: int
 
 
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """Silence of a worker, which began after ``heard_ms`` and by ``silent_ms``.
+
+    ``silent_ms`` is infinite if it is not known.
+    """
+
+    worker: WorkerInfo
+    heard_ms: float
+    silent_ms: float
+
+    @classmethod
+    def from_worker(cls, worker: WorkerView) -> "Outage":
+        """Return the outage of a worker that is silent or has crashed."""
+        silent_ms = worker.silent_since_ms
+        return cls(
+            worker.info, worker.heard_ms, math.inf if silent_ms is None else silent_ms
+        )
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerCrash:
     """End of a worker's process that no order or draining explains.
@@ -58,11 +76,16 @@
     worker fell silent soon after the last of them was started.
     """
 
-    worker: WorkerInfo
+    outage: Outage
     suspects: Mapping[TaskRef, int]
     is_explained: bool = False
     is_prompt: bool = False
 
+    @property
+    def worker(self) -> WorkerInfo:
+        """Return the worker that has crashed."""
+        return self.outage.worker
+
     @property
     def only_job(self) -> JobId | None:
         """Return the job of all suspects, ``None`` if there are several or none."""
@@ -103,70 +126,6 @@
     asked_ms: float = 0.0
 
 
-@dataclass(slots=True)
-class CrashLog:
-    """Recent crashes of workers, and those that are not decided on yet."""
-
-    _new: list[WorkerCrash] = field(default_factory=list)
-    _recent: list[tuple[float, WorkerCrash]] = field(default_factory=list)
-    _undecided: list[tuple[float, WorkerCrash]] = field(default_factory=list)
-
-    def add(self, crash: WorkerCrash) -> None:
-        """Add a crash; the next call of ``pop_given_up`` sets its time."""
-        self._new.append(crash)
-
-    def pop_given_up(self, now_ms: float) -> list[JobGivenUp]:
-        """Return the jobs to give up for crashes of some time ago."""
-        for crash in self._new:
-            self._recent.append((now_ms, crash))
-            if _may_be_decisive(crash):
-                self._undecided.append((now_ms, crash))
-        self._new.clear()
-        due = [c for c in self._undecided if now_ms - c[0] >= DECISION_DELAY_MS]
-        self._undecided = [c for c in self._undecided if c not in due]
-        decisions = [
-            crash.decision()
-            for at_ms, crash in due
-            if not self._has_common_cause(at_ms, crash)
-        ]
-        oldest_ms = now_ms - DECISION_DELAY_MS - COMMON_CAUSE_WINDOW_MS
-        self._recent = [(at, crash) for at, crash in self._recent if at >= oldest_ms]
-        return decisions
-
-    def is_undecided(self, job_id: JobId) -> bool:
-        """Return whether a crash that a job may have caused is not decided on yet."""
-        return any(crash.only_job == job_id for _, crash in self._undecided)
-
-    def _has_common_cause(self, at_ms: float, crash: WorkerCrash) -> bool:
-        """Return whether several related workers crashed at about the same time.
-
-        Related workers are in the same service or zone. A crash that other suspects
-        explain does not count.
-        """
-        related = [
-            other
-            for other_ms, other in self._recent
-            if abs(other_ms - at_ms) <= COMMON_CAUSE_WINDOW_MS
-            and other is not crash
-            and not other.is_explained
-            and _are_related(other.worker, crash.worker)
-        ]
-        return len(related) >= COMMON_CAUSE_WORKERS
-
-
-def _may_be_decisive(crash: WorkerCrash) -> bool:
-    return (
-        crash.only_job is not None
-        and crash.is_explained
-        and crash.is_prompt
-        and crash.crashes >= CRASHES_TO_GIVE_UP
-    )
-
-
-def _are_related(one: WorkerInfo, other: WorkerInfo) -> bool:
-    return one.zone == other.zone or one.service == other.service
-
-
 def is_certain_cause(step: ActiveStep, index: int) -> bool:
     """Return whether the crashes held against a task suffice whatever caused each."""
     confirmed = step.confirmed_crash_count(index)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
@@ -3,12 +3,12 @@
 from collections.abc import Iterable, Mapping
 
 from corianderpitch.domain.scheduling.crashes import (
-    CrashLog,
     CrashNotice,
     CrashRelation,
     EarlierCrash,
     IsolationGroup,
     JobGivenUp,
+    Outage,
     RecordedRuns,
     WorkerCrash,
     count_crash,
@@ -16,6 +16,7 @@
     is_prompt,
     relate_to_crash,
 )
+from corianderpitch.domain.scheduling.crashlog import CrashLog
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.workers import Run, WorkerView
 from corianderpitch.domain.scheduling.workloads import TaskRef
@@ -67,11 +68,11 @@
         """Count the end of a worker's process for the tasks that were at work there.
 
         A planned end does not count. Runs that had passed their probation are likely
-        only if all runs had.
+        only if all runs had. The end of an idle worker is evidence of a common cause.
         """
         runs = [*worker.runs.values(), *worker.lapsed_runs]
         worker.lapsed_runs.clear()
-        if not runs or worker.is_leaving:
+        if worker.is_leaving:
             return
         relations = self._relate(worker, runs)
         likely_runs = _likely_runs(relations)
@@ -83,10 +84,14 @@
             if crashes is not None and run.task in likely:
                 suspects[run.task] = crashes
         crash = WorkerCrash(
-            worker.info, suspects, is_explained, is_prompt(worker, likely_runs)
+            Outage.from_worker(worker),
+            suspects,
+            is_explained,
+            is_prompt(worker, likely_runs),
         )
         self._log.add(crash)
-        self._notices.append(crash)
+        if runs:
+            self._notices.append(crash)
 
     def count_before_term(self, worker_id: WorkerId, incarnation: str | None) -> None:
         """Count a crash before this term for the runs that a predecessor recorded.
@@ -103,9 +108,12 @@
         if suspects:
             self._notices.append(EarlierCrash(worker_id, suspects))
 
-    def pop_given_up(self, now_ms: float) -> list[JobGivenUp]:
+    def pop_given_up(
+        self, workers: Iterable[WorkerView], now_ms: float
+    ) -> list[JobGivenUp]:
         """Return the open jobs that are to be given up now."""
-        for decision in self._log.pop_given_up(now_ms):
+        silent = self._unexplained_outages(workers)
+        for decision in self._log.pop_given_up(silent, now_ms):
             self._given_up.setdefault(decision.task.job_id, decision)
         passed, self._given_up = self._given_up, {}
         decisions = [v for job_id, v in passed.items() if job_id in self._jobs]
@@ -116,6 +124,15 @@
         """Return whether a crash that a job may have caused is not decided on yet."""
         return self._log.is_undecided(job_id)
 
+    def _unexplained_outages(self, workers: Iterable[WorkerView]) -> Iterable[Outage]:
+        """Return the outages of silent workers on which no suspect has just begun."""
+        for worker in workers:
+            if worker.silent_since_ms is None or worker.is_leaving:
+                continue
+            relations = self._relate(worker, worker.runs.values())
+            if not any(self._is_suspect(run.task) for run in _likely_runs(relations)):
+                yield Outage.from_worker(worker)
+
     def _relate(
         self, worker: WorkerView, runs: Iterable[Run]
     ) -> list[tuple[Run, CrashRelation]]:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
@@ -74,6 +74,11 @@
     NOT_SENT = "not_sent"
     NO_ANSWER = "no_answer"
 
+    @property
+    def is_answer(self) -> bool:
+        """Return whether the worker has answered."""
+        return self not in (OrderResult.NOT_SENT, OrderResult.NO_ANSWER)
+
 
 class LossCause(enum.Enum):
     """What showed that a run has ended without a reported end."""
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -191,6 +191,7 @@
         worker.lapsed_runs.clear()
         worker.clock_ms = report.clock_ms
         worker.clock_received_ms = now_ms
+        worker.heard_ms = now_ms
         worker.is_silent = False
         worker.silent_since_ms = None
         self._process_ends(worker, report.ended, now_ms)
@@ -224,6 +225,9 @@
         self, order: Order, result: OrderResult, now_ms: float
     ) -> None:
         """Apply the result of an order."""
+        worker = self.workers.get(order.worker)
+        if worker is not None and result.is_answer:
+            worker.heard_ms = now_ms
         if isinstance(order, StopRun):
             self._apply_stop_result(order, result)
         match order:
@@ -406,7 +410,7 @@
 
     def give_up_crashing_jobs(self, now_ms: float) -> None:
         """Give up the jobs that are shown to crash the workers that start them."""
-        for decision in self.crashes.pop_given_up(now_ms):
+        for decision in self.crashes.pop_given_up(self.workers.values(), now_ms):
             self._end_job(self.jobs[decision.task.job_id], JobState.FAILED)
 
     def pop_notices(self) -> list[Notice]:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -155,6 +155,7 @@
     worker refuse orders that are still in flight. ``clock_ms`` is the worker's
     clock in its last report, which arrived at ``clock_received_ms``. ``free`` is the
     capacity less the reservations of all runs, also of those that are being stopped.
+    ``heard_ms`` is the time of the last report or answer to an order.
     ``lapsed_runs`` were lost when the lease of this incarnation expired; whether the
     worker had crashed is not known yet.
     """
@@ -178,6 +179,7 @@
     leased_until_ms: float = 0.0
     is_silent: bool = False
     silent_since_ms: float | None = None  # None while it answers, or if not known
+    heard_ms: float = field(init=False)
     has_unread_ends: bool = False
     has_unread_runs: bool = False  # of jobs that could not be read yet
     has_unneeded_runs: bool = False  # reported ones that are not in ``runs``
@@ -185,6 +187,7 @@
     consecutive_failed_jobs: list[str] = field(default_factory=list)
 
     def __post_init__(self):
+        self.heard_ms = self.known_since_ms
         self._update_free()
 
     @property
--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -151,6 +151,24 @@
     assert scheduler.crashes.suspect_jobs == set()
 
 
+def test_a_suspect_in_a_dark_rack_is_not_given_up():
+    """The other workers of the rack were idle, or only silent so far."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    (order,) = starts(scheduler)
+    answer(scheduler, order, OrderResult.DONE, NOW_MS)
+    crash(scheduler, order.worker, NOW_MS + 1.0)
+    (again,) = starts(scheduler, NOW_MS + 2.0)
+    begun_ms = NOW_MS + 3.0
+    answer(scheduler, again, OrderResult.DONE, begun_ms)
+    idle, silent = [w for w in WORKERS if w not in (order.worker, again.worker)][:2]
+    crash(scheduler, idle, begun_ms + 5.0)
+    scheduler.mark_silent(WorkerId(silent), begun_ms + 5.0)
+    crash(scheduler, again.worker, begun_ms + 5.0)
+    decide(scheduler, begun_ms + 10.0)
+    assert JOB in scheduler.jobs
+
+
 def test_a_run_that_outlived_its_probation_before_the_silence_is_no_suspect():
     """Its report was due only after the crash."""
     scheduler = make_scheduler(WORKERS)
