Log on which evidence a crash makes a task a suspect

The lines of crashes named the suspects only. Whether their begin had been seen, whether the worker fell silent soon after it, and how exactly that is known could not be told apart, nor whether a crash counted towards giving a job up.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -57,6 +57,11 @@
     heard_ms: float
     silent_ms: float
 
+    @property
+    def unheard_ms(self) -> float:
+        """Return within how many ms the worker fell silent, 0 if that is not known."""
+        return 0.0 if math.isinf(self.silent_ms) else self.silent_ms - self.heard_ms
+
     @classmethod
     def from_worker(cls, worker: WorkerView) -> "Outage":
         """Return the outage of a worker that is silent or has crashed."""
@@ -73,13 +78,15 @@
     ``suspects`` are the tasks that most likely caused it, each with the number of
     crashes confirmed for it so far. ``is_explained`` is true if one of them was a
     suspect before, and therefore started in isolation. ``is_prompt`` is true if the
-    worker fell silent soon after the last of them was started.
+    worker fell silent soon after the last of them was started. ``relations`` counts
+    the runs of open jobs on the worker, for the log.
     """
 
     outage: Outage
     suspects: Mapping[TaskRef, int]
     is_explained: bool = False
     is_prompt: bool = False
+    relations: Mapping["CrashRelation", int] = field(default_factory=dict)
 
     @property
     def worker(self) -> WorkerInfo:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
@@ -1,5 +1,6 @@
 """Counts of crashes of workers, and the jobs suspected of them, during a term."""
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 from corianderpitch.domain.scheduling.crashes import (
@@ -88,6 +89,7 @@
             suspects,
             is_explained,
             is_prompt(worker, likely_runs),
+            Counter(relation for _, relation in relations),
         )
         self._log.add(crash)
         if runs:
