Count the end of a worker's process once

Each list of VMs that shows a silent worker's process as ended counted its crash again, without its runs, and so without the suspects that explain it.

An end is now counted once, until the worker answers again or has a new incarnation.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -194,6 +194,7 @@
         worker.heard_ms = now_ms
         worker.is_silent = False
         worker.silent_since_ms = None
+        worker.has_terminated = False
         self._process_ends(worker, report.ended, now_ms)
         reported_runs = {(run.task, run.number) for run in report.running}
         worker.has_unread_runs = any(
@@ -260,10 +261,12 @@
             worker = self.workers.get(worker_id)
             if worker is None or worker.incarnation is None:
                 self.crashes.count_before_term(worker_id, None)
-            if worker is not None and worker.is_silent:
-                worker.has_unread_runs = False
-                self.crashes.count(worker)
-                self._mark_all_lost(worker, LossCause.PROCESS_ENDED)
+            if worker is None or not worker.is_silent or worker.has_terminated:
+                continue
+            worker.has_terminated = True
+            worker.has_unread_runs = False
+            self.crashes.count(worker)
+            self._mark_all_lost(worker, LossCause.PROCESS_ENDED)
 
     def workers_to_record(self) -> set[WorkerId]:
         """Return the workers that may run something, known or awaiting a report."""
@@ -478,9 +481,11 @@
         """
         if worker.incarnation is not None:
             self._raise_fence(worker)
-            self.crashes.count(worker)
+            if not worker.has_terminated:
+                self.crashes.count(worker)
             self._mark_all_lost(worker, LossCause.NEW_INCARNATION)
         worker.incarnation = incarnation
+        worker.has_terminated = False
         if incarnation is not None:
             self.crashes.count_before_term(worker.info.worker, incarnation)
         worker.processed_sequence = 0
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -178,6 +178,7 @@
     clock_received_ms: float = 0.0
     leased_until_ms: float = 0.0
     is_silent: bool = False
+    has_terminated: bool = False  # its process, as the list of VMs shows
     silent_since_ms: float | None = None  # None while it answers, or if not known
     heard_ms: float = field(init=False)
     has_unread_ends: bool = False
--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -193,3 +193,26 @@
     crash(scheduler, again.worker, NOW_MS + 512.0)
     decide(scheduler, NOW_MS + 600.0)
     assert JOB in scheduler.jobs
+
+
+@pytest.mark.parametrize("shown_by", ["list of VMs", "new incarnation"])
+def test_a_crash_that_shows_again_is_no_further_outage(shown_by):
+    """Deadly tasks crashed a third worker each, as their crashes excused each other."""
+    scheduler = make_scheduler(WORKERS)
+    for name in ("a", "b", "c"):
+        scheduler.add_job(make_job(name))
+    for round_ms in (0.0, 2000.0):
+        orders = starts(scheduler, NOW_MS + round_ms)
+        assert len(orders) == 3
+        for order in orders:
+            answer(scheduler, order, OrderResult.DONE, NOW_MS + round_ms)
+        for order in orders:
+            crash(scheduler, order.worker, NOW_MS + round_ms + 5.0)
+    starts(scheduler, NOW_MS + 2020.0)
+    for order in orders:
+        if shown_by == "list of VMs":
+            scheduler.mark_terminated([order.worker])
+        else:
+            report(scheduler, order.worker, incarnation="2")
+    starts(scheduler, NOW_MS + 2030.0 + DECISION_DELAY_MS)
+    assert scheduler.jobs == {}
