Read job rows with fields that a later version has appended

An entry that took over the role from one of a later version passed over each job whose progress row had a field more: the job was accepted and never run again, and a call for its state was refused. Unpacking raised TypeError or ValueError for the additional fields of a row, a step or a recorded run.

On the former code: KeyError: 'a' (the job was not served), and for the row of a submitted job: assert set() == {'a'}. Appended fields are now ignored. Unknown fields of a submitted step are still refused, as they may restrict its workers.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -227,8 +227,11 @@
 
 @_decodes("a job")
 def unpack_workload(key: PartitionedKey, value: bytes) -> tuple[Workload, float]:
-    """Decode a job and the store's time of its acceptance in milliseconds."""
-    text, steps, schedule, accepted_ms = msgpack.unpackb(value)
+    """Decode a job and the store's time of its acceptance in milliseconds.
+
+    Fields that a later version has appended are ignored.
+    """
+    text, steps, schedule, accepted_ms, *_ = msgpack.unpackb(value)
     workload = Workload(
         JobId(key.name),
         queue_of(key.part),
@@ -276,8 +279,9 @@
     """Decode a job's progress.
 
     Records of earlier versions have no crashes, and only the workers of placed runs.
+    Fields that a later version has appended are ignored.
     """
-    state, finished, packed, ended_ms = msgpack.unpackb(value, strict_map_key=False)
+    state, finished, packed, ended_ms, *_ = msgpack.unpackb(value, strict_map_key=False)
     steps = {
         (occurrence, number): _unpack_step_record(*fields)
         for occurrence, number, *fields in packed
@@ -291,6 +295,7 @@
     checkpoints: dict[int, str],
     placed: dict[int, list[Any]],
     crashed: dict[int, list[int]] | None = None,
+    *_later_fields: Any,
 ) -> StepRecord:
     return StepRecord(
         tuple(done),
@@ -302,6 +307,6 @@
 
 
 def _unpack_placement(packed: str | list[Any]) -> Placement:
-    return (
-        Placement(WorkerId(packed)) if isinstance(packed, str) else Placement(*packed)
-    )
+    if isinstance(packed, str):
+        return Placement(WorkerId(packed))
+    return Placement(*packed[: len(Placement._fields)])
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -1,11 +1,20 @@
 """Jobs that may have rows in two partitions, across terms."""
 
 import random
+from dataclasses import replace
 
 import msgpack
 import pytest
 from returns.result import Failure, Success
-from schedulers import QUEUE, add_worker, done, make_job, report, starts
+from schedulers import (
+    ONE_STEP,
+    QUEUE,
+    add_worker,
+    done,
+    make_job,
+    report,
+    starts,
+)
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.adapters.partedtable import PartitionedTable
@@ -25,6 +34,7 @@
     home_partition,
     job_partitions,
     queue_partitions,
+    unpack_progress,
 )
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
@@ -564,6 +574,31 @@
     assert not holder.scheduler.ended
 
 
+LATER_PLACEMENT = ["w1", 1_000_001, "1", *[0.0] * 9, "later"]
+LATER_STEP = [0, 0, [0], {1: [7]}, {}, {1: [LATER_PLACEMENT]}, *[{}] * 9, "later"]
+
+
+def test_progress_with_fields_of_a_later_version_is_read(store, clock):
+    """The job was passed over: it was never run again, and its state not shown."""
+    job = make_job("a", (replace(ONE_STEP[0], count=2),))
+    assert Intake(store, clock).submit(job.workload).kind is IntakeKind.DONE
+    later = msgpack.packb(["running", 0, [LATER_STEP], 0.0, "later"])
+    put_row(store, "a", PROGRESS_SUFFIX, later)
+    holder = TermHarness(store, clock, "e1").load()
+    (step,) = holder.scheduler.jobs[JobId("a")].steps()
+    assert (step.done, step.failed) == ({0}, {1: {7}})
+    (placement,) = unpack_progress(later).steps[0, 0].placed[1]
+    assert (placement.worker, placement.number) == ("w1", 1_000_001)
+    assert placement.incarnation == "1"
+    shown = Intake(store, clock).show(QUEUE.name, JobId("a"))
+    assert shown.state is JobState.RUNNING
+
+
+def test_a_job_with_fields_of_a_later_version_is_read(store, clock):
+    put_row(store, "a", "", msgpack.packb(["", [STEP], [0, 0.0, 0.0], 0.0, "later"]))
+    assert set(TermHarness(store, clock, "e1").load().scheduler.jobs) == {"a"}
+
+
 @pytest.mark.parametrize("odd", ODD_BYTES, ids=range(len(ODD_BYTES)))
 def test_a_call_about_a_job_with_odd_progress_is_refused(store, clock, odd):
     """It ended in an exception, and a caller got no answer that says what to do."""
