Fail no job of an unknown queue before its last attempt

Callers saw a job as failed after its first failed run, although its queue allows more, once the holder's configuration lacked the queue: after the queue was removed, or under a new holder that had not read the newest configuration. An unknown queue counted as one with a single attempt.

On the former code: assert 'a' in {} (the job had been ended). A job of an unknown queue now keeps its failures. They are compared with the limit when the queue is known again, also by a successor that reads them from the job's record, so that no run is started after the last attempt.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -125,8 +125,16 @@
     # Inputs from the store.
 
     def set_queues(self, queues: Mapping[QueueName, Queue]) -> None:
-        """Replace the queues with those of a configuration."""
+        """Replace the queues with those of a configuration.
+
+        Jobs whose queue was not known may have used all their attempts meanwhile.
+        """
+        new_names = queues.keys() - self.queues.keys()
         self.queues = dict(queues)
+        if new_names:
+            for job in list(self.jobs.values()):
+                if job.workload.queue in new_names:
+                    self._fail_if_exhausted(job)
 
     def add_job(self, job: ActiveJob) -> None:
         """Add a job, new or recovered.
@@ -141,6 +149,7 @@
         if job.workload.has_fillers:
             self.filler_jobs.add(job.job_id)
         self.crashes.add_job(job, self.workers)
+        self._fail_if_exhausted(job)
 
     def cancel_job(self, job_id: JobId) -> None:
         """End a job on its caller's request, and stop its runs."""
@@ -560,7 +569,7 @@
                 self.crashes.clear(job, step, index)
                 job.add_failed_worker(step.number, index, worker.info.worker)
                 self._count_worker_failure(worker, job, now_ms)
-                if step.failure_count(index) >= self._max_attempts(job):
+                if self._is_exhausted(job, step, index):
                     self._end_job(job, JobState.FAILED)
                     return
         if end.checkpoint:
@@ -600,9 +609,22 @@
         if len(worker.consecutive_failed_jobs) >= FAILED_JOBS_BEFORE_BACKOFF:
             worker.backoff_until_ms = now_ms + BACKOFF_AFTER_FAILURES_MS
 
-    def _max_attempts(self, job: ActiveJob) -> int:
+    def _is_exhausted(self, job: ActiveJob, step: ActiveStep, index: int) -> bool:
+        """Return whether a task has failed as often as its queue allows.
+
+        How often that is, is not known while the configuration lacks the queue.
+        """
         queue = self.queues.get(job.workload.queue)
-        return queue.max_attempts if queue is not None else 1
+        return queue is not None and step.failure_count(index) >= queue.max_attempts
+
+    def _fail_if_exhausted(self, job: ActiveJob) -> None:
+        """End a job if one of its unfinished tasks has used all its attempts."""
+        if any(
+            self._is_exhausted(job, step, index)
+            for step in job.steps()
+            for index in step.failed.keys() - step.done
+        ):
+            self._end_job(job, JobState.FAILED)
 
     def _process_run(
         self, worker: WorkerView, reported: ReportedRun, now_ms: float
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import eventlet
+import pytest
 from returns.result import Failure
 from schedulers import (
     NOW_MS,
@@ -151,6 +152,55 @@
     assert change.record.state is JobState.FAILED
 
 
+def fail_next_start(scheduler, sequence=1):
+    (order,) = starts(scheduler)
+    failed = ReportedEnd(sequence, order.task, order.number, EndKind.FAILED, "")
+    report(scheduler, order.worker, ended=[failed])
+
+
+def test_a_job_of_an_unknown_queue_is_not_failed_before_its_last_attempt():
+    """Its first failure ended it, with attempts left, under a removed queue.
+
+    The same was so under a holder that had not read the newest configuration yet.
+    """
+    scheduler = make_scheduler(workers=("w1",))
+    scheduler.add_job(make_job())
+    (order,) = starts(scheduler)
+    scheduler.set_queues({})
+    failed = ReportedEnd(1, order.task, order.number, EndKind.FAILED, "")
+    report(scheduler, "w1", ended=[failed])
+    assert "a" in scheduler.jobs
+    assert not scheduler.has_final_changes
+    scheduler.set_queues({QUEUE.name: QUEUE})
+    fail_next_start(scheduler, 2)
+    (change,) = [c for c in scheduler.pop_changes() if c.is_final]
+    assert change.record.state is JobState.FAILED
+
+
+@pytest.mark.parametrize("is_same_term", [True, False])
+def test_a_job_that_used_its_attempts_under_an_unknown_queue_is_failed(is_same_term):
+    """No run may be started after the last attempt, once the queue is known again."""
+    scheduler = make_scheduler(workers=("w1",))
+    job = make_job()
+    scheduler.add_job(job)
+    fail_next_start(scheduler)
+    (order,) = starts(scheduler)
+    scheduler.set_queues({})
+    failed = ReportedEnd(2, order.task, order.number, EndKind.FAILED, "")
+    report(scheduler, "w1", ended=[failed])
+    assert "a" in scheduler.jobs
+    if is_same_term:
+        scheduler.set_queues({QUEUE.name: QUEUE})
+    else:
+        scheduler = make_scheduler(workers=("w1",))
+        recovered = make_job()
+        recovered.restore(job.record())
+        scheduler.add_job(recovered)
+    assert starts(scheduler) == []
+    (change,) = [c for c in scheduler.pop_changes() if c.is_final]
+    assert change.record.state is JobState.FAILED
+
+
 def test_a_failed_end_counts_once_after_a_takeover():
     job = make_job()
     first = job.begin_occurrence(0)[0]
