Recover runs of silent workers in time after the jobs are read anew

When the store has discarded its history, the holder reads all jobs anew. All partitions counted as unread meanwhile.

Only partitions that could not be read when the term began are late now. A partition that is read anew has no further job that a predecessor could have started.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -60,8 +60,9 @@
     ``_pending_rows`` holds the rows of jobs that are not served yet, by job,
     partition and suffix. These are jobs that may also have rows in a partition that
     could not be read, and jobs whose diversion is not recorded yet.
-    ``_misplaced_rows`` holds the keys and versions of rows outside the partition that
-    their job is served from; they are to be deleted.
+    ``_late`` names the partitions that could not be read when the term began, and
+    have not been read since. ``_misplaced_rows`` holds the keys and versions of rows
+    outside the partition that their job is served from; they are to be deleted.
 
     ``max_lease_ms`` is the time after which every lease of a worker has expired.
     """
@@ -87,6 +88,8 @@
         self._wake = wake
         self._version = 0
         self._unread: set[str] = set()
+        self._is_loaded = False
+        self._late: set[str] = set()
         self._pending_rows: dict[JobId, dict[str, RowsBySuffix]] = {}
         self._to_divert: set[JobId] = set()
         self._misplaced_rows: dict[PartitionedKey, int] = {}
@@ -111,6 +114,9 @@
         if self._unread and not versions:
             return False
         self._version = min(versions, default=self._version)
+        if not self._is_loaded:
+            self._is_loaded = True
+            self._late = set(self._unread)
         log.info(
             "Jobs loaded.",
             jobs=len(self._scheduler.jobs),
@@ -145,13 +151,13 @@
         Returns the versions at which partitions were read. After the reads the
         function does not yield to other threads. A report that a worker sent before
         its jobs were added must not count as a complete list of their runs; all
-        workers are therefore asked again if a partition is read late.
+        workers are therefore asked again if a partition is read late. If it is read
+        anew, its further jobs are so new that no predecessor has started them.
 
         The role is renewed meanwhile, because the reads may take longer than its lease
         lasts. If the lease has lapsed, what was read remains unread: a successor may
         already serve jobs that were accepted since.
         """
-        unread_before = set(self._unread)
         self._unread |= set(parts)
         pool = eventlet.GreenPool(MAX_CONCURRENT_READS)
         read: dict[str, Snapshot] = {}
@@ -162,13 +168,14 @@
                 read[part] = snapshot.unwrap()
         if not self._role.has_valid_lease:
             read.clear()
-        if unread_before & read.keys():
+        if self._late & read.keys():
             now_ms = self._clock.now_ms()
             self._scheduler.request_fresh_reports(now_ms + self._max_lease_ms)
         for snapshot in read.values():
             for row in snapshot.rows:
                 self._collect_row(row)
         self._unread -= read.keys()
+        self._late -= read.keys()
         for job_id in list(self._pending_rows):
             self._assign_partition(job_id)
         self._scheduler.has_read_all_jobs = not self._unread
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -7,6 +7,7 @@
 import pytest
 from returns.result import Failure, Success
 from schedulers import (
+    NOW_MS,
     ONE_STEP,
     QUEUE,
     add_worker,
@@ -453,6 +454,27 @@
     assert starts(successor.scheduler, clock.now_ms()) == []
 
 
+def test_partitions_that_are_read_anew_do_not_delay_the_loss_of_runs(store, clock):
+    """The store discarded its history, and refused a partition when it was read anew.
+
+    Tasks of silent workers waited for another lease of a predecessor to expire,
+    although all jobs that a predecessor could have started were known.
+    """
+    clock.advance(NOW_MS - clock.now_ms())
+    holder, home = holder_of_two_partitions(store, clock)
+    tasks = {order.task for order in starts(holder.scheduler)}
+    holder.scheduler.extend_lease(WorkerId("w1"), LEASE_MS, NOW_MS)
+    holder.scheduler.mark_silent(WorkerId("w1"))
+    store.unavailable = {home}
+    assert holder.reader.load_jobs()
+    store.unavailable = set()
+    holder.retry_unread()
+    lapsed_ms = NOW_MS + 1.5 * LEASE_MS
+    holder.scheduler.expire(lapsed_ms)
+    add_worker(holder.scheduler, "w2")
+    assert {order.task for order in starts(holder.scheduler, lapsed_ms)} == tasks
+
+
 @pytest.mark.parametrize("seed", range(150))
 def test_no_job_is_served_from_both_partitions_in_random_sequences(seed, store, clock):
     """Resubmissions, outages and changes of the holder come in any order."""
