--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -1,11 +1,21 @@
 """Jobs that may have rows in two partitions, across terms."""
 
 import random
+from dataclasses import replace
 
 import msgpack
 import pytest
 from returns.result import Failure, Success
-from schedulers import QUEUE, add_worker, done, make_job, report, starts
+from schedulers import (
+    NOW_MS,
+    ONE_STEP,
+    QUEUE,
+    add_worker,
+    done,
+    make_job,
+    report,
+    starts,
+)
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.adapters.partedtable import PartitionedTable
@@ -25,6 +35,7 @@
     home_partition,
     job_partitions,
     queue_partitions,
+    unpack_progress,
 )
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
@@ -443,6 +454,27 @@
     assert starts(successor.scheduler, clock.now_ms()) == []
 
 
+def test_partitions_that_are_read_anew_do_not_delay_the_loss_of_runs(store, clock):
+    """The store discarded its history, and refused a partition when it was read anew.
+
+    Tasks of silent workers waited for another lease of a predecessor to expire,
+    although all jobs that a predecessor could have started were known.
+    """
+    clock.advance(NOW_MS - clock.now_ms())
+    holder, home = holder_of_two_partitions(store, clock)
+    tasks = {order.task for order in starts(holder.scheduler)}
+    holder.scheduler.extend_lease(WorkerId("w1"), LEASE_MS, NOW_MS)
+    holder.scheduler.mark_silent(WorkerId("w1"))
+    store.unavailable = {home}
+    assert holder.reader.load_jobs()
+    store.unavailable = set()
+    holder.retry_unread()
+    lapsed_ms = NOW_MS + 1.5 * LEASE_MS
+    holder.scheduler.expire(lapsed_ms)
+    add_worker(holder.scheduler, "w2")
+    assert {order.task for order in starts(holder.scheduler, lapsed_ms)} == tasks
+
+
 @pytest.mark.parametrize("seed", range(150))
 def test_no_job_is_served_from_both_partitions_in_random_sequences(seed, store, clock):
     """Resubmissions, outages and changes of the holder come in any order."""
@@ -577,6 +609,31 @@
     assert not holder.scheduler.ended
 
 
+LATER_PLACEMENT = ["w1", 1_000_001, "1", *[0.0] * 9, "later"]
+LATER_STEP = [0, 0, [0], {1: [7]}, {}, {1: [LATER_PLACEMENT]}, *[{}] * 9, "later"]
+
+
+def test_progress_with_fields_of_a_later_version_is_read(store, clock):
+    """The job was passed over: it was never run again, and its state not shown."""
+    job = make_job("a", (replace(ONE_STEP[0], count=2),))
+    assert Intake(store, clock).submit(job.workload).kind is IntakeKind.DONE
+    later = msgpack.packb(["running", 0, [LATER_STEP], 0.0, "later"])
+    put_row(store, "a", PROGRESS_SUFFIX, later)
+    holder = TermHarness(store, clock, "e1").load()
+    (step,) = holder.scheduler.jobs[JobId("a")].steps()
+    assert (step.done, step.failed) == ({0}, {1: {7}})
+    (placement,) = unpack_progress(later).steps[0, 0].placed[1]
+    assert (placement.worker, placement.number) == ("w1", 1_000_001)
+    assert placement.incarnation == "1"
+    shown = Intake(store, clock).show(QUEUE.name, JobId("a"))
+    assert shown.state is JobState.RUNNING
+
+
+def test_a_job_with_fields_of_a_later_version_is_read(store, clock):
+    put_row(store, "a", "", msgpack.packb(["", [STEP], [0, 0.0, 0.0], 0.0, "later"]))
+    assert set(TermHarness(store, clock, "e1").load().scheduler.jobs) == {"a"}
+
+
 @pytest.mark.parametrize("odd", ODD_BYTES, ids=range(len(ODD_BYTES)))
 def test_a_call_about_a_job_with_odd_progress_is_refused(store, clock, odd):
     """It ended in an exception, and a caller got no answer that says what to do."""
