Move a suspect that waits for a full worker to one that has room

A job keeps its isolation group for MAX_GROUP_WAIT_MS while the group's worker could run the task once it is emptied, although another worker may have become free meanwhile. A group in which nothing can start yet is now replaced as soon as a free one can be chosen; without one it is kept, as before.

Ruled out: the probation of the step's first task (0.3 s), and the share of isolated workers, which the job's own group no longer counts against.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -86,11 +86,14 @@
             del scheduler.crashes.groups[job_id]
 
 
-def _isolated_workers(scheduler: Scheduler) -> set[WorkerId]:
+def _isolated_workers(
+    scheduler: Scheduler, except_for: JobId | None = None
+) -> set[WorkerId]:
     return {
         worker
-        for group in scheduler.crashes.groups.values()
+        for job_id, group in scheduler.crashes.groups.items()
         for worker in group.workers
+        if job_id != except_for
     }
 
 
@@ -110,14 +113,10 @@
     now_ms: float,
 ) -> None:
     """Start the suspects of a step in the job's group, which is chosen if needed."""
-    group = scheduler.crashes.groups.get(job.job_id)
-    if group is None or not _has_room(scheduler, group, step, permitted):
-        if group is not None and _has_unproven(scheduler, group, job.job_id):
-            return
-        group = _choose_group(scheduler, step, workers, permitted, now_ms)
-        if group is None:
-            return
-        scheduler.crashes.groups[job.job_id] = group
+    group = _group_for(scheduler, job, step, workers, permitted, now_ms)
+    if group is None:
+        return
+    scheduler.crashes.groups[job.job_id] = group
     if _has_others_unproven(scheduler, group, job.job_id):
         return
     chosen = [w for w in permitted if w.info.worker in group.workers]
@@ -128,6 +127,50 @@
         start_tasks(scheduler, job, step, waiting, chosen, now_ms)
 
 
+def _group_for(
+    scheduler: Scheduler,
+    job: ActiveJob,
+    step: ActiveStep,
+    workers: Sequence[WorkerView],
+    permitted: Sequence[WorkerView],
+    now_ms: float,
+) -> IsolationGroup | None:
+    """Return the group for a step: the job's present one, or a new one.
+
+    A group that must be emptied first is replaced as soon as another one is free.
+    """
+    present = scheduler.crashes.groups.get(job.job_id)
+    if present is not None and not _has_room(scheduler, present, step, permitted):
+        if _has_unproven(scheduler, present, job.job_id):
+            return None
+        present = None
+    if present is not None and (
+        _has_unproven(scheduler, present, job.job_id)
+        or _is_free(scheduler, present, job, step, permitted)
+    ):
+        return present
+    new = _choose_group(scheduler, job, step, workers, permitted, now_ms)
+    if new is None or present is None:
+        return new
+    return new if _is_free(scheduler, new, job, step, permitted) else present
+
+
+def _is_free(
+    scheduler: Scheduler,
+    group: IsolationGroup,
+    job: ActiveJob,
+    step: ActiveStep,
+    permitted: Iterable[WorkerView],
+) -> bool:
+    """Return whether tasks of a step can be started in a group now."""
+    if _has_others_unproven(scheduler, group, job.job_id):
+        return False
+    inside = [w for w in permitted if w.info.worker in group.workers]
+    if step.step.is_gang:
+        return gang_fits(step, inside)
+    return any(step.step.reservation.fits_in(worker.free) for worker in inside)
+
+
 def _has_room(
     scheduler: Scheduler,
     group: IsolationGroup,
@@ -159,13 +202,14 @@
 
 def _choose_group(
     scheduler: Scheduler,
+    job: ActiveJob,
     step: ActiveStep,
     workers: Sequence[WorkerView],
     permitted: Iterable[WorkerView],
     now_ms: float,
 ) -> IsolationGroup | None:
     """Choose the workers that will lose the least work and are free the soonest."""
-    isolated = _isolated_workers(scheduler)
+    isolated = _isolated_workers(scheduler, except_for=job.job_id)
     taken = sum(1 for worker in workers if worker.info.worker in isolated)
     allowed = max(1, int(len(workers) * MAX_ISOLATED_SHARE)) - taken
     if allowed <= 0:
