Ask the rack of a silent worker before tasks are started there

Each such start costs its caller 0.4 s without an answer, and more until the list of VMs shows the end.

Nothing compared a worker's last answer with the silence of the others in its rack, and an idle worker is noticed up to 2.4 s after it is down. Now the first worker of a rack to fall silent makes the holder request a report from each other one at once. Until it has answered, nothing is started on it, for at most RACK_CHECK_MS: by then its request has failed, and it is silent too. A live rack loses one round trip.

Ruled out: to prefer workers of other racks for suspects only. Starts of all jobs are lost in a dark rack, and each makes a new suspect.

On the former code: assert {'w2', 'w3'} == {'w4'}, for w2 and w3 in the rack of the silent worker.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -9,6 +9,7 @@
 from corianderpitch.ids import WorkerId
 
 LASTING_SPREAD = 2  # minimum number of workers for a lasting step
+RACK_CHECK_MS = 500.0  # until all workers of a rack have answered or are silent
 
 
 def is_schedulable(
@@ -31,6 +32,29 @@
     )
 
 
+def workers_in_doubt(workers: Iterable[WorkerView], now_ms: float) -> set[WorkerId]:
+    """Return the workers that may be down with another one in their rack.
+
+    They have not answered since that one fell silent.
+    """
+    silent_since_ms: dict[tuple[str, ...], float] = {}
+    others: list[WorkerView] = []
+    for worker in workers:
+        if not worker.is_silent:
+            others.append(worker)
+        elif worker.silent_since_ms is not None:
+            rack = worker.info.rack
+            latest_ms = max(worker.silent_since_ms, silent_since_ms.get(rack, 0.0))
+            silent_since_ms[rack] = latest_ms
+    return {
+        worker.info.worker
+        for worker in others
+        if (since_ms := silent_since_ms.get(worker.info.rack)) is not None
+        and worker.clock_received_ms < since_ms
+        and now_ms < since_ms + RACK_CHECK_MS
+    }
+
+
 def count_runs_on(step: ActiveStep, worker: WorkerId) -> int:
     """Return how many tasks of a step run on a worker."""
     return sum(1 for runs in step.runs.values() for run in runs if run.worker == worker)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -6,7 +6,7 @@
 from corianderpitch.domain.scheduling.advice import permitted_workers
 from corianderpitch.domain.scheduling.isolation import plan_isolated
 from corianderpitch.domain.scheduling.ordering import order_key
-from corianderpitch.domain.scheduling.placing import is_schedulable
+from corianderpitch.domain.scheduling.placing import is_schedulable, workers_in_doubt
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.starting import start_gang, start_tasks
@@ -71,8 +71,11 @@
 ) -> dict[ServiceName, list[WorkerView]]:
     schedulable: dict[ServiceName, list[WorkerView]] = defaultdict(list)
     guarded = {q.service for q in scheduler.queues.values() if q.workers_guard_capacity}
+    in_doubt = workers_in_doubt(scheduler.workers.values(), now_ms)
     for worker in scheduler.workers.values():
         service = worker.info.service
+        if worker.info.worker in in_doubt:
+            continue
         if is_schedulable(worker, now_ms, service in guarded):
             schedulable[service].append(worker)
     return schedulable
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -215,10 +215,19 @@
         since when the worker has been silent.
         """
         worker = self.workers.get(worker_id)
-        if worker is not None:
-            if not worker.is_silent:
-                worker.silent_since_ms = now_ms
+        if worker is None:
+            return
+        if not worker.is_silent:
+            worker.silent_since_ms = now_ms
             worker.is_silent = True
+            if now_ms is not None:
+                self._check_rack(worker)
+
+    def _check_rack(self, silent: WorkerView) -> None:
+        """Request reports from a silent worker's rack, which may be down as a whole."""
+        for worker in self.workers.values():
+            if not worker.is_silent and worker.info.rack == silent.info.rack:
+                self.request_report(worker.info.worker)
 
     def apply_order_result(
         self, order: Order, result: OrderResult, now_ms: float
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -42,6 +42,11 @@
     incarnation: str
     is_draining: bool = False
 
+    @property
+    def rack(self) -> tuple[str, ...]:
+        """Return the worker's zone and rack, the zone alone if it names no rack."""
+        return (self.zone, *self.labels[1:])
+
 
 @dataclass(frozen=True, slots=True)
 class ReportedRun:
--- a/packages/corianderpitch/tests/test_isolation.py
+++ b/packages/corianderpitch/tests/test_isolation.py
@@ -1,10 +1,15 @@
 """Isolated starts of suspects: where they start, and how long they wait."""
 
+from dataclasses import replace
+
+import pytest
 from schedulers import NOW_MS, make_job, make_scheduler, report, running, starts
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.crashes import PROBATION_MS
-from corianderpitch.domain.scheduling.orders import OrderResult
+from corianderpitch.domain.scheduling.orders import OrderResult, RequestReport, StartRun
+from corianderpitch.domain.scheduling.placing import RACK_CHECK_MS
+from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.workloads import Step
 from corianderpitch.ids import WorkerId
 
@@ -55,3 +60,46 @@
     report(scheduler, other, (), [], PROVEN_MS + 1.0)
     (order,) = [o for o in starts(scheduler, PROVEN_MS + 1.0) if o.task.job_id == "a"]
     assert order.worker == other
+
+
+def make_racks(*racks):
+    """Return a scheduler with racks of workers, each given by its workers' names."""
+    scheduler = make_scheduler([name for rack in racks for name in rack])
+    for number, rack in enumerate(racks):
+        for name in rack:
+            worker = scheduler.workers[WorkerId(name)]
+            scheduler.set_worker(
+                replace(worker.info, labels=("a", f"r{number}")), NOW_MS
+            )
+    return scheduler
+
+
+@pytest.mark.parametrize("is_suspect", [True, False])
+def test_nothing_is_started_in_the_rack_of_a_silent_worker_before_it_answers(
+    is_suspect,
+):
+    """A suspect was started on two workers of a dark rack in turn, and given up."""
+    scheduler = make_racks(("w1", "w2", "w3"), ("w4",))
+    if is_suspect:
+        start_on(scheduler, "w1", make_job("a"))
+    silent_ms = NOW_MS + 900.0
+    crash(scheduler, "w1", silent_ms)
+    scheduler.add_job(make_job("b"))
+    plan(scheduler, silent_ms + 1.0, 0.0)
+    orders = scheduler.pop_orders()
+    assert {o.worker for o in orders if isinstance(o, StartRun)} == {"w4"}
+    assert [o.worker for o in orders if isinstance(o, RequestReport)] == ["w2", "w3"]
+    report(scheduler, "w2", requested_ms=silent_ms + 2.0)
+    scheduler.add_job(make_job("c", [step_of(8)]))
+    orders = starts(scheduler, silent_ms + 2.0)
+    assert "w2" in {order.worker for order in orders}
+    assert "w3" not in {order.worker for order in orders}
+
+
+def test_workers_that_neither_answer_nor_fail_are_used_again():
+    scheduler = make_racks(("w1", "w2"))
+    crash(scheduler, "w1", NOW_MS + 900.0)
+    scheduler.add_job(make_job("a"))
+    assert starts(scheduler, NOW_MS + 901.0) == []
+    (order,) = starts(scheduler, NOW_MS + 900.0 + RACK_CHECK_MS)
+    assert order.worker == "w2"
