Choose another group while a suspect's worker is cut off

The suspects of a step are started one after the other where one worker cannot run them all. If the worker of the first is cut off, without a crash, nothing is known of that run until the worker's lease has expired, for six seconds. All the time the others waited, although other workers had room: each task of a lasting step is away that long.

A group counted as in use while it had a run in probation, whether its worker answered or not. A worker that has been silent for OUTCOME_WAIT_MS does not count any more: the list of VMs would have shown its end. The cut-off run itself is not started again before its lease has expired.

On the former code: ValueError, not enough values to unpack (expected 1, got 0); no task was started while the worker was silent.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -35,6 +35,7 @@
 MAX_ISOLATED_SHARE = 0.5  # of the workers of a service
 MAX_GROUP_WAIT_MS = 3000.0  # until a group in which nothing could start is dropped
 REPORT_INTERVAL_MS = 100.0
+OUTCOME_WAIT_MS = 1000.0  # the list of VMs shows an ended process within this time
 
 Schedulable = dict[ServiceName, list[WorkerView]]
 
@@ -46,10 +47,11 @@
     _drop_groups(scheduler, schedulable, now_ms)
     for queue, job in _suspect_jobs(scheduler, now_ms):
         workers = schedulable.get(queue.service, [])
-        for step in list(job.ready_steps(wall_ms)):
-            if step.suspects & step.pending:
+        ready = list(job.ready_steps(wall_ms))
+        for step in ready:
+            if tasks := step.suspects & step.pending:
                 permitted = permitted_workers(step, queue.advice, workers, now_ms)
-                _start_in_group(scheduler, job, step, workers, permitted, now_ms)
+                _start_in_group(scheduler, job, step, tasks, workers, permitted, now_ms)
     isolated = _isolated_workers(scheduler)
     for service, workers in schedulable.items():
         schedulable[service] = [w for w in workers if w.info.worker not in isolated]
@@ -77,7 +79,7 @@
     """Drop the groups of cleared jobs, and those that are of no use any more."""
     available = {w.info.worker for ws in schedulable.values() for w in ws}
     for job_id, group in list(scheduler.crashes.groups.items()):
-        is_in_use = _has_unproven(scheduler, group, job_id)
+        is_in_use = _awaits_outcome(scheduler, group, job_id, now_ms)
         is_useless = not available.issuperset(group.workers) or (
             now_ms - group.chosen_ms >= MAX_GROUP_WAIT_MS
         )
@@ -108,11 +110,12 @@
     scheduler: Scheduler,
     job: ActiveJob,
     step: ActiveStep,
+    tasks: Iterable[int],
     workers: Sequence[WorkerView],
     permitted: Sequence[WorkerView],
     now_ms: float,
 ) -> None:
-    """Start the suspects of a step in the job's group, which is chosen if needed."""
+    """Start tasks of a step in the job's group, which is chosen if needed."""
     group = _group_for(scheduler, job, step, workers, permitted, now_ms)
     if group is None:
         return
@@ -123,8 +126,7 @@
     if step.step.is_gang:
         start_gang(scheduler, job, step, chosen, now_ms)
     else:
-        waiting = step.suspects & step.pending
-        start_tasks(scheduler, job, step, waiting, chosen, now_ms)
+        start_tasks(scheduler, job, step, tasks, chosen, now_ms)
 
 
 def _group_for(
@@ -141,11 +143,11 @@
     """
     present = scheduler.crashes.groups.get(job.job_id)
     if present is not None and not _has_room(scheduler, present, step, permitted):
-        if _has_unproven(scheduler, present, job.job_id):
+        if _awaits_outcome(scheduler, present, job.job_id, now_ms):
             return None
         present = None
     if present is not None and (
-        _has_unproven(scheduler, present, job.job_id)
+        _awaits_outcome(scheduler, present, job.job_id, now_ms)
         or _is_free(scheduler, present, job, step, permitted)
     ):
         return present
@@ -184,13 +186,28 @@
     return any(_can_be_emptied_for(scheduler, step, w) for w in inside)
 
 
-def _has_unproven(scheduler: Scheduler, group: IsolationGroup, job_id: JobId) -> bool:
+def _awaits_outcome(
+    scheduler: Scheduler, group: IsolationGroup, job_id: JobId, now_ms: float
+) -> bool:
+    """Return whether it will soon be known what became of a job's runs in a group.
+
+    A worker that has been silent for long is cut off rather than crashed. What became
+    of its runs may not be known before its lease has expired.
+    """
     return any(
-        run.task.job_id == job_id and not run.is_proven
+        run.task.job_id == job_id
+        and not run.is_proven
+        and not _is_cut_off(scheduler.workers[run.worker], now_ms)
         for run in _runs_in(scheduler, group)
     )
 
 
+def _is_cut_off(worker: WorkerView, now_ms: float) -> bool:
+    return worker.silent_since_ms is not None and (
+        now_ms - worker.silent_since_ms >= OUTCOME_WAIT_MS
+    )
+
+
 def _has_others_unproven(
     scheduler: Scheduler, group: IsolationGroup, job_id: JobId
 ) -> bool:
--- a/packages/corianderpitch/tests/test_isolation.py
+++ b/packages/corianderpitch/tests/test_isolation.py
@@ -3,10 +3,19 @@
 from dataclasses import replace
 
 import pytest
-from schedulers import NOW_MS, make_job, make_scheduler, report, running, starts
+from schedulers import (
+    NOW_MS,
+    add_worker,
+    make_job,
+    make_scheduler,
+    report,
+    running,
+    starts,
+)
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.crashes import PROBATION_MS
+from corianderpitch.domain.scheduling.isolation import OUTCOME_WAIT_MS
 from corianderpitch.domain.scheduling.orders import OrderResult, RequestReport, StartRun
 from corianderpitch.domain.scheduling.placing import RACK_CHECK_MS
 from corianderpitch.domain.scheduling.planning import plan
@@ -103,3 +112,22 @@
     assert starts(scheduler, NOW_MS + 901.0) == []
     (order,) = starts(scheduler, NOW_MS + 900.0 + RACK_CHECK_MS)
     assert order.worker == "w2"
+
+
+def test_tasks_do_not_wait_for_a_worker_that_was_cut_off_under_another_one():
+    """They waited until the lease of the silent worker had expired."""
+    scheduler = make_scheduler(("w1", "w2"))
+    scheduler.add_job(make_job("a", [step_of(2, max_per_worker=1)]))
+    accept(scheduler, starts(scheduler), NOW_MS)
+    crash(scheduler, "w1", NOW_MS)
+    crash(scheduler, "w2", NOW_MS)
+    for name in ("w3", "w4", "w5"):
+        add_worker(scheduler, name)
+    (first,) = starts(scheduler, NOW_MS + 1.0)
+    accept(scheduler, [first], NOW_MS + 1.0)
+    silent_ms = NOW_MS + 100.0
+    scheduler.mark_silent(first.worker, silent_ms)
+    assert starts(scheduler, silent_ms + 500.0) == []
+    (second,) = starts(scheduler, silent_ms + OUTCOME_WAIT_MS)
+    assert second.task.index != first.task.index
+    assert second.worker != first.worker
