Start other tasks of a suspect job whose suspects cannot be started

All tasks of a job waited as long as one of them was a suspect. If no worker could run that one, because the only ones large enough run lasting tasks, the job had nothing running for good although most of its service was free.

Other tasks are now started in a group of the job as well, after its suspects, if no worker could run these or nothing will soon be known of their runs. They too start in isolation: a crash still names the job.

Ruled out: to start them among the tasks of other jobs. They may have the same fault as the suspect, and a crash would make suspects of bystanders.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -4,10 +4,12 @@
 started until the job's suspects have ended or passed their probation. They are
 started there once all other runs on the worker have passed theirs. If the worker
 crashes then, the job is the cause, and little else is lost. The other tasks of a
-suspect job wait. No new group is chosen while half of a service's workers are taken.
+suspect job wait, and are started in a group only if its suspects have no worker that
+could run them, or run on one that is cut off. No new group is chosen while half of a
+service's workers are taken.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Sequence, Set
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.advice import permitted_workers
@@ -47,10 +49,16 @@
     _drop_groups(scheduler, schedulable, now_ms)
     for queue, job in _suspect_jobs(scheduler, now_ms):
         workers = schedulable.get(queue.service, [])
-        ready = list(job.ready_steps(wall_ms))
-        for step in ready:
-            if tasks := step.suspects & step.pending:
-                permitted = permitted_workers(step, queue.advice, workers, now_ms)
+        ready = [
+            (step, permitted_workers(step, queue.advice, workers, now_ms))
+            for step in job.ready_steps(wall_ms)
+        ]
+        for step, permitted in ready:
+            tasks = step.suspects & step.pending
+            _start_in_group(scheduler, job, step, tasks, workers, permitted, now_ms)
+        if not _must_wait_for_suspects(scheduler, job, ready, now_ms):
+            for step, permitted in ready:
+                tasks = step.pending - step.suspects
                 _start_in_group(scheduler, job, step, tasks, workers, permitted, now_ms)
     isolated = _isolated_workers(scheduler)
     for service, workers in schedulable.items():
@@ -59,6 +67,28 @@
         _request_reports(scheduler, group, now_ms)
 
 
+def _must_wait_for_suspects(
+    scheduler: Scheduler,
+    job: ActiveJob,
+    ready: Iterable[tuple[ActiveStep, Sequence[WorkerView]]],
+    now_ms: float,
+) -> bool:
+    """Return whether the other tasks of a suspect job must wait for its suspects.
+
+    They need not if no worker could run these, or if nothing will soon be known of
+    their runs. ``ready`` holds each ready step with the workers permitted for it.
+    """
+    group = scheduler.crashes.groups.get(job.job_id)
+    if group is not None and _awaits_outcome(scheduler, group, job.job_id, now_ms):
+        return True
+    return any(
+        _can_be_emptied_for(scheduler, step, worker)
+        for step, permitted in ready
+        if step.suspects & step.pending
+        for worker in permitted
+    )
+
+
 def _suspect_jobs(scheduler: Scheduler, now_ms: float) -> list[tuple[Queue, ActiveJob]]:
     """Return the suspect jobs that may be started now, in the order of their queue."""
     ready: list[tuple[Queue, ActiveJob]] = []
@@ -110,12 +140,14 @@
     scheduler: Scheduler,
     job: ActiveJob,
     step: ActiveStep,
-    tasks: Iterable[int],
+    tasks: Set[int],
     workers: Sequence[WorkerView],
     permitted: Sequence[WorkerView],
     now_ms: float,
 ) -> None:
     """Start tasks of a step in the job's group, which is chosen if needed."""
+    if not tasks:
+        return
     group = _group_for(scheduler, job, step, workers, permitted, now_ms)
     if group is None:
         return
--- a/packages/corianderpitch/tests/test_isolation.py
+++ b/packages/corianderpitch/tests/test_isolation.py
@@ -6,6 +6,7 @@
 from schedulers import (
     NOW_MS,
     add_worker,
+    done,
     make_job,
     make_scheduler,
     report,
@@ -23,6 +24,7 @@
 from corianderpitch.ids import WorkerId
 
 PROVEN_MS = NOW_MS + PROBATION_MS + 50.0
+LASTING = Step(1, Shape(1.0, 100), 100.0, is_lasting=True)
 
 
 def crash(scheduler, name, silent_ms):
@@ -131,3 +133,44 @@
     (second,) = starts(scheduler, silent_ms + OUTCOME_WAIT_MS)
     assert second.task.index != first.task.index
     assert second.worker != first.worker
+
+
+def test_tasks_of_other_steps_do_not_wait_for_a_suspect_without_room():
+    """A job had nothing running although most of the service was free."""
+    scheduler = make_scheduler(("w1", "w2", "w3"))
+    served = {}
+    for name in ("w2", "w3"):
+        (order,) = start_on(scheduler, name, make_job(name, [LASTING]))
+        served[name] = running(order)
+        report(scheduler, name, [served[name]], requested_ms=PROVEN_MS)
+    large, small = step_of(1, processors=3.5), step_of(1)
+    job = make_job("a", [large, small, replace(small, after=(1,))])
+    (order,) = start_on(scheduler, "w1", job)
+    crash(scheduler, "w1", NOW_MS)
+    for number in (1, 2):
+        now_ms = PROVEN_MS + number
+        (other,) = starts(scheduler, now_ms)
+        assert other.task == order.task._replace(step=number)
+        accept(scheduler, [other], now_ms)
+        lasting = [served[other.worker]]
+        report(scheduler, other.worker, lasting, [done(other, number)], now_ms)
+
+
+def test_other_tasks_do_not_wait_for_a_suspect_whose_worker_was_cut_off():
+    scheduler = make_scheduler(("w1", "w2"))
+    step = step_of(2, is_lasting=True, max_per_worker=1)
+    scheduler.add_job(make_job("a", [step]))
+    serving, recent = starts(scheduler)
+    accept(scheduler, [serving, recent], NOW_MS)
+    report(scheduler, serving.worker, [running(serving)], requested_ms=PROVEN_MS)
+    crash(scheduler, recent.worker, NOW_MS)
+    for name in ("w3", "w4", "w5"):
+        add_worker(scheduler, name)
+    (isolated,) = starts(scheduler, PROVEN_MS)
+    accept(scheduler, [isolated], PROVEN_MS)
+    silent_ms = PROVEN_MS + 100.0
+    scheduler.mark_silent(isolated.worker, silent_ms)
+    crash(scheduler, serving.worker, silent_ms)
+    assert starts(scheduler, silent_ms + 500.0) == []
+    (other,) = starts(scheduler, silent_ms + OUTCOME_WAIT_MS)
+    assert other.task == serving.task
