--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -4,10 +4,12 @@
 started until the job's suspects have ended or passed their probation. They are
 started there once all other runs on the worker have passed theirs. If the worker
 crashes then, the job is the cause, and little else is lost. The other tasks of a
-suspect job wait. No new group is chosen while half of a service's workers are taken.
+suspect job wait, and are started in a group only if its suspects have no worker that
+could run them, or run on one that is cut off. No new group is chosen while half of a
+service's workers are taken.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Sequence, Set
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.advice import permitted_workers
@@ -35,6 +37,7 @@
 MAX_ISOLATED_SHARE = 0.5  # of the workers of a service
 MAX_GROUP_WAIT_MS = 3000.0  # until a group in which nothing could start is dropped
 REPORT_INTERVAL_MS = 100.0
+OUTCOME_WAIT_MS = 1000.0  # the list of VMs shows an ended process within this time
 
 Schedulable = dict[ServiceName, list[WorkerView]]
 
@@ -46,10 +49,17 @@
     _drop_groups(scheduler, schedulable, now_ms)
     for queue, job in _suspect_jobs(scheduler, now_ms):
         workers = schedulable.get(queue.service, [])
-        for step in list(job.ready_steps(wall_ms)):
-            if step.suspects & step.pending:
-                permitted = permitted_workers(step, queue.advice, workers, now_ms)
-                _start_in_group(scheduler, job, step, workers, permitted, now_ms)
+        ready = [
+            (step, permitted_workers(step, queue.advice, workers, now_ms))
+            for step in job.ready_steps(wall_ms)
+        ]
+        for step, permitted in ready:
+            tasks = step.suspects & step.pending
+            _start_in_group(scheduler, job, step, tasks, workers, permitted, now_ms)
+        if not _must_wait_for_suspects(scheduler, job, ready, now_ms):
+            for step, permitted in ready:
+                tasks = step.pending - step.suspects
+                _start_in_group(scheduler, job, step, tasks, workers, permitted, now_ms)
     isolated = _isolated_workers(scheduler)
     for service, workers in schedulable.items():
         schedulable[service] = [w for w in workers if w.info.worker not in isolated]
@@ -57,6 +67,28 @@
         _request_reports(scheduler, group, now_ms)
 
 
+def _must_wait_for_suspects(
+    scheduler: Scheduler,
+    job: ActiveJob,
+    ready: Iterable[tuple[ActiveStep, Sequence[WorkerView]]],
+    now_ms: float,
+) -> bool:
+    """Return whether the other tasks of a suspect job must wait for its suspects.
+
+    They need not if no worker could run these, or if nothing will soon be known of
+    their runs. ``ready`` holds each ready step with the workers permitted for it.
+    """
+    group = scheduler.crashes.groups.get(job.job_id)
+    if group is not None and _awaits_outcome(scheduler, group, job.job_id, now_ms):
+        return True
+    return any(
+        _can_be_emptied_for(scheduler, step, worker)
+        for step, permitted in ready
+        if step.suspects & step.pending
+        for worker in permitted
+    )
+
+
 def _suspect_jobs(scheduler: Scheduler, now_ms: float) -> list[tuple[Queue, ActiveJob]]:
     """Return the suspect jobs that may be started now, in the order of their queue."""
     ready: list[tuple[Queue, ActiveJob]] = []
@@ -77,7 +109,7 @@
     """Drop the groups of cleared jobs, and those that are of no use any more."""
     available = {w.info.worker for ws in schedulable.values() for w in ws}
     for job_id, group in list(scheduler.crashes.groups.items()):
-        is_in_use = _has_unproven(scheduler, group, job_id)
+        is_in_use = _awaits_outcome(scheduler, group, job_id, now_ms)
         is_useless = not available.issuperset(group.workers) or (
             now_ms - group.chosen_ms >= MAX_GROUP_WAIT_MS
         )
@@ -86,11 +118,14 @@
             del scheduler.crashes.groups[job_id]
 
 
-def _isolated_workers(scheduler: Scheduler) -> set[WorkerId]:
+def _isolated_workers(
+    scheduler: Scheduler, except_for: JobId | None = None
+) -> set[WorkerId]:
     return {
         worker
-        for group in scheduler.crashes.groups.values()
+        for job_id, group in scheduler.crashes.groups.items()
         for worker in group.workers
+        if job_id != except_for
     }
 
 
@@ -105,27 +140,69 @@
     scheduler: Scheduler,
     job: ActiveJob,
     step: ActiveStep,
+    tasks: Set[int],
     workers: Sequence[WorkerView],
     permitted: Sequence[WorkerView],
     now_ms: float,
 ) -> None:
-    """Start the suspects of a step in the job's group, which is chosen if needed."""
-    group = scheduler.crashes.groups.get(job.job_id)
-    if group is None or not _has_room(scheduler, group, step, permitted):
-        if group is not None and _has_unproven(scheduler, group, job.job_id):
-            return
-        group = _choose_group(scheduler, step, workers, permitted, now_ms)
-        if group is None:
-            return
-        scheduler.crashes.groups[job.job_id] = group
+    """Start tasks of a step in the job's group, which is chosen if needed."""
+    if not tasks:
+        return
+    group = _group_for(scheduler, job, step, workers, permitted, now_ms)
+    if group is None:
+        return
+    scheduler.crashes.groups[job.job_id] = group
     if _has_others_unproven(scheduler, group, job.job_id):
         return
     chosen = [w for w in permitted if w.info.worker in group.workers]
     if step.step.is_gang:
         start_gang(scheduler, job, step, chosen, now_ms)
     else:
-        waiting = step.suspects & step.pending
-        start_tasks(scheduler, job, step, waiting, chosen, now_ms)
+        start_tasks(scheduler, job, step, tasks, chosen, now_ms)
+
+
+def _group_for(
+    scheduler: Scheduler,
+    job: ActiveJob,
+    step: ActiveStep,
+    workers: Sequence[WorkerView],
+    permitted: Sequence[WorkerView],
+    now_ms: float,
+) -> IsolationGroup | None:
+    """Return the group for a step: the job's present one, or a new one.
+
+    A group that must be emptied first is replaced as soon as another one is free.
+    """
+    present = scheduler.crashes.groups.get(job.job_id)
+    if present is not None and not _has_room(scheduler, present, step, permitted):
+        if _awaits_outcome(scheduler, present, job.job_id, now_ms):
+            return None
+        present = None
+    if present is not None and (
+        _awaits_outcome(scheduler, present, job.job_id, now_ms)
+        or _is_free(scheduler, present, job, step, permitted)
+    ):
+        return present
+    new = _choose_group(scheduler, job, step, workers, permitted, now_ms)
+    if new is None or present is None:
+        return new
+    return new if _is_free(scheduler, new, job, step, permitted) else present
+
+
+def _is_free(
+    scheduler: Scheduler,
+    group: IsolationGroup,
+    job: ActiveJob,
+    step: ActiveStep,
+    permitted: Iterable[WorkerView],
+) -> bool:
+    """Return whether tasks of a step can be started in a group now."""
+    if _has_others_unproven(scheduler, group, job.job_id):
+        return False
+    inside = [w for w in permitted if w.info.worker in group.workers]
+    if step.step.is_gang:
+        return gang_fits(step, inside)
+    return any(step.step.reservation.fits_in(worker.free) for worker in inside)
 
 
 def _has_room(
@@ -141,13 +218,28 @@
     return any(_can_be_emptied_for(scheduler, step, w) for w in inside)
 
 
-def _has_unproven(scheduler: Scheduler, group: IsolationGroup, job_id: JobId) -> bool:
+def _awaits_outcome(
+    scheduler: Scheduler, group: IsolationGroup, job_id: JobId, now_ms: float
+) -> bool:
+    """Return whether it will soon be known what became of a job's runs in a group.
+
+    A worker that has been silent for long is cut off rather than crashed. What became
+    of its runs may not be known before its lease has expired.
+    """
     return any(
-        run.task.job_id == job_id and not run.is_proven
+        run.task.job_id == job_id
+        and not run.is_proven
+        and not _is_cut_off(scheduler.workers[run.worker], now_ms)
         for run in _runs_in(scheduler, group)
     )
 
 
+def _is_cut_off(worker: WorkerView, now_ms: float) -> bool:
+    return worker.silent_since_ms is not None and (
+        now_ms - worker.silent_since_ms >= OUTCOME_WAIT_MS
+    )
+
+
 def _has_others_unproven(
     scheduler: Scheduler, group: IsolationGroup, job_id: JobId
 ) -> bool:
@@ -159,13 +251,14 @@
 
 def _choose_group(
     scheduler: Scheduler,
+    job: ActiveJob,
     step: ActiveStep,
     workers: Sequence[WorkerView],
     permitted: Iterable[WorkerView],
     now_ms: float,
 ) -> IsolationGroup | None:
     """Choose the workers that will lose the least work and are free the soonest."""
-    isolated = _isolated_workers(scheduler)
+    isolated = _isolated_workers(scheduler, except_for=job.job_id)
     taken = sum(1 for worker in workers if worker.info.worker in isolated)
     allowed = max(1, int(len(workers) * MAX_ISOLATED_SHARE)) - taken
     if allowed <= 0:
