Cast no doubt on the rack of a worker whose end is planned

Each move of a VM makes its worker silent. The rest of its rack would have been asked for a report, and kept from new tasks until it came. An answer to an order shows as well as a report that a worker of a silent one's rack is up.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -35,14 +35,15 @@
 def workers_in_doubt(workers: Iterable[WorkerView], now_ms: float) -> set[WorkerId]:
     """Return the workers that may be down with another one in their rack.
 
-    They have not answered since that one fell silent.
+    They have not answered since that one fell silent. One whose end is planned says
+    nothing about the others.
     """
     silent_since_ms: dict[tuple[str, ...], float] = {}
     others: list[WorkerView] = []
     for worker in workers:
         if not worker.is_silent:
             others.append(worker)
-        elif worker.silent_since_ms is not None:
+        elif worker.silent_since_ms is not None and not worker.is_leaving:
             rack = worker.info.rack
             latest_ms = max(worker.silent_since_ms, silent_since_ms.get(rack, 0.0))
             silent_since_ms[rack] = latest_ms
@@ -50,7 +51,7 @@
         worker.info.worker
         for worker in others
         if (since_ms := silent_since_ms.get(worker.info.rack)) is not None
-        and worker.clock_received_ms < since_ms
+        and worker.heard_ms < since_ms
         and now_ms < since_ms + RACK_CHECK_MS
     }
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -231,7 +231,7 @@
         if not worker.is_silent:
             worker.silent_since_ms = now_ms
             worker.is_silent = True
-            if now_ms is not None:
+            if now_ms is not None and not worker.is_leaving:
                 self._check_rack(worker)
 
     def _check_rack(self, silent: WorkerView) -> None:
