Let suspects on one rack not explain each other's crashes

What callers saw: after one rack had crashed, the jobs of its runs were isolated, two of them on another rack. When that crashed as well, each was given up, as the crash of the other one did not count for a common cause.

An explained crash now counts for a common cause if it is in the same rack and may have been at the same time. Deadly tasks seldom meet that: their workers fall silent within some ms of the start, each at its own time.

The test failed before: all three jobs were given up.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -50,12 +50,14 @@
 class Outage:
     """Silence of a worker, which began after ``heard_ms`` and by ``silent_ms``.
 
-    ``silent_ms`` is infinite if it is not known.
+    ``silent_ms`` is infinite if it is not known. ``is_explained`` is true if a run that
+    had just begun was one of a suspect, and therefore in isolation.
     """
 
     worker: WorkerInfo
     heard_ms: float
     silent_ms: float
+    is_explained: bool
 
     @property
     def unheard_ms(self) -> float:
@@ -63,11 +65,14 @@
         return 0.0 if math.isinf(self.silent_ms) else self.silent_ms - self.heard_ms
 
     @classmethod
-    def from_worker(cls, worker: WorkerView) -> "Outage":
+    def from_worker(cls, worker: WorkerView, is_explained: bool) -> "Outage":
         """Return the outage of a worker that is silent or has crashed."""
         silent_ms = worker.silent_since_ms
         return cls(
-            worker.info, worker.heard_ms, math.inf if silent_ms is None else silent_ms
+            worker.info,
+            worker.heard_ms,
+            math.inf if silent_ms is None else silent_ms,
+            is_explained,
         )
 
 
@@ -76,15 +81,13 @@
     """End of a worker's process that no order or draining explains.
 
     ``suspects`` are the tasks that most likely caused it, each with the number of
-    crashes confirmed for it so far. ``is_explained`` is true if one of them was a
-    suspect before, and therefore started in isolation. ``is_prompt`` is true if the
-    worker fell silent soon after the last of them was started. ``relations`` counts
-    the runs of open jobs on the worker, for the log.
+    crashes confirmed for it so far. ``is_prompt`` is true if the worker fell silent
+    soon after the last of them was started. ``relations`` counts the runs of open jobs
+    on the worker, for the log.
     """
 
     outage: Outage
     suspects: Mapping[TaskRef, int]
-    is_explained: bool = False
     is_prompt: bool = False
     relations: Mapping["CrashRelation", int] = field(default_factory=dict)
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashlog.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashlog.py
@@ -10,7 +10,6 @@
     Outage,
     WorkerCrash,
 )
-from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.ids import JobId
 
 COMMON_CAUSE_WINDOW_MS = 500.0  # between the outages of two workers
@@ -33,8 +32,7 @@
     def pop_given_up(self, silent: Iterable[Outage], now_ms: float) -> list[JobGivenUp]:
         """Return the jobs to give up for crashes of some time ago.
 
-        ``silent`` are the outages of the workers that are silent now, and not
-        explained by a task that may crash them.
+        ``silent`` are the outages of the workers that are silent now.
         """
         for crash in self._new:
             self._recent.append((now_ms, crash))
@@ -43,7 +41,7 @@
         self._new.clear()
         due = [c for c in self._undecided if now_ms - c[0] >= DECISION_DELAY_MS]
         self._undecided = [c for c in self._undecided if c not in due]
-        outages = self._unexplained(silent) if due else []
+        outages = self._outages(silent) if due else []
         decisions = [
             crash.decision()
             for _, crash in due
@@ -57,45 +55,48 @@
         """Return whether a crash that a job may have caused is not decided on yet."""
         return any(crash.only_job == job_id for _, crash in self._undecided)
 
-    def _unexplained(self, silent: Iterable[Outage]) -> list[Outage]:
-        """Return the recent outages, but those that suspects explain."""
-        crashed = {crash.worker.worker for _, crash in self._recent}
-        outages = [o for o in silent if o.worker.worker not in crashed]
-        outages += [crash.outage for _, crash in self._recent if not crash.is_explained]
-        return outages
+    def _outages(self, silent: Iterable[Outage]) -> list[Outage]:
+        """Return the recent outages, one for each worker."""
+        crashed = {crash.worker.worker: crash.outage for _, crash in self._recent}
+        others = [o for o in silent if o.worker.worker not in crashed]
+        return [*crashed.values(), *others]
 
 
 def _may_be_decisive(crash: WorkerCrash) -> bool:
     return (
         crash.only_job is not None
-        and crash.is_explained
+        and crash.outage.is_explained
         and crash.is_prompt
         and crash.crashes >= CRASHES_TO_GIVE_UP
     )
 
 
 def _has_common_cause(outage: Outage, others: Iterable[Outage]) -> bool:
-    """Return whether several related workers fell silent at about the same time.
-
-    Related workers are in the same service or zone.
-    """
-    related = {
-        other.worker.worker
+    """Return whether several related workers fell silent at about the same time."""
+    related = [
+        other
         for other in others
-        if other.worker.worker != outage.worker.worker
-        and _are_related(other.worker, outage.worker)
-        and _are_close(other, outage)
-    }
+        if other.worker.worker != outage.worker.worker and _are_related(other, outage)
+    ]
     return len(related) >= COMMON_CAUSE_WORKERS
 
 
-def _are_related(one: WorkerInfo, other: WorkerInfo) -> bool:
-    return one.zone == other.zone or one.service == other.service
+def _are_related(other: Outage, outage: Outage) -> bool:
+    """Return whether an outage may have the same cause as another one.
+
+    Both are in the same service or zone. An outage that a suspect explains must also
+    be in the same rack, at the same time.
+    """
+    one, two = other.worker, outage.worker
+    if other.is_explained:
+        return one.rack == two.rack and _are_close(other, outage, 0.0)
+    is_near = one.zone == two.zone or one.service == two.service
+    return is_near and _are_close(other, outage, COMMON_CAUSE_WINDOW_MS)
 
 
-def _are_close(one: Outage, other: Outage) -> bool:
-    """Return whether two outages may have begun within the window."""
+def _are_close(one: Outage, other: Outage, window_ms: float) -> bool:
+    """Return whether two outages may have begun within a window."""
     return (
-        one.heard_ms <= other.silent_ms + COMMON_CAUSE_WINDOW_MS
-        and other.heard_ms <= one.silent_ms + COMMON_CAUSE_WINDOW_MS
+        one.heard_ms <= other.silent_ms + window_ms
+        and other.heard_ms <= one.silent_ms + window_ms
     )
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
@@ -85,9 +85,8 @@
             if crashes is not None and run.task in likely:
                 suspects[run.task] = crashes
         crash = WorkerCrash(
-            Outage.from_worker(worker),
+            Outage.from_worker(worker, is_explained),
             suspects,
-            is_explained,
             is_prompt(worker, likely_runs),
             Counter(relation for _, relation in relations),
         )
@@ -114,7 +113,7 @@
         self, workers: Iterable[WorkerView], now_ms: float
     ) -> list[JobGivenUp]:
         """Return the open jobs that are to be given up now."""
-        silent = self._unexplained_outages(workers)
+        silent = self._outages(workers)
         for decision in self._log.pop_given_up(silent, now_ms):
             self._given_up.setdefault(decision.task.job_id, decision)
         passed, self._given_up = self._given_up, {}
@@ -126,14 +125,16 @@
         """Return whether a crash that a job may have caused is not decided on yet."""
         return self._log.is_undecided(job_id)
 
-    def _unexplained_outages(self, workers: Iterable[WorkerView]) -> Iterable[Outage]:
-        """Return the outages of silent workers on which no suspect has just begun."""
+    def _outages(self, workers: Iterable[WorkerView]) -> Iterable[Outage]:
+        """Return the outages of the silent workers whose end is not planned."""
         for worker in workers:
             if worker.silent_since_ms is None or worker.is_leaving:
                 continue
             relations = self._relate(worker, worker.runs.values())
-            if not any(self._is_suspect(run.task) for run in _likely_runs(relations)):
-                yield Outage.from_worker(worker)
+            is_explained = any(
+                self._is_suspect(run.task) for run in _likely_runs(relations)
+            )
+            yield Outage.from_worker(worker, is_explained)
 
     def _relate(
         self, worker: WorkerView, runs: Iterable[Run]
--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -227,3 +227,28 @@
             report(scheduler, order.worker, incarnation="2")
     starts(scheduler, NOW_MS + 2030.0 + DECISION_DELAY_MS)
     assert scheduler.jobs == {}
+
+
+def test_suspects_on_a_rack_that_crashes_do_not_explain_each_others_crashes():
+    """All three were given up (issue 32, a day of crashing racks)."""
+    scheduler = make_scheduler(WORKERS)
+    for number, name in enumerate(WORKERS[:3]):
+        for other in scheduler.workers.values():
+            is_next = other.info.worker == name
+            other.backoff_until_ms = 0.0 if is_next else NOW_MS + 0.5
+        scheduler.add_job(make_job(f"job{number}"))
+        (order,) = starts(scheduler)
+        answer(scheduler, order, OrderResult.DONE, NOW_MS)
+    for name in WORKERS[:3]:
+        crash(scheduler, name, NOW_MS + 5.0)
+    begun_ms = NOW_MS + 3000.0
+    for name in WORKERS[3:]:
+        schedulers.add_worker(scheduler, name, rack="dark")
+    orders = starts(scheduler, begun_ms)
+    assert len(orders) == 3
+    for order in orders:
+        answer(scheduler, order, OrderResult.DONE, begun_ms)
+    for order in orders:
+        crash(scheduler, order.worker, begun_ms + 50.0)
+    decide(scheduler, begun_ms + 100.0)
+    assert len(scheduler.jobs) == 3
