Commit that a suspect has passed its probation

What callers saw: a lasting job was given up at its third crash, although its task had served for seconds and passed its probation between them.

Cause: a task that passes its probation is cleared in the memory of the holder only. A lasting task changes nothing else, so that its record kept the old crash, and each later crash under another holder added to it.

The test failed before: nothing was left to commit (expected 1, got 0).

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
@@ -56,7 +56,9 @@
 
     def clear(self, job: ActiveJob, step: ActiveStep, index: int) -> None:
         """Clear a task of suspicion: its run has ended or passed its probation."""
-        step.clear_crashes(index)
+        if index in step.suspects:
+            step.clear_crashes(index)
+            job.is_dirty = True
         if not job.has_suspects:
             self.suspect_jobs.discard(job.job_id)
 
--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -252,3 +252,20 @@
         crash(scheduler, order.worker, begun_ms + 50.0)
     decide(scheduler, begun_ms + 100.0)
     assert len(scheduler.jobs) == 3
+
+
+def test_a_task_that_passed_its_probation_is_no_suspect_of_the_next_holder():
+    """Three crashes under three holders ended a job that had served in between."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    (order,) = starts(scheduler)
+    answer(scheduler, order, OrderResult.DONE, NOW_MS)
+    crash(scheduler, order.worker, NOW_MS + 5.0)
+    (again,) = starts(scheduler, NOW_MS + 10.0)
+    answer(scheduler, again, OrderResult.DONE, NOW_MS + 12.0)
+    (change,) = scheduler.pop_changes()
+    assert change.record.steps[0, 0].crashed != {}
+    proven_ms = NOW_MS + PROBATION_MS + 50.0
+    report(scheduler, again.worker, [running(again)], requested_ms=proven_ms)
+    (change,) = scheduler.pop_changes()
+    assert change.record.steps[0, 0].crashed == {}
