Start a suspect beside other jobs after a long wait for isolation

Suspects are started one job at a time on at most half of a service's workers, and each takes its probation and a report, some 0.35 s. When a worker crashes under many jobs and its service is small, the last of them wait 3 s and longer with most of the service free.

A job whose suspects have waited MAX_QUEUE_MS without a group is now started like any other one, but only after a single crash.

Ruled out: a larger share of isolated workers, which only halves the wait and keeps the whole service from everyone else; several suspect jobs in one group, which loses the evidence of the second crash for all of them.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -6,7 +6,8 @@
 crashes then, the job is the cause, and little else is lost. The other tasks of a
 suspect job wait, and are started in a group only if its suspects have no worker that
 could run them, or run on one that is cut off. No new group is chosen while half of a
-service's workers are taken.
+service's workers are taken. A job that waits long for a group is started beside others
+after its first crash: if it is the cause, the second one leaves few suspects.
 """
 
 from collections.abc import Iterable, Sequence, Set
@@ -35,6 +36,7 @@
 from corianderpitch.ids import JobId, ServiceName, WorkerId
 
 MAX_ISOLATED_SHARE = 0.5  # of the workers of a service
+MAX_QUEUE_MS = 1500.0  # until a job without a group is started beside others
 MAX_GROUP_WAIT_MS = 3000.0  # until a group in which nothing could start is dropped
 REPORT_INTERVAL_MS = 100.0
 OUTCOME_WAIT_MS = 1000.0  # the list of VMs shows an ended process within this time
@@ -60,6 +62,7 @@
             for step, permitted in ready:
                 tasks = step.pending - step.suspects
                 _start_in_group(scheduler, job, step, tasks, workers, permitted, now_ms)
+        _note_waiting(scheduler, job, now_ms)
     isolated = _isolated_workers(scheduler)
     for service, workers in schedulable.items():
         schedulable[service] = [w for w in workers if w.info.worker not in isolated]
@@ -67,6 +70,27 @@
         _request_reports(scheduler, group, now_ms)
 
 
+def must_be_isolated(scheduler: Scheduler, job: ActiveJob, now_ms: float) -> bool:
+    """Return whether no task of a job may be started beside those of other jobs."""
+    if job.job_id not in scheduler.crashes.suspect_jobs:
+        return False
+    since_ms = job.awaits_group_since_ms
+    if since_ms is None or now_ms - since_ms < MAX_QUEUE_MS:
+        return True
+    return any(
+        step.crash_count(index) > 1 for step in job.steps() for index in step.suspects
+    )
+
+
+def _note_waiting(scheduler: Scheduler, job: ActiveJob, now_ms: float) -> None:
+    """Note since when suspects of a job have waited without a group."""
+    is_waiting = any(step.suspects & step.pending for step in job.steps())
+    if job.job_id in scheduler.crashes.groups or not is_waiting:
+        job.awaits_group_since_ms = None
+    elif job.awaits_group_since_ms is None:
+        job.awaits_group_since_ms = now_ms
+
+
 def _must_wait_for_suspects(
     scheduler: Scheduler,
     job: ActiveJob,
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -4,7 +4,7 @@
 from collections import defaultdict
 
 from corianderpitch.domain.scheduling.advice import permitted_workers
-from corianderpitch.domain.scheduling.isolation import plan_isolated
+from corianderpitch.domain.scheduling.isolation import must_be_isolated, plan_isolated
 from corianderpitch.domain.scheduling.ordering import order_key
 from corianderpitch.domain.scheduling.placing import is_schedulable, workers_in_doubt
 from corianderpitch.domain.scheduling.progress import ActiveJob
@@ -35,7 +35,7 @@
         if queue is None or not schedulable.get(queue.service):
             continue
         job.begin_due_occurrences(wall_ms)
-        if job.job_id in scheduler.crashes.suspect_jobs:
+        if must_be_isolated(scheduler, job, now_ms):
             continue
         if job.has_waiting_tasks and scheduler.is_safe_to_start(job, now_ms):
             waiting[queue.service].append((queue, job))
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -167,6 +167,8 @@
     since the last record of its progress. ``step_paths_ms`` holds, for each step,
     the length of the longest chain of steps that begins with it.
     ``may_have_unknown_runs`` is true for a job that a predecessor may have started.
+    ``awaits_group_since_ms`` is the time since when suspects of the job have waited
+    for an isolation group, ``None`` if none waits for one.
     """
 
     def __init__(self, workload: Workload, accepted_ms: float, version: int):
@@ -181,6 +183,7 @@
         self.critical_path_ms = max(self.step_paths_ms, default=0.0)
         self.is_dirty = False
         self.may_have_unknown_runs = False
+        self.awaits_group_since_ms: float | None = None
         self.uncommitted_ends: list[EndRef] = []
         self.failed_on: dict[tuple[int, int], frozenset[WorkerId]] = {}
         self._recorded_placements: list[tuple[TaskRef, Placement]] = []
--- a/packages/corianderpitch/tests/test_isolation.py
+++ b/packages/corianderpitch/tests/test_isolation.py
@@ -174,3 +174,26 @@
     assert starts(scheduler, silent_ms + 500.0) == []
     (other,) = starts(scheduler, silent_ms + OUTCOME_WAIT_MS)
     assert other.task == serving.task
+
+
+def test_many_suspects_in_a_small_service_are_all_started_within_three_seconds():
+    """One after the other passed its probation on the only worker to be isolated."""
+    scheduler = make_scheduler(("w1", "w2", "w3"), processors=16.0)
+    for number in range(16):
+        scheduler.add_job(make_job(f"job{number}"))
+    orders = starts(scheduler)
+    assert len({order.worker for order in orders}) == 1
+    accept(scheduler, orders, NOW_MS)
+    crash(scheduler, orders[0].worker, NOW_MS)
+    at_work = {WorkerId(name): [] for name in ("w1", "w2", "w3")}
+    del at_work[orders[0].worker]
+    started = set()
+    for number in range(60):
+        now_ms = NOW_MS + 50.0 * number
+        for name, runs in at_work.items():
+            report(scheduler, name, runs, requested_ms=now_ms)
+        for order in starts(scheduler, now_ms):
+            accept(scheduler, [order], now_ms)
+            at_work[order.worker].append(running(order))
+            started.add(order.task.job_id)
+    assert len(started) == 16
