--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -193,6 +193,8 @@
     the length of the longest chain of steps that begins with it.
     ``may_have_unknown_runs`` is true for a job that a predecessor may have started.
     ``record_age_ms`` is the age of the progress record from which it was restored.
+    ``awaits_group_since_ms`` is the time since when suspects of the job have waited
+    for an isolation group, ``None`` if none waits for one.
     """
 
     def __init__(self, workload: Workload, accepted_ms: float, version: int):
@@ -208,6 +210,7 @@
         self.is_dirty = False
         self.may_have_unknown_runs = False
         self.record_age_ms = 0.0
+        self.awaits_group_since_ms: float | None = None
         self.uncommitted_ends: list[EndRef] = []
         self.failed_on: dict[tuple[int, int], frozenset[WorkerId]] = {}
         self._recorded_placements: list[tuple[TaskRef, Placement]] = []
