Answer requests in hand before a stop ends, whatever the store does

Beside a store that was silent to most calls, a stopping entry was killed at the end of its grace period, and callers got no answer. The release of the role came before the time of draining was counted, and requests in hand had no bound: a submission may wait for the store four times.

--- a/tests/adapter/test_front.py
+++ b/tests/adapter/test_front.py
@@ -3,7 +3,9 @@
 import io
 import json
 
+import eventlet
 import pytest
+from eventlet.event import Event
 
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.scheduling.intake import IntakeKind, IntakeResult
@@ -171,3 +173,30 @@
 def test_an_odd_job_is_rejected(odd):
     """Some ended in an exception, and some were stored and hurt all later terms."""
     assert submit(ODD_JOBS[odd]) == (400, None)
+
+
+class WaitingIntake(FixedResultIntake):
+    """Waits for the store without end."""
+
+    def __init__(self):
+        super().__init__(None)
+        self.was_left = False
+
+    def show(self, queue, job_id):
+        try:
+            Event().wait()
+        finally:
+            self.was_left = True
+
+
+def test_a_request_given_up_at_the_end_of_a_stop_has_an_unknown_outcome():
+    """A store that does not answer must not leave the caller without an answer."""
+    app = app_with_result(None)
+    app._intake = intake = WaitingIntake()
+    caller = eventlet.spawn(call, app)
+    eventlet.sleep(0)
+    assert app.in_flight == 1
+    app.give_up_requests()
+    assert caller.wait()["status"] == 504
+    assert intake.was_left
+    assert app.in_flight == 0
--- a/tests/integration/test_stops.py
+++ b/tests/integration/test_stops.py
@@ -169,10 +169,10 @@
     return callers
 
 
-def stop_and_kill(fleet, entry):
+def stop_and_kill(fleet, entry, kill_s=KILL_S):
     """Stop an entry as the platform does; return its exit code."""
     fleet.signal(entry, signal.SIGTERM)
-    deadline_s = time.monotonic() + KILL_S
+    deadline_s = time.monotonic() + kill_s
     while entry.is_running and time.monotonic() < deadline_s:
         time.sleep(0.01)
     entry.process.kill()
@@ -194,6 +194,16 @@
     assert not lost_calls(callers)
 
 
+def test_requests_in_hand_are_answered_in_time_beside_a_store_that_is_often_silent(
+    fleet, entry
+):
+    """The release of the role and each call waited for the store for too long."""
+    callers = start_callers(entry, 16, pause_s=0.1)
+    fleet.control("store-faults", silent_share=0.8)
+    assert stop_and_kill(fleet, entry, GRACE_S) == 0
+    assert not lost_calls(callers)
+
+
 def write_config(fleet, version, rng):
     """Write a configuration without some route, or with other limits."""
     routes = rng.sample(CONFIG["routes"], rng.randint(1, len(CONFIG["routes"])))
