--- a/tests/integration/test_stops.py
+++ b/tests/integration/test_stops.py
@@ -204,6 +204,26 @@
     assert not lost_calls(callers)
 
 
+def test_a_request_that_arrives_while_an_ending_entry_is_held_up_is_answered(
+    fleet, entry
+):
+    """The process ended without another look at its connections."""
+    with connect(entry) as opened:
+        exchange(opened, "GET", "/counter/")
+        fleet.signal(entry, signal.SIGTERM)
+        text = "All requests completed"
+        wait_until(lambda: text in entry.log.read_text(), 5.0, "the end")
+        fleet.signal(entry, signal.SIGSTOP)
+        with connect(entry) as fresh:  # the system accepts it meanwhile
+            for connection in (opened, fresh):
+                connection.sendall(encode("GET", "/counter/"))
+            time.sleep(0.5)
+            fleet.signal(entry, signal.SIGCONT)
+            statuses = [receive(connection)[0] for connection in (opened, fresh)]
+    assert statuses == [503, 503]
+    assert entry.process.wait(EXIT_TIMEOUT_S) == 0
+
+
 def write_config(fleet, version, rng):
     """Write a configuration without some route, or with other limits."""
     routes = rng.sample(CONFIG["routes"], rng.randint(1, len(CONFIG["routes"])))
