Count promptness from when a start order was sent

A crash is confirmed only if the worker fell silent within the probation after the order to start the run. That order's time was taken at planning. Behind a holder that sends orders later than that, because it is slow or the worker's orders queue, no crash was ever confirmed, and a task that crashes its workers was started on one after the other without end.

A run cannot have begun before its order was sent, so nothing innocent is confirmed by the later time.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -199,4 +199,5 @@
         until_ms = self._scheduler.extend_lease(self._worker_id, length_ms, now_ms)
         if until_ms is None:
             return OrderResult.NOT_SENT
+        self._scheduler.mark_sent(order, now_ms)
         return self._link.start(worker.info, order, until_ms)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -326,6 +326,10 @@
         run = self.workers[order.worker].runs.get(order.task)
         return run is not None and run.number == order.number
 
+    def mark_sent(self, order: StartRun, now_ms: float) -> None:
+        """Record when a start order is sent: its run cannot have begun before."""
+        self.workers[order.worker].runs[order.task].ordered_ms = now_ms
+
     def expire(self, now_ms: float) -> None:
         """Mark runs with expired leases as lost, and drop workers that have left."""
         if now_ms >= self.leases_end_ms:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -121,12 +121,12 @@
     before ``state_since_ms`` may not reflect ``state`` yet. ``pace_percent`` is
     the share of full speed that the worker last confirmed, and ``paced_ms`` the time
     of the last order to change it. ``incarnation`` is the worker's at the start.
-    ``ordered_ms`` is the time of the order to start it, and ``begun_ms`` the time by
-    which the worker had confirmed that it runs, ``None`` until then. Neither is known
-    for a run that a predecessor has started. ``is_proven`` is set once the run has
-    passed its probation: if its worker crashes afterwards, the run is unlikely to be
-    the cause. ``may_have_stopped`` is set once an order to stop it may have had an
-    effect.
+    ``ordered_ms`` is the time at which the order to start it was sent, before that the
+    time of its planning, and ``begun_ms`` the time by which the worker had confirmed
+    that it runs, ``None`` until then. Neither is known for a run that a predecessor
+    has started. ``is_proven`` is set once the run has passed its probation: if its
+    worker crashes afterwards, the run is unlikely to be the cause.
+    ``may_have_stopped`` is set once an order to stop it may have had an effect.
     """
 
     task: TaskRef
--- a/packages/corianderpitch/tests/test_links.py
+++ b/packages/corianderpitch/tests/test_links.py
@@ -4,12 +4,13 @@
 from types import SimpleNamespace
 
 from returns.result import Success
-from schedulers import NOW_MS, make_job, make_scheduler, starts
+from schedulers import NOW_MS, add_worker, make_job, make_scheduler, starts
 
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.crashes import DECISION_DELAY_MS, PROBATION_MS
 from corianderpitch.domain.scheduling.orders import LossCause, OrderResult
 from corianderpitch.domain.scheduling.workers import RunState, WorkerReport
 from corianderpitch.domain.scheduling.workloads import Step
@@ -65,11 +66,11 @@
         pass
 
 
-def make_task(scheduler, link, clock=None):
+def make_task(scheduler, link, clock=None, worker="w1"):
     role = SimpleNamespace(renewal_age_ms=0.0)
     clock = clock or ManualClock(NOW_MS)
     return WorkerTask(
-        WorkerId("w1"),
+        WorkerId(worker),
         scheduler,
         link,
         role,
@@ -133,6 +134,26 @@
     assert worker.free.processors == 0.0
 
 
+def test_a_crash_soon_after_a_start_that_was_sent_late_names_its_cause():
+    """Beside a busy holder, a task crashed one worker after the other for ever."""
+    scheduler = make_scheduler(())
+    for number in range(8):
+        add_worker(scheduler, f"w{number}", rack=f"r{number}")
+    scheduler.add_job(make_job("a"))
+    clock = ManualClock(NOW_MS)
+    link = SimpleNamespace(start=lambda *_: OrderResult.DONE)
+    for _ in range(2):
+        (order,) = starts(scheduler, clock.now_ms())
+        clock.advance(PROBATION_MS + 100.0)
+        make_task(scheduler, link, clock, order.worker)._execute(order)
+        scheduler.mark_silent(order.worker, clock.now_ms() + 5.0)
+        scheduler.mark_terminated([order.worker])
+        clock.advance(100.0)
+    assert starts(scheduler, clock.now_ms()) == []
+    assert starts(scheduler, clock.now_ms() + DECISION_DELAY_MS) == []
+    assert scheduler.jobs == {}
+
+
 def test_a_start_right_after_a_report_of_an_idle_worker_was_requested_is_renewed():
     """The lease is renewed only once that report has arrived.
 
