Fail no job on one worker before the workers are listed

A job fails for good once it has failed on all workers that it fits on, on three at most. A holder whose term began while the workers could not be listed knew of none, and took that for a job that fits nowhere: the first failure on one worker ended the job as failed, though other workers could run it. Until a list is read, three workers are required; a job that fits on no listed worker still fails at once.

On the former code: assert {'j1': 'failed'} == {'j1': 'queued'}.

--- a/packages/corianderpitch/corianderpitch/domain/placement.py
+++ b/packages/corianderpitch/corianderpitch/domain/placement.py
@@ -8,7 +8,7 @@
 
 import math
 from collections import defaultdict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from corianderpitch.domain.jobs import (
@@ -186,10 +186,7 @@
             return [JobChange(end(job, JobState.DONE, wall_ms))]
         case TaskState.FAILED:
             failures.record_failure(task.worker, job.job_id)
-            capable_workers = sum(
-                job.shape.fits_in(w.capacity) for w in snapshot.workers.values()
-            )
-            limit = max(1, min(MAX_FAILED_WORKERS, capable_workers))
+            limit = _max_failed_workers(job, snapshot.workers.values())
             return [JobChange(fail_on_worker(job, limit, wall_ms))]
         case TaskState.STOPPED | TaskState.LAPSED if job.is_cancelled:
             return [JobChange(end(job, JobState.CANCELLED, wall_ms))]
@@ -200,6 +197,18 @@
     return []
 
 
+def _max_failed_workers(job: Job, workers: Collection[Worker]) -> int:
+    """Return on how many distinct workers a job must have failed to fail for good.
+
+    These are all workers that it fits on, up to ``MAX_FAILED_WORKERS``. How many it
+    fits on is not known before a term's first list of workers.
+    """
+    if not workers:
+        return MAX_FAILED_WORKERS
+    capable_workers = sum(job.shape.fits_in(worker.capacity) for worker in workers)
+    return max(1, min(MAX_FAILED_WORKERS, capable_workers))
+
+
 def place_jobs(
     snapshot: JobsSnapshot, estimator: UsageEstimator, quarantined: frozenset[WorkerId]
 ) -> list[JobStep]:
--- a/packages/corianderpitch/tests/test_jobs.py
+++ b/packages/corianderpitch/tests/test_jobs.py
@@ -116,6 +116,24 @@
     assert [s.task_id for s in site.workers.started] == ["j1.1"]
 
 
+def test_job_that_failed_once_goes_on_although_the_workers_cannot_be_listed(site):
+    """No worker was known, so that one failure counted as failures on all of them."""
+    site.submit(1)
+    site.round()
+    successor = site.new_task("e2")
+    successor.try_acquire_role()
+    site.clock.advance(JOB_SCHEDULER_LEASE_MS)
+    assert successor.try_acquire_role()
+    site.task = successor
+    site.workers.list_workers = lambda _: Failure(OutcomeLost("not listed"))
+    site.end("j1", TaskState.FAILED)
+    site.round()
+    assert site.states() == {"j1": "queued"}
+    del site.workers.list_workers
+    site.round()
+    assert site.states() == {"j1": "running"}
+
+
 def test_holder_paused_past_its_lease_changes_nothing(site):
     successor = site.new_task("e2")
     successor.try_acquire_role()
