Request no extra reports from silent workers of isolation groups

A group's worker is asked every 100 ms whether its runs have passed their probation. It was asked as well once it was silent, although its own watch asks again by itself: each request waited for its timeout, and counted as one more look at the worker.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -352,9 +352,9 @@
         return
     for worker_id in group.workers:
         worker = scheduler.workers.get(worker_id)
-        if worker is None or not any(
-            _is_due(scheduler, run, now_ms) for run in worker.runs.values()
-        ):
+        if worker is None or worker.is_silent:
+            continue
+        if not any(_is_due(scheduler, run, now_ms) for run in worker.runs.values()):
             continue
         group.asked_ms = now_ms
         scheduler.request_report(worker_id)
--- a/packages/corianderpitch/tests/test_isolation.py
+++ b/packages/corianderpitch/tests/test_isolation.py
@@ -197,3 +197,17 @@
             at_work[order.worker].append(running(order))
             started.add(order.task.job_id)
     assert len(started) == 16
+
+
+def test_no_reports_are_requested_from_a_silent_worker_beside_its_watch():
+    """Ten requests a second would wait for their timeouts until its lease expired."""
+    scheduler = make_scheduler(("w1", "w2"))
+    start_on(scheduler, "w1", make_job("a"))
+    crash(scheduler, "w1", NOW_MS)
+    (isolated,) = starts(scheduler, NOW_MS + 1.0)
+    accept(scheduler, [isolated], NOW_MS + 1.0)
+    scheduler.mark_silent(isolated.worker, NOW_MS + 100.0)
+    for number in range(20):
+        plan(scheduler, PROVEN_MS + 100.0 * number, 0.0)
+    orders = scheduler.pop_orders()
+    assert [o for o in orders if isinstance(o, RequestReport)] == []
