Use a recorded worker again that was missing from the list for a moment

Jobs waited beside free workers: a worker that was removed after its entry had gone, and was listed again before the next round of commits, never got a task for the rest of the term. The same was so for a worker that a predecessor had recorded and that was listed only after the term had begun. Nothing is started on a worker that does not count as recorded, and only a change of the set of workers made the holder record them and mark them so. The set had not changed.

On the former code: assert [] (no start) in both cases. The workers that the store names are now marked at every round of commits. Found by a random script of holders whose threads act while others wait: accepted jobs were still open after a long calm, with all workers idle and not recorded.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -175,12 +175,17 @@
         successor can wait for the end of its lease.
         """
         workers = self._scheduler.workers_to_record()
-        if workers == self._recorded_workers:
-            return True
+        if workers != self._recorded_workers and not self._write_workers(workers):
+            return False
+        # A worker that was removed and is listed again may be in the row already.
+        self._scheduler.mark_recorded(workers)
+        return True
+
+    def _write_workers(self, workers: set[WorkerId]) -> bool:
+        """Write the row of workers; ``False`` if that failed."""
         match self._workers_row.write(pack_workers(workers)):
             case Success(_):
                 self._recorded_workers = workers
-                self._scheduler.mark_recorded(workers)
                 self._on_committed()
                 return True
             case Failure(error):
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -393,6 +393,40 @@
     assert set(holder.commits.read_recorded_workers().unwrap()) == {"w1", "w2"}
 
 
+def list_worker(scheduler, name="w1"):
+    """List a worker that the holder has not recorded since, and let it report."""
+    add_worker(scheduler, name)
+    scheduler.workers[WorkerId(name)].is_recorded = False
+
+
+@pytest.mark.parametrize("is_known_before", [True, False])
+def test_a_recorded_worker_that_is_listed_again_gets_tasks(
+    store, clock, is_known_before
+):
+    """Its entry was missing for a moment, or when the term began.
+
+    It was recorded already, so that nothing was written, and it never counted as
+    recorded again: its jobs waited beside a free worker.
+    """
+    holder = TermHarness(store, clock, "e1").load()
+    submit(store, clock)
+    holder.follow()
+    scheduler = holder.scheduler
+    if is_known_before:
+        list_worker(scheduler)
+    else:
+        scheduler.awaiting_report = {WorkerId("w1")}
+    assert holder.commits._record_workers()
+    if is_known_before:
+        scheduler.mark_silent(WorkerId("w1"))
+        scheduler.unlist_worker(WorkerId("w1"))
+        scheduler.expire(clock.now_ms() + 10.0 * NOW_MS)
+        assert not scheduler.workers
+    list_worker(scheduler)
+    assert holder.commits._record_workers()
+    assert starts(scheduler)
+
+
 def holder_of_two_partitions(store, clock):
     """Return a holder with a worker and jobs of two partitions, and that of job a."""
     holder = TermHarness(store, clock, "e1").load()
