Record the workers again after a write without an answer

The holder compared its workers with those of its last successful write. After a later write without an answer, which the store had applied, a worker could count as recorded although the row no longer named it: its successor would not wait for its runs, and could start a task a second time beside one of them.

On the former code: assert {'w1'} == {'w1', 'w2'} for the recorded workers. After a failed write the recorded workers are unknown, and written again.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -182,13 +182,14 @@
         return True
 
     def _write_workers(self, workers: set[WorkerId]) -> bool:
-        """Write the row of workers; ``False`` if that failed."""
+        """Write the row of workers; after a lost answer its contents are unknown."""
         match self._workers_row.write(pack_workers(workers)):
             case Success(_):
                 self._recorded_workers = workers
                 self._on_committed()
                 return True
             case Failure(error):
+                self._recorded_workers = None
                 log.warning("Could not record the workers.", cause=repr(error))
         return False
 
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -427,6 +427,32 @@
     assert starts(scheduler)
 
 
+def test_a_worker_is_not_taken_for_recorded_after_a_write_without_an_answer(
+    store, clock
+):
+    """The store may have dropped it from the row: a successor would not await it."""
+    holder = TermHarness(store, clock, "e1").load()
+    scheduler = holder.scheduler
+    for name in ("w1", "w2"):
+        list_worker(scheduler, name)
+    assert holder.commits._record_workers()
+    del scheduler.workers[WorkerId("w2")]
+    original = store.commit
+
+    def lose_answer(checks, writes):
+        assert isinstance(original(checks, writes), Success)
+        return Failure(OutcomeLost("lost"))
+
+    store.commit = lose_answer
+    assert not holder.commits._record_workers()
+    store.commit = original
+    list_worker(scheduler, "w2")
+    while not holder.commits._record_workers():
+        pass
+    recorded = TermHarness(store, clock, "e2").commits.read_recorded_workers()
+    assert set(recorded.unwrap()) == {"w1", "w2"}
+
+
 def holder_of_two_partitions(store, clock):
     """Return a holder with a worker and jobs of two partitions, and that of job a."""
     holder = TermHarness(store, clock, "e1").load()
