Keep the rows of a moved end until its diversion is decided

A finished job could be run a second time: its end was moved to the fallback partition while the home partition refused it, the answer was lost, and the holder, which read that partition anew, deleted the end there as misplaced. The record of diverted jobs still named the job. A successor then looked for it in the fallback partition only, and took a resubmission there for a new job.

Rows of jobs whose diversion is undecided are now kept, and whether a row is misplaced is asked again before it is deleted.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -17,6 +17,7 @@
     JOBS_TABLE,
     PROGRESS_SUFFIX,
     is_job_key,
+    job_id_of,
     job_keys,
     job_partitions,
     queue_of,
@@ -256,11 +257,13 @@
 
     def _mark_if_misplaced(self, job_id: JobId, row: Row) -> None:
         """Mark a row for deletion if it is not in the partition that serves its job."""
-        home, fallback = job_partitions(queue_of(row.key.part), job_id)
-        serving_part = fallback if job_id in self._scheduler.diverted else home
-        if row.key.part != serving_part:
+        if self._is_misplaced(job_id, row.key):
             self._misplaced_rows[row.key] = row.version
 
+    def _is_misplaced(self, job_id: JobId, key: PartitionedKey) -> bool:
+        home, fallback = job_partitions(queue_of(key.part), job_id)
+        return key.part != (fallback if job_id in self._scheduler.diverted else home)
+
     def _assign_partition(self, job_id: JobId) -> None:
         """Decide which partition serves a job, and serve it if that is possible."""
         if job_id in self._diverted.undecided:
@@ -372,14 +375,19 @@
     def delete_misplaced_rows(self) -> None:
         """Delete rows outside the partitions that their jobs are served from.
 
-        A partition that fails one call is skipped until the next round.
+        A partition that fails one call is skipped until the next round. The rows of a
+        job whose diversion is undecided are kept: one may hold its final state.
         """
         self._delete_stale_home_rows()
         unavailable: set[str] = set()
         for key, version in list(self._misplaced_rows.items())[
             :MAX_MISPLACED_PER_ROUND
         ]:
-            if key.part in unavailable:
+            job_id = job_id_of(key)
+            if key.part in unavailable or job_id in self._diverted.undecided:
+                continue
+            if not self._is_misplaced(job_id, key):
+                del self._misplaced_rows[key]
                 continue
             checks = (self._role.partitioned_fence(), Check(key, version))
             match self._store.commit(checks, (Write(key, None),)):
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -328,10 +328,7 @@
 
 
 def test_a_move_whose_answer_was_lost_is_repeated(store, clock):
-    holder = TermHarness(store, clock, "e1").load()
-    home, _ = job_partitions(QUEUE.name, JobId("a"))
-    submit(store, clock)
-    holder.follow()
+    holder, home = holder_of_two_partitions(store, clock)
     store.unavailable = {home}
     holder.scheduler.cancel_job(JobId("a"))
     original = store.commit
@@ -351,6 +348,30 @@
     assert JobId("a") in holder.scheduler.diverted
 
 
+def test_a_moved_end_is_not_deleted_as_misplaced(store, clock):
+    """The holder read the row while it did not know yet whether the end was moved.
+
+    A successor that could not read the home partition started the job again.
+    """
+    holder, home = holder_of_two_partitions(store, clock)
+    store.unavailable = {home}
+    holder.scheduler.cancel_job(JobId("a"))
+    original = store.commit
+
+    def lose_answer(checks, writes):
+        result = original(checks, writes)
+        return Failure(OutcomeLost("lost")) if isinstance(result, Success) else result
+
+    store.commit = lose_answer
+    fail_commits_twice(holder, clock)
+    assert not holder.commits.commit_all()
+    assert holder.reader.load_jobs()
+    store.commit = original
+    holder.reader.delete_misplaced_rows()
+    successor = TermHarness(store, clock, "e2").load()
+    assert JobId("a") in successor.scheduler.ended
+
+
 def test_home_rows_of_a_moved_job_are_purged_with_it(store, clock):
     holder = holder_with_a_moved_end(store, clock)
     clock.advance(300_000.0)
