Let threads act beside each other in the random test of progress

While a holder waits for the store or a worker, its other threads follow, commit, plan or read in the script now.

--- a/packages/corianderpitch/tests/test_recorded_progress.py
+++ b/packages/corianderpitch/tests/test_recorded_progress.py
@@ -42,6 +42,17 @@
 NAMES = [f"job{n}" for n in range(6)]
 STEPS = (replace(ONE_STEP[0], count=3), replace(ONE_STEP[0], count=2, after=(0,)))
 LEASE_MS = 2000.0
+THREADS = (
+    "follow",
+    "read_late",
+    "divert",
+    "list_workers",
+    "fetch_reports",
+    "plan",
+    "commit",
+)
+LOCKED = {"divert", "commit"}  # these wait for each other
+MAX_DEPTH = 3  # of threads that wait for each other's calls
 
 
 class FaultyStore(PartialOutageStore):
@@ -49,9 +60,18 @@
 
     lost_share = 0.0
     draw = random.Random(0)
+    interleave = staticmethod(lambda: None)
+
+    def read(self, *where):
+        self.interleave()
+        result = super().read(*where)
+        self.interleave()
+        return result
 
     def commit(self, checks, writes):
+        self.interleave()
         result = super().commit(checks, writes)
+        self.interleave()
         if self.draw.random() < self.lost_share:
             return Failure(OutcomeLost("lost"))
         return result
@@ -114,6 +134,8 @@
         self.noted_done = set()
         self.failed_runs = {}
         self.holders = []
+        self.active = []
+        self.holder_in_action = None
         self.may_restart = True
         self.change_holder()
 
@@ -161,25 +183,64 @@
 
     def serve(self, holder):
         """Let a holder do once what its threads do."""
-        scheduler, now_ms = holder.scheduler, self.clock.now_ms()
+        scheduler = holder.scheduler
         if not holder.role.is_held or scheduler.is_superseded:
             return
-        has_lease = holder.role.has_valid_lease
-        if has_lease:
-            holder.follow()
-            holder.retry_unread()
-            for worker in self.workers:
-                if worker.is_listed:
-                    scheduler.set_worker(worker.info(), now_ms)
-                else:
-                    scheduler.unlist_worker(WorkerId(worker.name))
+        self.holder_in_action = holder
+        self.store.interleave = self.interleave
+        for activity in THREADS:
+            self.act(activity)
+        self.store.interleave = lambda: None
+
+    def interleave(self):
+        """Let other threads of the holder act while one waits for an answer."""
+        if len(self.active) < MAX_DEPTH and self.draw.random() < 0.2:
+            self.act(self.draw.choice(THREADS))
+
+    def act(self, activity):
+        takes_lock = activity in LOCKED and LOCKED.intersection(self.active)
+        if activity in self.active or takes_lock:
+            return
+        self.active.append(activity)
+        getattr(self, activity)(self.holder_in_action)
+        self.active.pop()
+
+    def follow(self, holder):
+        if not holder.role.has_valid_lease:
+            return
+        changes = self.store.follow(JOBS_TABLE, holder.version, 0).unwrap()
+        holder.reader.apply_rows(changes.rows)
+        holder.version = changes.version
+
+    def read_late(self, holder):
+        if holder.role.has_valid_lease:
+            holder.reader.read_unread()
+            holder.reader.delete_misplaced_rows()
+
+    def divert(self, holder):
+        if holder.role.has_valid_lease:
+            holder.reader.record_diversions()
+
+    def list_workers(self, holder):
+        for worker in self.workers if holder.role.has_valid_lease else ():
+            if worker.is_listed:
+                holder.scheduler.set_worker(worker.info(), self.clock.now_ms())
+            else:
+                holder.scheduler.unlist_worker(WorkerId(worker.name))
+
+    def fetch_reports(self, holder):
         for worker in self.workers:
-            if WorkerId(worker.name) in scheduler.workers:
+            if WorkerId(worker.name) in holder.scheduler.workers:
                 self.report(holder, worker)
-        scheduler.expire(now_ms)
-        plan(scheduler, now_ms, 0.0, has_lease)
-        for order in scheduler.pop_orders():
+
+    def plan(self, holder):
+        now_ms = self.clock.now_ms()
+        holder.scheduler.expire(now_ms)
+        plan(holder.scheduler, now_ms, 0.0, holder.role.has_valid_lease)
+        for order in holder.scheduler.pop_orders():
             self.execute(holder, order)
+
+    def commit(self, holder):
         if holder.commits._record_workers():
             holder.commits.commit_all()
 
@@ -204,6 +265,7 @@
         report = WorkerReport(
             str(worker.incarnation), now_ms, tuple(reported), tuple(worker.ended)
         )
+        self.interleave()
         if self.draw.random() < 0.9:  # else the answer is lost
             scheduler.apply_report(WorkerId(worker.name), report, now_ms, now_ms)
         else:
@@ -228,6 +290,7 @@
             self.carry_out(worker, order)
             is_answered = self.draw.random() < 0.9
             result = OrderResult.DONE if is_answered else OrderResult.NO_ANSWER
+        self.interleave()
         scheduler.apply_order_result(order, result, now_ms)
 
     def carry_out(self, worker, order):
