--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -328,10 +328,7 @@
 
 
 def test_a_move_whose_answer_was_lost_is_repeated(store, clock):
-    holder = TermHarness(store, clock, "e1").load()
-    home, _ = job_partitions(QUEUE.name, JobId("a"))
-    submit(store, clock)
-    holder.follow()
+    holder, home = holder_of_two_partitions(store, clock)
     store.unavailable = {home}
     holder.scheduler.cancel_job(JobId("a"))
     original = store.commit
@@ -351,6 +348,30 @@
     assert JobId("a") in holder.scheduler.diverted
 
 
+def test_a_moved_end_is_not_deleted_as_misplaced(store, clock):
+    """The holder read the row while it did not know yet whether the end was moved.
+
+    A successor that could not read the home partition started the job again.
+    """
+    holder, home = holder_of_two_partitions(store, clock)
+    store.unavailable = {home}
+    holder.scheduler.cancel_job(JobId("a"))
+    original = store.commit
+
+    def lose_answer(checks, writes):
+        result = original(checks, writes)
+        return Failure(OutcomeLost("lost")) if isinstance(result, Success) else result
+
+    store.commit = lose_answer
+    fail_commits_twice(holder, clock)
+    assert not holder.commits.commit_all()
+    assert holder.reader.load_jobs()
+    store.commit = original
+    holder.reader.delete_misplaced_rows()
+    successor = TermHarness(store, clock, "e2").load()
+    assert JobId("a") in successor.scheduler.ended
+
+
 def test_home_rows_of_a_moved_job_are_purged_with_it(store, clock):
     holder = holder_with_a_moved_end(store, clock)
     clock.advance(300_000.0)
@@ -393,6 +414,66 @@
     assert set(holder.commits.read_recorded_workers().unwrap()) == {"w1", "w2"}
 
 
+def list_worker(scheduler, name="w1"):
+    """List a worker that the holder has not recorded since, and let it report."""
+    add_worker(scheduler, name)
+    scheduler.workers[WorkerId(name)].is_recorded = False
+
+
+@pytest.mark.parametrize("is_known_before", [True, False])
+def test_a_recorded_worker_that_is_listed_again_gets_tasks(
+    store, clock, is_known_before
+):
+    """Its entry was missing for a moment, or when the term began.
+
+    It was recorded already, so that nothing was written, and it never counted as
+    recorded again: its jobs waited beside a free worker.
+    """
+    holder = TermHarness(store, clock, "e1").load()
+    submit(store, clock)
+    holder.follow()
+    scheduler = holder.scheduler
+    if is_known_before:
+        list_worker(scheduler)
+    else:
+        scheduler.awaiting_report = {WorkerId("w1")}
+    assert holder.commits._record_workers()
+    if is_known_before:
+        scheduler.mark_silent(WorkerId("w1"))
+        scheduler.unlist_worker(WorkerId("w1"))
+        scheduler.expire(clock.now_ms() + 10.0 * NOW_MS)
+        assert not scheduler.workers
+    list_worker(scheduler)
+    assert holder.commits._record_workers()
+    assert starts(scheduler)
+
+
+def test_a_worker_is_not_taken_for_recorded_after_a_write_without_an_answer(
+    store, clock
+):
+    """The store may have dropped it from the row: a successor would not await it."""
+    holder = TermHarness(store, clock, "e1").load()
+    scheduler = holder.scheduler
+    for name in ("w1", "w2"):
+        list_worker(scheduler, name)
+    assert holder.commits._record_workers()
+    del scheduler.workers[WorkerId("w2")]
+    original = store.commit
+
+    def lose_answer(checks, writes):
+        assert isinstance(original(checks, writes), Success)
+        return Failure(OutcomeLost("lost"))
+
+    store.commit = lose_answer
+    assert not holder.commits._record_workers()
+    store.commit = original
+    list_worker(scheduler, "w2")
+    while not holder.commits._record_workers():
+        pass
+    recorded = TermHarness(store, clock, "e2").commits.read_recorded_workers()
+    assert set(recorded.unwrap()) == {"w1", "w2"}
+
+
 def holder_of_two_partitions(store, clock):
     """Return a holder with a worker and jobs of two partitions, and that of job a."""
     holder = TermHarness(store, clock, "e1").load()
