Take a run as proven from when its report was requested

A report shows that a run was at work at some time after its request. It was taken for proof of the moment at which the holder read it: a holder that was suspended or held up in between cleared a task that had run for a few ms of the crashes held against it. That task was then started beside others again, and its count began anew.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -217,10 +217,10 @@
     return worker.silent_since_ms - ordered_ms <= PROBATION_MS
 
 
-def has_passed_probation(step: ActiveStep, run: Run, now_ms: float) -> bool:
-    """Return whether a run that is now reported has passed its probation."""
+def has_passed_probation(step: ActiveStep, run: Run, at_ms: float) -> bool:
+    """Return whether a run that is at work at ``at_ms`` has passed its probation."""
     since_ms = run.state_since_ms if run.begun_ms is None else run.begun_ms
-    return now_ms - since_ms >= probation_ms(step, run.task.index)
+    return at_ms - since_ms >= probation_ms(step, run.task.index)
 
 
 @dataclass(slots=True)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -211,7 +211,7 @@
         )
         worker.has_unneeded_runs = False
         for run in report.running:
-            self._process_run(worker, run, now_ms)
+            self._process_run(worker, run, requested_ms, now_ms)
         if not report.is_complete:
             return
         for run in list(worker.runs.values()):
@@ -650,8 +650,13 @@
             self._end_job(job, JobState.FAILED)
 
     def _process_run(
-        self, worker: WorkerView, reported: ReportedRun, now_ms: float
+        self,
+        worker: WorkerView,
+        reported: ReportedRun,
+        requested_ms: float,
+        now_ms: float,
     ) -> None:
+        """Apply a reported run, which was at work some time after ``requested_ms``."""
         run = worker.runs.get(reported.task)
         job = self.jobs.get(reported.task.job_id)
         step = job.find_step(reported.task) if job is not None else None
@@ -669,7 +674,7 @@
             run.state = RunState.RUNNING
             run.state_since_ms = now_ms  # reports requested earlier may miss it
             run.begun_ms = now_ms
-        if not run.is_proven and has_passed_probation(step, run, now_ms):
+        if not run.is_proven and has_passed_probation(step, run, requested_ms):
             run.is_proven = True
             self.crashes.clear(job, step, run.task.index)
         if reported.checkpoint:
--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -22,7 +22,7 @@
     StepRecord,
 )
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
-from corianderpitch.domain.scheduling.workers import ReportedRun
+from corianderpitch.domain.scheduling.workers import ReportedRun, WorkerReport
 from corianderpitch.domain.scheduling.workloads import Step, TaskRef
 from corianderpitch.ids import JobId, WorkerId
 
@@ -227,3 +227,20 @@
             report(scheduler, order.worker, incarnation="2")
     starts(scheduler, NOW_MS + 2030.0 + DECISION_DELAY_MS)
     assert scheduler.jobs == {}
+
+
+def test_a_report_that_the_holder_read_late_clears_no_suspect():
+    """The holder was suspended between the report and reading it."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    (order,) = starts(scheduler)
+    answer(scheduler, order, OrderResult.DONE, NOW_MS)
+    crash(scheduler, order.worker, NOW_MS + 1.0)
+    (again,) = starts(scheduler, NOW_MS + 2.0)
+    answer(scheduler, again, OrderResult.DONE, NOW_MS + 3.0)
+    stale = WorkerReport("1", 1000.0, (running(again),), ())
+    requested_ms, read_ms = NOW_MS + 10.0, NOW_MS + 3000.0
+    scheduler.apply_report(again.worker, stale, requested_ms, read_ms)
+    assert scheduler.crashes.suspect_jobs == {JOB}
+    report(scheduler, again.worker, [running(again)], requested_ms=read_ms + 1.0)
+    assert scheduler.crashes.suspect_jobs == set()
