Give up tasks whose starts are answered late

Where each answer to a start comes later than 300 ms after the order, or is lost so that a report shows the run first, it is not known whether the run had passed its probation as its worker fell silent. Such crashes are counted as possible, and possible ones alone end no job: a task that crashes each worker was started on one after the other for ever. After two of them the longer probation applies now, as after two late crashes, so that the next two crashes are confirmed and the fourth ends the job. An innocent task would have to lose four workers in a row, the last two within 3 s of its order.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -192,17 +192,18 @@
 
     A run that had passed its probation is unlikely to be the cause. Its task becomes
     a suspect after ``LATE_CRASHES_TO_SUSPECT``, but for lasting tasks, which run
-    through many crashes of their workers.
+    through many crashes of their workers. After as many crashes that are possible
+    only, the probation is longer too: where answers are slow, none would be confirmed.
     """
     if index in step.done or relation is CrashRelation.UNRELATED:
         return False
-    if relation is CrashRelation.LATE:
-        if step.step.is_lasting:
-            return False
-        late = step.late_crashed.setdefault(index, set())
+    if relation is CrashRelation.LATE and step.step.is_lasting:
+        return False
+    late = step.late_crashed.setdefault(index, set())
+    if relation is not CrashRelation.RECENT:
         late.add(number)
-        if len(late) < LATE_CRASHES_TO_SUSPECT:
-            return False
+    if relation is CrashRelation.LATE and len(late) < LATE_CRASHES_TO_SUSPECT:
+        return False
     if any(run.is_proven and run.number > number for run in step.runs.get(index, ())):
         return False  # noticed late: a later run has passed its probation since
     step.add_crash(index, number, relation is not CrashRelation.POSSIBLE)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -80,8 +80,8 @@
     that it does not allow, each with its incarnation. ``crashed`` holds the numbers
     of each task's runs soon after whose start the worker has crashed, since a run
     last passed its probation. ``unconfirmed`` holds those of them for which this is
-    only possible, and ``late_crashed`` those of other runs during which the worker has
-    crashed.
+    only possible, and ``late_crashed`` those of all runs that may have
+    passed their probation before the worker crashed.
     """
 
     step: Step
--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -244,3 +244,20 @@
     assert scheduler.crashes.suspect_jobs == {JOB}
     report(scheduler, again.worker, [running(again)], requested_ms=read_ms + 1.0)
     assert scheduler.crashes.suspect_jobs == set()
+
+
+def test_a_task_whose_starts_are_answered_late_is_given_up():
+    """Its workers take long to answer, so that no crash of them was ever confirmed."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    now_ms = NOW_MS
+    for _ in range(5):
+        orders = decide(scheduler, now_ms)
+        if not orders:
+            break
+        now_ms += DECISION_DELAY_MS
+        answer(scheduler, orders[0], OrderResult.DONE, now_ms + 380.0)
+        crash(scheduler, orders[0].worker, now_ms + 390.0)
+        now_ms += 400.0
+    assert decide(scheduler, now_ms) == []
+    assert JOB in scheduler.ended
