--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -22,7 +22,7 @@
     StepRecord,
 )
 from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
-from corianderpitch.domain.scheduling.workers import ReportedRun
+from corianderpitch.domain.scheduling.workers import ReportedRun, WorkerReport
 from corianderpitch.domain.scheduling.workloads import Step, TaskRef
 from corianderpitch.ids import JobId, WorkerId
 
@@ -269,3 +269,37 @@
     report(scheduler, again.worker, [running(again)], requested_ms=proven_ms)
     (change,) = scheduler.pop_changes()
     assert change.record.steps[0, 0].crashed == {}
+
+
+def test_a_report_that_the_holder_read_late_clears_no_suspect():
+    """The holder was suspended between the report and reading it."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    (order,) = starts(scheduler)
+    answer(scheduler, order, OrderResult.DONE, NOW_MS)
+    crash(scheduler, order.worker, NOW_MS + 1.0)
+    (again,) = starts(scheduler, NOW_MS + 2.0)
+    answer(scheduler, again, OrderResult.DONE, NOW_MS + 3.0)
+    stale = WorkerReport("1", 1000.0, (running(again),), ())
+    requested_ms, read_ms = NOW_MS + 10.0, NOW_MS + 3000.0
+    scheduler.apply_report(again.worker, stale, requested_ms, read_ms)
+    assert scheduler.crashes.suspect_jobs == {JOB}
+    report(scheduler, again.worker, [running(again)], requested_ms=read_ms + 1.0)
+    assert scheduler.crashes.suspect_jobs == set()
+
+
+def test_a_task_whose_starts_are_answered_late_is_given_up():
+    """Its workers take long to answer, so that no crash of them was ever confirmed."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    now_ms = NOW_MS
+    for _ in range(5):
+        orders = decide(scheduler, now_ms)
+        if not orders:
+            break
+        now_ms += DECISION_DELAY_MS
+        answer(scheduler, orders[0], OrderResult.DONE, now_ms + 380.0)
+        crash(scheduler, orders[0].worker, now_ms + 390.0)
+        now_ms += 400.0
+    assert decide(scheduler, now_ms) == []
+    assert JOB in scheduler.ended
