Read what has arrived before an entry closes its connections

An entry of the product's own interface that got no processor time while it drained closed connections as soon as it went on, with requests that it had not read: eventlet shuts down every connection on which no request line was read. Callers on connections that were not accepted yet got no answer.

--- a/packages/corianderpitch/corianderpitch/daemon/entry.py
+++ b/packages/corianderpitch/corianderpitch/daemon/entry.py
@@ -18,7 +18,7 @@
 from corianderpitch.daemon.configoperations import ConfigOperations
 from corianderpitch.daemon.documents import DocumentTask
 from corianderpitch.daemon.fleetoperations import FleetOperations
-from corianderpitch.daemon.httpprotocol import StrictProtocol
+from corianderpitch.daemon.httpprotocol import StrictProtocol, read_arrived_requests
 from corianderpitch.daemon.joboperations import JobOperations
 from corianderpitch.daemon.jobs import JobSchedulerTask
 from corianderpitch.daemon.leases import LeaseTask
@@ -230,6 +230,7 @@
         log.info("Shutting down.")
         self._callers.is_draining = True
         eventlet.sleep(self._settings.drain_grace_ms / 1000.0)
+        read_arrived_requests()
         caller_server.kill()
         self._caller_listener.close()
         self._callers.is_closed = True
--- a/packages/corianderpitch/corianderpitch/daemon/httpprotocol.py
+++ b/packages/corianderpitch/corianderpitch/daemon/httpprotocol.py
@@ -10,11 +10,13 @@
 from email.message import Message
 from http import HTTPStatus
 
+import eventlet
 from eventlet import wsgi
 
 from corianderpitch.domain.outcomes import OutcomeKind
 
 MAX_COUNT_DIGITS = 18  # fits into 64 bits
+ARRIVAL_POLLS = 3  # to accept a connection, start its green thread and read a request
 _TOKEN_PATTERN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 
 
@@ -24,6 +26,16 @@
     wsgi.MAX_HEADER_LINE = total_bytes
 
 
+def read_arrived_requests() -> None:
+    """Let the servers of this process read the requests that have arrived.
+
+    A stopping entry calls this before it closes connections. Once the process has
+    been held up, timers that are due come before connections with unread requests.
+    """
+    for _ in range(ARRIVAL_POLLS):
+        eventlet.sleep(0)
+
+
 def parse_count(text: str) -> int | None:
     """Return the number in a header or path, or ``None`` if the text is no number.
 
--- a/packages/corianderpitch/tests/test_httpprotocol.py
+++ b/packages/corianderpitch/tests/test_httpprotocol.py
@@ -1,11 +1,16 @@
 """The strict HTTP parser refuses malformed requests, sent as raw bytes."""
 
+import socket as plain_socket
+
 import eventlet
 import pytest
 from eventlet import wsgi
 from eventlet.green import socket
 
-from corianderpitch.daemon.httpprotocol import StrictProtocol
+from corianderpitch.daemon.httpprotocol import (
+    StrictProtocol,
+    read_arrived_requests,
+)
 
 MALFORMED = {
     "two lengths": b"Content-Length: 0\r\nContent-Length: 44\r\n\r\n",
@@ -80,3 +85,15 @@
     )
     assert answer.startswith(b"HTTP/1.1 200")
     assert paths == ["/a"]
+
+
+def test_requests_that_came_while_the_process_was_held_up_are_read(server):
+    """A stopping entry closed connections whose requests it had not read."""
+    address, paths = server
+    eventlet.sleep(0)
+    # A plain socket lets no other green thread run.
+    with plain_socket.create_connection(address) as connection:
+        connection.sendall(b"GET /late HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert paths == []
+        read_arrived_requests()
+    assert paths == ["/late"]
