Do not run a job again whose end was moved without an answer

A job that its callers saw as ended was run again by the next holder: the move of its end to the fallback partition was applied, but its answer lost. The holder then wrote the record of diverted jobs anew, without the job, and was killed before it moved the end again. The successor served the job from the older rows in its home partition.

On the former code: assert 'a' not in {'a': ...} for the successor's jobs. An end in the fallback partition now takes precedence over rows in the home partition that hold none, as it does for calls; the successor records the job as diverted. Not covered: the fallback partition cannot be read when the successor loads, and the home partition can.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -292,7 +292,8 @@
     ) -> PartitionView:
         rows = by_part.get(part, {})
         has_rows = "" in rows or PROGRESS_SUFFIX in rows
-        return PartitionView(part not in self._unread, has_rows)
+        has_ended = PROGRESS_SUFFIX in rows and _has_ended(rows[PROGRESS_SUFFIX])
+        return PartitionView(part not in self._unread, has_rows, has_ended)
 
     def _serve(self, job_id: JobId, part: str) -> None:
         """Add a job to the scheduler from its rows in one partition.
@@ -417,6 +418,13 @@
                     log.debug("Could not delete stale rows.", cause=repr(error))
 
 
+def _has_ended(progress: Row) -> bool:
+    try:
+        return unpack_progress(progress.value).state.has_ended
+    except MalformedData:
+        return False
+
+
 def _ended_ms(record: ProgressRecord) -> float:
     if not isinstance(record.ended_ms, int | float):
         raise MalformedData("not the time of an end")
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/diversion.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/diversion.py
@@ -17,10 +17,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PartitionView:
-    """A job's rows in one of its partitions, as far as it could be read."""
+    """A job's rows in one of its partitions, as far as it could be read.
+
+    ``has_ended`` tells whether they hold the job's final state.
+    """
 
     is_read: bool
     has_rows: bool = False
+    has_ended: bool = False
 
 
 class JobLocation(enum.Enum):
@@ -45,6 +49,9 @@
 ) -> JobLocation:
     """Return the partition that a job is served from.
 
+    An end in the fallback partition was moved there by a predecessor, which may have
+    failed to record that. It takes precedence over the rows in the home partition.
+
     >>> unread, empty = PartitionView(False), PartitionView(True)
     >>> full = PartitionView(True, True)
     >>> locate_job(full, unread, False), locate_job(unread, full, False)
@@ -58,6 +65,6 @@
         return JobLocation.FALLBACK if fallback.has_rows else JobLocation.TO_RETURN
     if not home.is_read:
         return JobLocation.UNKNOWN
-    if home.has_rows:
+    if home.has_ended or (home.has_rows and not fallback.has_ended):
         return JobLocation.HOME
     return JobLocation.TO_DIVERT if fallback.has_rows else JobLocation.NOWHERE
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -372,6 +372,35 @@
     assert JobId("a") in successor.scheduler.ended
 
 
+def test_a_job_whose_end_was_moved_without_an_answer_is_not_run_again(store, clock):
+    """The holder wrote its diversions anew and was killed before it moved the end.
+
+    The job had been shown as ended, and its successor started it again.
+    """
+    holder, home = holder_of_two_partitions(store, clock)
+    store.unavailable = {home}
+    holder.scheduler.cancel_job(JobId("a"))
+    original = store.commit
+
+    def lose_answer(checks, writes):
+        result = original(checks, writes)
+        return Failure(OutcomeLost("lost")) if isinstance(result, Success) else result
+
+    store.commit = lose_answer
+    fail_commits_twice(holder, clock)
+    assert not holder.commits.commit_all()
+    store.commit = original
+    while not holder.reader._diverted.is_recorded:
+        holder.reader.record_diversions()
+    store.unavailable = set()
+    successor = TermHarness(store, clock, "e2").load()
+    successor.follow()
+    assert JobId("a") not in successor.scheduler.jobs
+    clock.advance(BACKOFF_MS)
+    shown = Intake(store, clock).show(QUEUE.name, JobId("a"))
+    assert shown.state is JobState.CANCELLED
+
+
 def test_home_rows_of_a_moved_job_are_purged_with_it(store, clock):
     holder = holder_with_a_moved_end(store, clock)
     clock.advance(300_000.0)
