Do not confirm crashes that an earlier version counted

Records of an earlier version count orders without an answer and runs of many seconds as crashes under a task. They were read as confirmed ones, so that after an update of the entries one further crash, beside which the task happened to start, ended its job. Records of open jobs have a time only since crashes are told apart; without it their crashes are taken as possible.

On the former code: assert 0 == 1, the job had been given up.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -10,7 +10,7 @@
 import functools
 import zlib
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field, fields, replace
 from typing import Any, ParamSpec, TypeVar
 
 import msgpack
@@ -282,7 +282,8 @@
     """Decode a job's progress.
 
     Records of earlier versions have no crashes, and only the workers of placed runs;
-    those of open jobs have no time. Fields that a later version has appended are
+    those of open jobs have no time. Crashes that they count are not confirmed, as they
+    include runs that nobody saw begin. Fields that a later version has appended are
     ignored.
     """
     state, finished, packed, recorded_ms, *_ = msgpack.unpackb(
@@ -292,6 +293,8 @@
         (occurrence, number): _unpack_step_record(*fields)
         for occurrence, number, *fields in packed
     }
+    if not recorded_ms:
+        steps = {key: replace(s, unconfirmed=s.crashed) for key, s in steps.items()}
     return ProgressRecord(JobState(state), finished, steps, recorded_ms)
 
 
--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -1,5 +1,6 @@
 """What counts as evidence that a task has crashed a worker, and what does not."""
 
+import msgpack
 import pytest
 import schedulers
 from schedulers import (
@@ -261,3 +262,18 @@
         now_ms += 400.0
     assert decide(scheduler, now_ms) == []
     assert JOB in scheduler.ended
+
+
+def test_crashes_that_an_earlier_version_counted_do_not_end_a_job():
+    """It counted orders without an answer, and runs of twelve seconds, as crashes."""
+    numbers = [1_000_001, 1_000_002]
+    step = [0, 0, [], {}, {}, {}, {0: numbers}]
+    packed = msgpack.packb([JobState.RUNNING.value, 0, [step], 0.0])
+    scheduler = make_successor(2, unpack_progress(packed))
+    for name in WORKERS:
+        add_worker(scheduler, name)
+    (order,) = starts(scheduler)
+    answer(scheduler, order, OrderResult.DONE, NOW_MS + 1.0)
+    crash(scheduler, order.worker, NOW_MS + 2.0)
+    assert len(decide(scheduler, NOW_MS + 3.0)) == 1
+    assert scheduler.jobs[JOB].record().steps[0, 0].unconfirmed == {0: tuple(numbers)}
