Test which crashes are confirmed, and when doubts about them end

Five guards could be changed without a failing test: a crash of unknown time taken for a recent or a prompt one, the fourth possible crash without effect, doubts kept after the suspicion had ended, and progress without a time taken for old. A task whose starts are answered late must be given up after the fourth start, and not only the fifth.

--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -252,10 +252,8 @@
     scheduler = make_scheduler(WORKERS)
     scheduler.add_job(make_job(JOB))
     now_ms = NOW_MS
-    for _ in range(5):
+    for _ in range(4):
         orders = decide(scheduler, now_ms)
-        if not orders:
-            break
         now_ms += DECISION_DELAY_MS
         answer(scheduler, orders[0], OrderResult.DONE, now_ms + 380.0)
         crash(scheduler, orders[0].worker, now_ms + 390.0)
@@ -277,3 +275,55 @@
     crash(scheduler, order.worker, NOW_MS + 2.0)
     assert len(decide(scheduler, NOW_MS + 3.0)) == 1
     assert scheduler.jobs[JOB].record().steps[0, 0].unconfirmed == {0: tuple(numbers)}
+
+
+def test_a_worker_that_restarts_unnoticed_confirms_nothing():
+    """Nobody knows when its process ended; the run may have served for seconds."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    (order,) = starts(scheduler)
+    answer(scheduler, order, OrderResult.DONE, NOW_MS)
+    report(scheduler, order.worker, incarnation="2")
+    step = scheduler.jobs[JOB].find_step(order.task)
+    assert (step.crash_count(0), step.confirmed_crash_count(0)) == (1, 0)
+
+
+def test_a_worker_that_restarts_unnoticed_is_no_prompt_crash():
+    """Two crashes of racks were confirmed; the third one could have any cause."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    for round_ms in (0.0, 1000.0):
+        (order,) = starts(scheduler, NOW_MS + round_ms)
+        answer(scheduler, order, OrderResult.DONE, NOW_MS + round_ms)
+        idle = [w for w in WORKERS if not scheduler.workers[WorkerId(w)].is_silent]
+        others = [w for w in idle if w != order.worker][:2]
+        for name in (order.worker, *others):
+            crash(scheduler, name, NOW_MS + round_ms + 1.0)
+    (order,) = decide(scheduler, NOW_MS + 1010.0)
+    answer(scheduler, order, OrderResult.DONE, NOW_MS + 1600.0)
+    report(scheduler, order.worker, incarnation="2")
+    step = scheduler.jobs[JOB].find_step(order.task)
+    assert (step.crash_count(0), step.confirmed_crash_count(0)) == (3, 2)
+    assert decide(scheduler, NOW_MS + 1610.0)
+    assert JOB in scheduler.jobs
+
+
+def test_doubts_about_a_crash_end_with_the_suspicion():
+    """The next crash, which was confirmed, counted as none."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    (order,) = starts(scheduler)
+    answer(scheduler, order, OrderResult.DONE, NOW_MS)
+    report(scheduler, order.worker, incarnation="2")
+    scheduler.unlist_worker(order.worker)
+    (again,) = starts(scheduler, NOW_MS + 1.0)
+    answer(scheduler, again, OrderResult.DONE, NOW_MS + 1.0)
+    proven_ms = NOW_MS + PROBATION_MS + 10.0
+    report(scheduler, again.worker, [running(again)], requested_ms=proven_ms)
+    assert scheduler.crashes.suspect_jobs == set()
+    report(scheduler, again.worker, requested_ms=proven_ms + 1.0)
+    (order,) = starts(scheduler, proven_ms + 2.0)
+    answer(scheduler, order, OrderResult.DONE, proven_ms + 2.0)
+    crash(scheduler, order.worker, proven_ms + 3.0)
+    step = scheduler.jobs[JOB].find_step(order.task)
+    assert (step.crash_count(0), step.confirmed_crash_count(0)) == (1, 1)
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -34,6 +34,7 @@
     WORKERS_KEY,
     home_partition,
     job_partitions,
+    progress_key,
     queue_partitions,
     unpack_progress,
 )
@@ -539,6 +540,16 @@
     assert 5000.0 <= age_ms <= 5000.0 + LEASE_MS + 1.0
 
 
+def test_progress_without_a_time_counts_as_new(store, clock):
+    """An earlier version wrote it; a crash since then may still be counted."""
+    assert submit(store, clock, "a") is IntakeKind.DONE
+    key = progress_key(home_partition(QUEUE.name, JobId("a")), JobId("a"))
+    store.commit((), (Write(key, packed_progress()),))
+    clock.advance(5000.0)
+    holder = TermHarness(store, clock, "e1").load()
+    assert holder.scheduler.jobs[JobId("a")].record_age_ms == 0.0
+
+
 STEP = {"shape": [1.0, 100, 0], "count": 1, "estimate_ms": 100.0}
 
 
