Test what shows that outages of workers have a common cause

Nine guards could be changed without a failing test: the ends of idle workers and the silence of others were not needed beside a third outage that happened to count, and so were the time for which ends are kept, the bound by when a worker was heard, planned ends of silent workers, and answers to orders. Others were a crash that a predecessor had confirmed, and a worker that was listed as ended by mistake. Each change fails a test now; the code is unchanged.

--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -1,5 +1,7 @@
 """What counts as evidence that a task has crashed a worker, and what does not."""
 
+from dataclasses import replace
+
 import msgpack
 import pytest
 import schedulers
@@ -53,6 +55,10 @@
     scheduler.mark_terminated([WorkerId(name)])
 
 
+def silence(scheduler, name, silent_ms):
+    scheduler.mark_silent(WorkerId(name), silent_ms)
+
+
 def decide(scheduler, now_ms):
     """Let crashes be decided on; return the orders to start tasks again."""
     return starts(scheduler, now_ms) + starts(scheduler, now_ms + DECISION_DELAY_MS)
@@ -327,3 +333,87 @@
     crash(scheduler, order.worker, proven_ms + 3.0)
     step = scheduler.jobs[JOB].find_step(order.task)
     assert (step.crash_count(0), step.confirmed_crash_count(0)) == (1, 1)
+
+
+def test_a_crash_that_a_predecessor_confirmed_stays_confirmed():
+    record = recorded(Placement(WorkerId("w1"), 7, "0"), crashed=[7])
+    scheduler = make_successor(2, replace(record, recorded_ms=1.0))
+    add_worker(scheduler, "w1")
+    step = scheduler.jobs[JOB].find_step(TaskRef(JOB, 0, 0, 0))
+    assert (step.crash_count(0), step.confirmed_crash_count(0)) == (1, 1)
+
+
+def test_runs_on_a_worker_that_was_listed_as_ended_by_mistake_are_recovered():
+    """The end of its process was noticed once only, and its runs waited for a lease."""
+    scheduler = make_scheduler(WORKERS)
+    crash(scheduler, "w1", NOW_MS)
+    report(scheduler, "w1")
+    for name in WORKERS[1:]:
+        scheduler.mark_silent(WorkerId(name), NOW_MS)
+    scheduler.add_job(make_job(JOB))
+    (order,) = starts(scheduler, NOW_MS + 1.0)
+    assert order.worker == "w1"
+    answer(scheduler, order, OrderResult.DONE, NOW_MS + 1.0)
+    crash(scheduler, "w1", NOW_MS + 5000.0)
+    assert not list(scheduler.jobs[JOB].runs())
+
+
+def crash_isolated(scheduler, begun_ms):
+    """Let a suspect crash a worker 3 ms after it began there in isolation."""
+    (order,) = starts(scheduler)
+    answer(scheduler, order, OrderResult.DONE, NOW_MS)
+    crash(scheduler, order.worker, NOW_MS + 1.0)
+    (again,) = starts(scheduler, begun_ms)
+    answer(scheduler, again, OrderResult.DONE, begun_ms)
+    crash(scheduler, again.worker, begun_ms + 3.0)
+    return [w for w in WORKERS if w not in (order.worker, again.worker)]
+
+
+@pytest.mark.parametrize("outage", [crash, silence])
+def test_idle_workers_of_a_dark_rack_show_a_common_cause(outage):
+    """They had no runs, and the list of VMs did not show all their ends yet."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    begun_ms = NOW_MS + 8000.0
+    for name in crash_isolated(scheduler, begun_ms)[:2]:
+        outage(scheduler, name, begun_ms + 100.0)
+    decide(scheduler, begun_ms + 200.0)
+    assert JOB in scheduler.jobs
+
+
+def test_outages_well_after_a_crash_do_not_excuse_it():
+    """These workers had answered since."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    begun_ms = NOW_MS + 8000.0
+    others = crash_isolated(scheduler, begun_ms)[:2]
+    starts(scheduler, begun_ms + 400.0)
+    for name in others:
+        report(scheduler, name, requested_ms=begun_ms + 700.0)
+        scheduler.mark_silent(WorkerId(name), begun_ms + 710.0)
+    starts(scheduler, begun_ms + 400.0 + DECISION_DELAY_MS)
+    assert JOB in scheduler.ended
+
+
+def test_workers_of_a_rack_that_are_back_before_the_decision_show_a_common_cause():
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    begun_ms = NOW_MS + 8000.0
+    for name in crash_isolated(scheduler, begun_ms)[:2]:
+        crash(scheduler, name, begun_ms + 3.0)
+        report(scheduler, name, requested_ms=begun_ms + 100.0, incarnation="2")
+    starts(scheduler, begun_ms + 200.0)
+    starts(scheduler, begun_ms + 600.0)
+    starts(scheduler, begun_ms + 200.0 + DECISION_DELAY_MS)
+    assert JOB in scheduler.jobs
+
+
+def test_workers_whose_end_is_planned_do_not_excuse_a_crash():
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    begun_ms = NOW_MS + 8000.0
+    for name in crash_isolated(scheduler, begun_ms)[:2]:
+        scheduler.workers[WorkerId(name)].is_evacuating = True
+        silence(scheduler, name, begun_ms + 3.0)
+    decide(scheduler, begun_ms + 200.0)
+    assert JOB in scheduler.ended
--- a/packages/corianderpitch/tests/test_isolation.py
+++ b/packages/corianderpitch/tests/test_isolation.py
@@ -17,11 +17,16 @@
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.crashes import PROBATION_MS
 from corianderpitch.domain.scheduling.isolation import OUTCOME_WAIT_MS
-from corianderpitch.domain.scheduling.orders import OrderResult, RequestReport, StartRun
+from corianderpitch.domain.scheduling.orders import (
+    OrderResult,
+    RequestReport,
+    StartRun,
+    StopRun,
+)
 from corianderpitch.domain.scheduling.placing import RACK_CHECK_MS
 from corianderpitch.domain.scheduling.planning import plan
-from corianderpitch.domain.scheduling.workloads import Step
-from corianderpitch.ids import WorkerId
+from corianderpitch.domain.scheduling.workloads import Step, TaskRef
+from corianderpitch.ids import JobId, WorkerId
 
 PROVEN_MS = NOW_MS + PROBATION_MS + 50.0
 LASTING = Step(1, Shape(1.0, 100), 100.0, is_lasting=True)
@@ -118,6 +123,17 @@
     assert order.worker == "w2"
 
 
+@pytest.mark.parametrize("result", [OrderResult.DONE, OrderResult.NO_ANSWER])
+def test_only_an_answer_shows_that_a_worker_of_a_silent_rack_is_up(result):
+    scheduler = make_racks(("w1", "w2"))
+    crash(scheduler, "w1", NOW_MS + 900.0)
+    order = StopRun(WorkerId("w2"), TaskRef(JobId("other"), 0, 0, 0), 1, 0)
+    scheduler.apply_order_result(order, result, NOW_MS + 901.0)
+    scheduler.add_job(make_job("a"))
+    orders = starts(scheduler, NOW_MS + 902.0)
+    assert bool(orders) == (result is OrderResult.DONE)
+
+
 def test_workers_that_neither_answer_nor_fail_are_used_again():
     scheduler = make_racks(("w1", "w2"))
     crash(scheduler, "w1", NOW_MS + 900.0)
