Test that late partitions are waited for with new reports of all workers

The request for new reports after a partition was read late could be left out without a failing test, here and on: in the test about it nothing was started because the only worker had unknown runs. With a second, free worker the tasks are started twice if no new reports are waited for. The code is unchanged.

--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -433,6 +433,26 @@
     assert starts(successor.scheduler, clock.now_ms()) == []
 
 
+def test_jobs_of_a_late_partition_wait_for_new_reports_of_all_workers(store, clock):
+    """Their tasks were started on a free worker while they still ran on another one."""
+    holder, home = holder_of_two_partitions(store, clock)
+    orders = starts(holder.scheduler)
+    runs = [ReportedRun(order.task, order.number, "", 50.0) for order in orders]
+    store.unavailable = {home}
+    successor = TermHarness(store, clock, "e2").load()
+    add_worker(successor.scheduler, "w1")
+    report(successor.scheduler, "w1", running=runs)
+    add_worker(successor.scheduler, "w2")
+    store.unavailable = set()
+    successor.retry_unread()
+    assert JobId("a") in successor.scheduler.jobs
+    assert starts(successor.scheduler, clock.now_ms()) == []
+    for name, reported in (("w1", runs), ("w2", [])):
+        report(successor.scheduler, name, running=reported)
+    assert starts(successor.scheduler, clock.now_ms()) == []
+    assert list(successor.scheduler.jobs[JobId("a")].runs())
+
+
 def test_a_partition_read_before_the_workers_does_not_clear_the_expected_reports(
     store, clock
 ):
