Ask for advice about further workers once a ticket's worker is used up

No advice was asked for a step while a worker with room had a valid ticket, also where that worker already ran as many of the step's tasks as it may (max_per_worker, and the spread of lasting steps). The other tasks waited beside free workers until the ticket expired. Such workers count as full now.

On the former code: assert [] == ['w2'], no further call was made.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/advice.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/advice.py
@@ -6,11 +6,16 @@
 capacity. Later steps of a job are asked about before they are ready.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from corianderpitch.domain.scheduling.ordering import order_key
-from corianderpitch.domain.scheduling.placing import is_schedulable
+from corianderpitch.domain.scheduling.placing import (
+    count_runs_on,
+    is_schedulable,
+    per_worker_limit,
+)
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep, Ticket
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.workers import WorkerView
@@ -97,11 +102,13 @@
     """
     reservation = step.step.reservation
     label = step.step.label
+    limit = per_worker_limit(step.step) or math.inf
     fitting = [
         worker
         for worker in schedulable
         if reservation.fits_in(worker.free)
         and (not label or label in worker.info.labels)
+        and count_runs_on(step, worker.info.worker) < limit
     ]
     if any(has_ticket(step, worker, now_ms) for worker in fitting):
         return ()
--- a/packages/corianderpitch/tests/test_advice.py
+++ b/packages/corianderpitch/tests/test_advice.py
@@ -82,6 +82,17 @@
     assert [question.step for question in service.questions] == [0, 1]
 
 
+def test_a_ticket_for_a_worker_that_may_run_no_more_of_a_step_ends_no_requests():
+    """Its other tasks waited beside free workers until the ticket expired."""
+    scheduler, _, _, task = make_advised(["w1", "w2"], workers=("w1",))
+    scheduler.add_job(make_job(steps=(Step(2, Shape(1.0, 1), 1.0, max_per_worker=1),)))
+    task.request_advice()
+    assert [order.worker for order in starts(scheduler)] == ["w1"]
+    add_worker(scheduler, "w2")
+    task.request_advice()
+    assert [order.worker for order in starts(scheduler)] == ["w2"]
+
+
 def test_no_step_starts_while_the_advice_service_does_not_answer():
     scheduler, service, _, task = make_advised(["w1"])
     scheduler.add_job(make_job())
