Name the evidence of crashes so that it needs no explanation

An outage says whether it had a suspect, the counts that end a job in any case say which crashes they count, and the module tells how late crashes come into it. The log's figure of the time without an answer is never negative. Nothing else changes.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -61,9 +61,9 @@
     ``_pending_rows`` holds the rows of jobs that are not served yet, by job,
     partition and suffix. These are jobs that may also have rows in a partition that
     could not be read, and jobs whose diversion is not recorded yet.
-    ``_late`` names the partitions that could not be read when the term began, and
-    have not been read since. ``_misplaced_rows`` holds the keys and versions of rows
-    outside the partition that their job is served from; they are to be deleted.
+    ``_unread_at_load`` names the partitions that could not be read when the term
+    began, and have not been read since. ``_misplaced_rows`` holds the keys and versions
+    of rows outside the partition that their job is served from; they are to be deleted.
 
     ``max_lease_ms`` is the time after which every lease of a worker has expired.
     """
@@ -90,7 +90,7 @@
         self._version = 0
         self._unread: set[str] = set()
         self._is_loaded = False
-        self._late: set[str] = set()
+        self._unread_at_load: set[str] = set()
         self._pending_rows: dict[JobId, dict[str, RowsBySuffix]] = {}
         self._to_divert: set[JobId] = set()
         self._misplaced_rows: dict[PartitionedKey, int] = {}
@@ -117,7 +117,7 @@
         self._version = min(versions, default=self._version)
         if not self._is_loaded:
             self._is_loaded = True
-            self._late = set(self._unread)
+            self._unread_at_load = set(self._unread)
         log.info(
             "Jobs loaded.",
             jobs=len(self._scheduler.jobs),
@@ -169,14 +169,14 @@
                 read[part] = snapshot.unwrap()
         if not self._role.has_valid_lease:
             read.clear()
-        if self._late & read.keys():
+        if self._unread_at_load & read.keys():
             now_ms = self._clock.now_ms()
             self._scheduler.request_fresh_reports(now_ms + self._max_lease_ms)
         for snapshot in read.values():
             for row in snapshot.rows:
                 self._collect_row(row)
         self._unread -= read.keys()
-        self._late -= read.keys()
+        self._unread_at_load -= read.keys()
         for job_id in list(self._pending_rows):
             self._assign_partition(job_id)
         self._scheduler.has_read_all_jobs = not self._unread
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -391,7 +391,7 @@
                 zone=notice.worker.zone,
                 suspects=sorted({task.job_id for task in notice.suspects}),
                 crashes=notice.crashes,
-                explained=notice.outage.is_explained,
+                had_suspect=notice.outage.had_suspect,
                 prompt=notice.is_prompt,
                 unheard_ms=round(notice.outage.unheard_ms),
                 runs={kind.value: n for kind, n in notice.relations.items()},
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -12,10 +12,14 @@
 order to start the run. Where that is possible but not known, as for a crash between
 two holders, the task is isolated, but its job not given up for it.
 
+A task that crashes its workers later than that is found by the count of crashes under
+its runs that had passed their probation: from the second one on they are held against
+it too, and its probation is longer.
+
 The crashes are counted for each task by the numbers of its runs, until a run passes
 its probation. They are committed with the job's progress, so that a successor
-continues the count. A third crash in a row ends the job in any case: decisions on
-earlier ones may have been lost with their holder.
+continues the count. A third confirmed crash in a row ends the job in any case:
+decisions on earlier ones may have been lost with their holder.
 """
 
 import enum
@@ -32,8 +36,8 @@
 LATE_PROBATION_MS = 3000.0
 LATE_CRASHES_TO_SUSPECT = 2
 CRASHES_TO_GIVE_UP = 2  # the second one prompt, in isolation, without common cause
-CRASHES_TO_GIVE_UP_ALWAYS = 3
-POSSIBLE_CRASHES_TO_GIVE_UP_ALWAYS = 4  # with two confirmed ones among them
+CONFIRMED_CRASHES_IN_ANY_CASE = 3
+CRASHES_IN_ANY_CASE = 4  # with two confirmed ones among them
 UNNOTICED_CRASH_MS = 3000.0  # a holder that serves on records a crash before that
 DECISION_DELAY_MS = 500.0  # outages with a common cause are noticed one by one
 
@@ -50,29 +54,31 @@
 class Outage:
     """Silence of a worker, which began after ``heard_ms`` and by ``silent_ms``.
 
-    ``silent_ms`` is infinite if it is not known. ``is_explained`` is true if a run that
-    had just begun was one of a suspect, and therefore in isolation.
+    ``silent_ms`` is infinite if it is not known. ``had_suspect`` is true if a run that
+    had just begun there was one of a suspect, which explains the outage.
     """
 
     worker: WorkerInfo
     heard_ms: float
     silent_ms: float
-    is_explained: bool
+    had_suspect: bool
 
     @property
     def unheard_ms(self) -> float:
         """Return within how many ms the worker fell silent, 0 if that is not known."""
-        return 0.0 if math.isinf(self.silent_ms) else self.silent_ms - self.heard_ms
+        if math.isinf(self.silent_ms):
+            return 0.0
+        return max(0.0, self.silent_ms - self.heard_ms)
 
     @classmethod
-    def from_worker(cls, worker: WorkerView, is_explained: bool) -> "Outage":
+    def from_worker(cls, worker: WorkerView, had_suspect: bool) -> "Outage":
         """Return the outage of a worker that is silent or has crashed."""
         silent_ms = worker.silent_since_ms
         return cls(
             worker.info,
             worker.heard_ms,
             math.inf if silent_ms is None else silent_ms,
-            is_explained,
+            had_suspect,
         )
 
 
@@ -139,9 +145,9 @@
 def is_certain_cause(step: ActiveStep, index: int) -> bool:
     """Return whether the crashes held against a task suffice whatever caused each."""
     confirmed = step.confirmed_crash_count(index)
-    return confirmed >= CRASHES_TO_GIVE_UP_ALWAYS or (
+    return confirmed >= CONFIRMED_CRASHES_IN_ANY_CASE or (
         confirmed >= CRASHES_TO_GIVE_UP
-        and step.crash_count(index) >= POSSIBLE_CRASHES_TO_GIVE_UP_ALWAYS
+        and step.crash_count(index) >= CRASHES_IN_ANY_CASE
     )
 
 
@@ -156,8 +162,9 @@
     """Relation of a run to the crash of its worker.
 
     A ``RECENT`` run began shortly before the worker fell silent, and is the likely
-    cause. For a ``POSSIBLE`` one that is not certain. A ``LATE`` one had passed its
-    probation.
+    cause. For a ``POSSIBLE`` one that is not certain: it is not known when the worker
+    fell silent, or its answer to the order came late. A ``LATE`` one had passed its
+    probation by then. An ``UNRELATED`` one was not seen to begin.
     """
 
     UNRELATED = "unrelated"
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashlog.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashlog.py
@@ -65,7 +65,7 @@
 def _may_be_decisive(crash: WorkerCrash) -> bool:
     return (
         crash.only_job is not None
-        and crash.outage.is_explained
+        and crash.outage.had_suspect
         and crash.is_prompt
         and crash.crashes >= CRASHES_TO_GIVE_UP
     )
@@ -88,7 +88,7 @@
     be in the same rack, at the same time.
     """
     one, two = other.worker, outage.worker
-    if other.is_explained:
+    if other.had_suspect:
         return one.rack == two.rack and _are_close(other, outage, 0.0)
     is_near = one.zone == two.zone or one.service == two.service
     return is_near and _are_close(other, outage, COMMON_CAUSE_WINDOW_MS)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
@@ -80,14 +80,14 @@
         relations = self._relate(worker, runs)
         likely_runs = _likely_runs(relations)
         likely = {run.task for run in likely_runs}
-        is_explained = any(self._is_suspect(task) for task in likely)
+        had_suspect = any(self._is_suspect(task) for task in likely)
         suspects: dict[TaskRef, int] = {}
         for run, relation in relations:
             crashes = self._count_run(run.task, run.number, relation)
             if crashes is not None and run.task in likely:
                 suspects[run.task] = crashes
         crash = WorkerCrash(
-            Outage.from_worker(worker, is_explained),
+            Outage.from_worker(worker, had_suspect),
             suspects,
             is_prompt(worker, likely_runs),
             Counter(relation for _, relation in relations),
@@ -133,10 +133,10 @@
             if worker.silent_since_ms is None or worker.is_leaving:
                 continue
             relations = self._relate(worker, worker.runs.values())
-            is_explained = any(
+            had_suspect = any(
                 self._is_suspect(run.task) for run in _likely_runs(relations)
             )
-            yield Outage.from_worker(worker, is_explained)
+            yield Outage.from_worker(worker, had_suspect)
 
     def _relate(
         self, worker: WorkerView, runs: Iterable[Run]
@@ -192,7 +192,7 @@
 
 
 def _likely_runs(relations: Iterable[tuple[Run, CrashRelation]]) -> list[Run]:
-    """Return the recent runs, or the late ones if there are no recent ones."""
+    """Return the runs that may have just begun, or the late ones if there are none."""
     recent = (CrashRelation.RECENT, CrashRelation.POSSIBLE)
     for likely in (recent, (CrashRelation.LATE,)):
         if runs := [run for run, relation in relations if relation in likely]:
