Give up no job while the lease of the role has lapsed

What callers would see: runs of a lasting job that a new holder serves are stopped by the former one.

Cause: a holder without a valid lease starts tasks that never ran, and does nothing that its successor may know better; but it gave up jobs, and ordered their runs to stop.

The test failed before: the job was ended. The decision is taken once the lease is renewed.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -22,12 +22,13 @@
 
     ``wall_ms`` is Unix time, and used for schedules only. Without ``may_restart``
     only tasks that never ran are started: a holder whose lease has expired may
-    consider a run lost although its successor has already recorded its end. Tasks
+    consider a run lost although its successor has already recorded its end. Nor does
+    it give up jobs then, as its orders would stop runs that the successor keeps. Tasks
     that may crash their workers are started in isolation, before all others.
     """
-    scheduler.give_up_crashing_jobs(now_ms)
     schedulable = _schedulable_by_service(scheduler, now_ms)
     if may_restart:
+        scheduler.give_up_crashing_jobs(now_ms)
         plan_isolated(scheduler, schedulable, now_ms, wall_ms)
     waiting: dict[ServiceName, list[tuple[Queue, ActiveJob]]] = defaultdict(list)
     for job in scheduler.jobs.values():
--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -19,6 +19,7 @@
 from corianderpitch.domain.jobs import JobState, Shape
 from corianderpitch.domain.scheduling.crashes import DECISION_DELAY_MS, PROBATION_MS
 from corianderpitch.domain.scheduling.orders import OrderResult
+from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import (
     Placement,
     ProgressRecord,
@@ -459,3 +460,18 @@
         silence(scheduler, name, begun_ms + 3.0)
     decide(scheduler, begun_ms + 200.0)
     assert JOB in scheduler.ended
+
+
+def test_a_holder_whose_lease_has_expired_gives_up_no_job():
+    """Its orders stopped the runs that its successor served (issue 32)."""
+    scheduler = make_scheduler(WORKERS)
+    scheduler.add_job(make_job(JOB))
+    for begun_ms in (NOW_MS, NOW_MS + 10.0):
+        (order,) = starts(scheduler, begun_ms)
+        answer(scheduler, order, OrderResult.DONE, begun_ms)
+        crash(scheduler, order.worker, begun_ms + 3.0)
+    for later_ms in (20.0, 600.0, 1200.0):
+        plan(scheduler, NOW_MS + later_ms, 0.0, may_restart=False)
+    assert JOB in scheduler.jobs
+    decide(scheduler, NOW_MS + 1300.0)
+    assert JOB in scheduler.ended
