--- a/packages/corianderpitch/tests/schedulers.py
+++ b/packages/corianderpitch/tests/schedulers.py
@@ -64,3 +64,9 @@
 
 def done(order, sequence=1):
     return ReportedEnd(sequence, order.task, order.number, EndKind.DONE, "")
+
+
+def crash(scheduler, name, silent_ms):
+    """End a worker's process, as the list of VMs shows it."""
+    scheduler.mark_silent(WorkerId(name), silent_ms)
+    scheduler.mark_terminated([WorkerId(name)])
--- a/packages/corianderpitch/tests/test_crash_evidence.py
+++ b/packages/corianderpitch/tests/test_crash_evidence.py
@@ -9,6 +9,7 @@
     NOW_MS,
     ONE_STEP,
     QUEUE,
+    crash,
     make_job,
     report,
     running,
@@ -51,11 +52,6 @@
     scheduler.apply_order_result(order, result, now_ms)
 
 
-def crash(scheduler, name, silent_ms):
-    scheduler.mark_silent(WorkerId(name), silent_ms)
-    scheduler.mark_terminated([WorkerId(name)])
-
-
 def silence(scheduler, name, silent_ms):
     scheduler.mark_silent(WorkerId(name), silent_ms)
 
--- a/packages/corianderpitch/tests/test_isolation.py
+++ b/packages/corianderpitch/tests/test_isolation.py
@@ -6,6 +6,7 @@
 from schedulers import (
     NOW_MS,
     add_worker,
+    crash,
     done,
     make_job,
     make_scheduler,
@@ -32,12 +33,6 @@
 LASTING = Step(1, Shape(1.0, 100), 100.0, is_lasting=True)
 
 
-def crash(scheduler, name, silent_ms):
-    """End a worker's process, as the list of VMs shows it."""
-    scheduler.mark_silent(WorkerId(name), silent_ms)
-    scheduler.mark_terminated([WorkerId(name)])
-
-
 def start_on(scheduler, name, job, now_ms=NOW_MS):
     """Start the tasks of a job while only one worker is free."""
     for other in scheduler.workers.values():
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -73,6 +73,18 @@
         return super().commit(checks, writes)
 
 
+def lose_answers(store):
+    """Let a store lose the answers of what it commits; return its former commit."""
+    original = store.commit
+
+    def lose_answer(checks, writes):
+        result = original(checks, writes)
+        return Failure(OutcomeLost("lost")) if isinstance(result, Success) else result
+
+    store.commit = lose_answer
+    return original
+
+
 class TermHarness:
     """The state of one term's holder, without its threads."""
 
@@ -332,13 +344,7 @@
     holder, home = holder_of_two_partitions(store, clock)
     store.unavailable = {home}
     holder.scheduler.cancel_job(JobId("a"))
-    original = store.commit
-
-    def lose_answer(checks, writes):
-        result = original(checks, writes)
-        return Failure(OutcomeLost("lost")) if isinstance(result, Success) else result
-
-    store.commit = lose_answer
+    original = lose_answers(store)
     fail_commits_twice(holder, clock)
     assert not holder.commits.commit_all()
     store.commit = original
@@ -357,13 +363,7 @@
     holder, home = holder_of_two_partitions(store, clock)
     store.unavailable = {home}
     holder.scheduler.cancel_job(JobId("a"))
-    original = store.commit
-
-    def lose_answer(checks, writes):
-        result = original(checks, writes)
-        return Failure(OutcomeLost("lost")) if isinstance(result, Success) else result
-
-    store.commit = lose_answer
+    original = lose_answers(store)
     fail_commits_twice(holder, clock)
     assert not holder.commits.commit_all()
     assert holder.reader.load_jobs()
@@ -381,13 +381,7 @@
     holder, home = holder_of_two_partitions(store, clock)
     store.unavailable = {home}
     holder.scheduler.cancel_job(JobId("a"))
-    original = store.commit
-
-    def lose_answer(checks, writes):
-        result = original(checks, writes)
-        return Failure(OutcomeLost("lost")) if isinstance(result, Success) else result
-
-    store.commit = lose_answer
+    original = lose_answers(store)
     fail_commits_twice(holder, clock)
     assert not holder.commits.commit_all()
     store.commit = original
