review: case 5, one accepted job ends every holder of the scheduler's role

Shows LOST: a job that can never be done, with 400 steps of 10,000 subtasks, is accepted. Each entry that takes the scheduler's role exceeds its memory and is killed, and no other job runs any more.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -10,7 +10,6 @@
 import contextlib
 import json
 import os
-import random
 import shlex
 import signal
 import socket
@@ -98,16 +97,20 @@
 
 
 def free_address() -> str:
-    """Return a loopback address with a port that is free now.
+    """Return a loopback address with a port that is free now, a new one each time.
 
     The port is below those that the system gives to outgoing connections, so that it
-    stays free while a process is down.
+    stays free while a process is down. Cases that run side by side begin at different
+    ports.
     """
-    while True:
-        port = random.randrange(20_000, 32_000)
+    for port in _ports:
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((HOST, port))
             return f"{HOST}:{port}"
+    raise OSError("no port is free")
+
+
+_ports = iter(range(20_000 + os.getpid() % 120 * 100, 32_000))
 
 
 class Record:
@@ -678,6 +681,17 @@
             self.process.kill()
             await self.process.wait()
 
+    @property
+    def memory_mb(self) -> float:
+        """Return the memory that the process occupies, 0 if it does not run."""
+        if self.process is None or self.process.returncode is not None:
+            return 0.0
+        try:
+            pages = Path(f"/proc/{self.process.pid}/statm").read_text().split()[1]
+        except (OSError, IndexError):
+            return 0.0
+        return int(pages) * os.sysconf("SC_PAGE_SIZE") / 2**20
+
     async def is_ready(self) -> bool:
         """Return whether the entry reports itself ready."""
         status, _ = await call(
@@ -699,6 +713,7 @@
         self.jobs: dict[str, dict[str, Any]] = {}
         self.starts: list[tuple[float, str, str, bool]] = []
         self.overs: list[tuple[float, str, str]] = []
+        self.memory_kills = 0
         self._tasks: set[asyncio.Task] = set()
 
     def spawn(self, work: Awaitable[None]) -> None:
@@ -823,6 +838,23 @@
                 if is_same_step and member.number == run.number:
                     other.end(member, "done" if how == "done" else "broken")
 
+    async def limit_memory(self, entry: Entry, limit_mb: float) -> None:
+        """Kill an entry that exceeds its memory, and start it again, as the platform.
+
+        It is started after a short delay.
+        """
+        while True:
+            await asyncio.sleep(0.02)
+            used_mb = entry.memory_mb
+            if used_mb > limit_mb:
+                self.record.add(
+                    "memory-exceeded", entry=entry.name, used_mb=round(used_mb)
+                )
+                self.memory_kills += 1
+                await entry.end(signal.SIGKILL)
+                await asyncio.sleep(1.0)
+                await entry.start()
+
     def cpu_of(self, task: str) -> int:
         """Return the thousandths of a core that a subtask requests."""
         job, _, step, _ = task.split(".")
