--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A job whose minion crashes several times is shown as failed."""
+"""A gang that is started again gets a different checkpoint for each member."""
 
 import asyncio
 import sys
@@ -6,59 +6,73 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 
-from world import Minion, World, now_ms, play, subtasks_running
+from world import BOUNDS, Minion, World, minion_of, now_ms, play, subtasks_running
 
 SERVICE = "theke"
 MINIONS = 8
 CPU = 4000
-JOB = "00000000000000d4"
-CRASHES = 6
-DOWN_S = 2.0
-UP_S = 2.0
+MEMBERS = 4
+GANG = "00000000000000c3"
+DOWN_S = 4.5
 
 
 async def case(world: World, has_trouble: bool) -> bool:
     """Play the case; return whether the rule held."""
     for number in range(MINIONS):
-        labels = ("b" if number == 0 else "a", f"r1-{number // 4}")
+        labels = ("a", f"r1-{number // 4}")
         world.minions.append(Minion(world, number, SERVICE, labels, CPU))
     await world.start()
-    job = {
-        "spec": '{"ms": 5000}',
+    gang = {
+        "spec": f'{{"ms": 9000, "gang": {MEMBERS}, "saves": true}}',
         "steps": [
             {
-                "count": 1,
+                "count": MEMBERS,
                 "cpu": CPU,
                 "mem_mb": 100,
-                "estimate_ms": 5000,
-                "requires": "b",
+                "estimate_ms": 9000,
+                "gang": True,
+                "saves_progress": True,
             }
         ],
     }
-    await world.submit(world.entries[0], JOB, SERVICE, job)
+    await world.submit(world.entries[0], GANG, SERVICE, gang)
 
-    async def runs() -> bool:
-        return bool(subtasks_running(world, JOB))
+    async def all_run() -> bool:
+        return len(subtasks_running(world, GANG)) == MEMBERS
 
-    await world.wait_for("the subtask runs", runs, 10.0)
-    for _ in range(CRASHES if has_trouble else 0):
-        await asyncio.sleep(UP_S)
-        await world.minions[0].crash()
+    await world.wait_for("the gang works", all_run, 10.0)
+    calm_ms = now_ms()
+    if has_trouble:
+        victim = await crash_before_it_tells(world)
         await asyncio.sleep(DOWN_S)
-        await world.minions[0].boot()
-    deadline_ms = now_ms() + 30_000.0
+        await victim.boot()
+        calm_ms = now_ms() + BOUNDS["contact_ms"]
+    deadline_ms = now_ms() + 45_000.0
 
     async def is_settled() -> bool:
-        if await world.state(JOB, SERVICE) in ("completed", "failed"):
+        if await world.state(GANG, SERVICE) == "completed":
             return True
-        await asyncio.sleep(0.2)
+        await asyncio.sleep(0.5)
         return now_ms() >= deadline_ms
 
-    await world.wait_for("the end", is_settled, 40.0)
-    state = await world.state(JOB, SERVICE)
-    failed_ends = [how for _, _, how in world.overs if how == "failed"]
-    world.record.add("job", state=state, ends_failed=len(failed_ends))
-    return state == "completed"
+    await world.wait_for("the end", is_settled, 60.0)
+    state = await world.state(GANG, SERVICE)
+    alone = [at for at, _, how in world.overs if how == "alone" and at > calm_ms]
+    world.record.add("gang-job", state=state, alone_ends_in_calm=len(alone))
+    return state == "completed" and not alone
+
+
+async def crash_before_it_tells(world: World) -> Minion:
+    """Crash a minion with a checkpoint that no list of its runs has shown yet."""
+    while True:
+        await asyncio.sleep(0.01)
+        for task in subtasks_running(world, GANG):
+            minion = minion_of(world, task)
+            run = minion.runs[task]
+            if run.saved != run.told:
+                world.record.add("untold", task=task, saved=run.saved, told=run.told)
+                await minion.crash()
+                return minion
 
 
 if __name__ == "__main__":
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""One accepted job that can never be done ends each holder of the scheduler's role."""
+"""Jobs whose starts were lost with a dark rack are not counted as waiting."""
 
 import asyncio
 import sys
@@ -9,73 +9,56 @@
 from world import BOUNDS, Minion, World, now_ms, play
 
 SERVICE = "theke"
-MINIONS = 8
+MINIONS = 6
+MINIONS_PER_RACK = 4
 CPU = 4000
-MEMORY_MB = 300
-JOBS_BEFORE, JOBS_AFTER = 20, 10
-HOPELESS = "00000000000000ff"
+JOBS = [f"{number:016x}" for number in range(0xF1, 0xF1 + MINIONS)]
+RACK = "r1-0"
+DARK_S = 7.0
+READ_AGE_MS = 2000  # a count may be that old
 
 
 async def case(world: World, has_trouble: bool) -> bool:
     """Play the case; return whether the rule held."""
     for number in range(MINIONS):
-        labels = ("a", f"r1-{number // 4}")
+        labels = ("a", f"r1-{number // MINIONS_PER_RACK}")
         world.minions.append(Minion(world, number, SERVICE, labels, CPU))
     await world.start()
-    for entry in world.entries:
-        world.record.add("memory", entry=entry.name, used_mb=round(entry.memory_mb))
-        world.spawn(world.limit_memory(entry, MEMORY_MB))
-    jobs = [f"{number:016x}" for number in range(1, 1 + JOBS_BEFORE + JOBS_AFTER)]
-    for job in jobs[:JOBS_BEFORE]:
-        await hand_in(world, job)
+    caller = world.entries[0]
+    rack = [minion for minion in world.minions if minion.labels[1] == RACK]
     if has_trouble:
-        step = {"count": 10_000, "cpu": 500, "mem_mb": 100, "requires": "none"}
-        hopeless = {"spec": '{"ms": 500}', "steps": [step] * 400}
-        await world.submit(world.entries[0], HOPELESS, SERVICE, hopeless)
-    for job in jobs[JOBS_BEFORE:]:
-        await hand_in(world, job)
-    handed_in_ms = now_ms()
-    deadline_ms = handed_in_ms + (BOUNDS["finish_s"] + 16) * 1000.0
-    while now_ms() < deadline_ms:
-        await asyncio.sleep(1.0)
-        if now_ms() - handed_in_ms > 3000.0 and len(completed(world)) == len(jobs):
-            break
-    unfinished = sorted(set(jobs) - completed(world))
-    states = {job: await world.state(job, SERVICE) for job in unfinished}
-    world.record.add(
-        "end", unfinished=states, kills_for_memory=world.memory_kills, jobs=len(jobs)
-    )
-    return not unfinished or not is_idle(world)
-
-
-def is_idle(world: World) -> bool:
-    """Return whether the minions have run nothing for the last 3 s."""
-    if any(minion.runs for minion in world.minions):
-        return False
-    return all(now_ms() - at_ms > 3000.0 for at_ms, _, _ in world.overs)
-
-
-async def hand_in(world: World, job: str) -> None:
-    """Hand a job with one subtask in, at any entry that accepts it."""
-    body = {
-        "spec": '{"ms": 500}',
-        "steps": [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 500}],
+        for minion in rack:
+            await minion.go_dark()
+    until_ms = now_ms() + DARK_S * 1000.0
+    job = {
+        "spec": '{"ms": 20000}',
+        "steps": [{"count": 1, "cpu": CPU, "mem_mb": 100, "estimate_ms": 20000}],
     }
-    world.jobs[job] = body
-    until_ms = now_ms() + 20_000.0
+    accepted: dict[str, float] = {}
+    for name in JOBS:
+        accepted[name] = await world.submit(caller, name, SERVICE, job)
+    is_kept = True
     while now_ms() < until_ms:
-        for entry in world.entries:
-            status, _ = await world.call_entry(entry, "POST", f"/{SERVICE}/{job}", body)
-            if status == 200:
-                await asyncio.sleep(0.2)
-                return
-        await asyncio.sleep(0.3)
-    raise TimeoutError("a job was not accepted")
+        limit_ms = now_ms() - BOUNDS["visible_ms"] - READ_AGE_MS
+        status, answer = await world.call_entry(caller, "GET", f"/{SERVICE}/")
+        due = [
+            name
+            for name, at_ms in accepted.items()
+            if at_ms < limit_ms and not has_begun(world, name)
+        ]
+        world.record.add("count", waiting_long=len(due), told=answer.get("waiting"))
+        if status == 200 and answer["waiting"] < len(due) / 2:
+            is_kept = False
+        await asyncio.sleep(0.25)
+    if has_trouble:
+        for minion in rack:
+            await minion.boot()
+    return is_kept
 
 
-def completed(world: World) -> set[str]:
-    """Return the jobs whose only subtask has ended ``done``."""
-    return {task.split(".")[0] for _, task, how in world.overs if how == "done"}
+def has_begun(world: World, job: str) -> bool:
+    """Return whether a minion has started a subtask of a job."""
+    return any(task.startswith(job + ".") for _, task, _, _ in world.starts)
 
 
 if __name__ == "__main__":
