--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,4 +4,9 @@
 CASE_TMP="$(mktemp -d)" || exit 2
 export CASE_TMP
 trap 'rm -rf "$CASE_TMP"' EXIT
-python3 case.py
+python3 case.py &
+trap 'kill $!' INT TERM
+wait $!
+status=$?
+wait
+exit "$status"
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -26,14 +26,18 @@
         world.record.add("memory", entry=entry.name, used_mb=round(entry.memory_mb))
         world.spawn(world.limit_memory(entry, MEMORY_MB))
     jobs = [f"{number:016x}" for number in range(1, 1 + JOBS_BEFORE + JOBS_AFTER)]
+    small = {
+        "spec": '{"ms": 500}',
+        "steps": [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 500}],
+    }
     for job in jobs[:JOBS_BEFORE]:
-        await hand_in(world, job)
+        await hand_in(world, job, small)
     if has_trouble:
         step = {"count": 10_000, "cpu": 500, "mem_mb": 100, "requires": "none"}
         hopeless = {"spec": '{"ms": 500}', "steps": [step] * 400}
-        await world.submit(world.entries[0], HOPELESS, SERVICE, hopeless)
+        await hand_in(world, HOPELESS, hopeless)
     for job in jobs[JOBS_BEFORE:]:
-        await hand_in(world, job)
+        await hand_in(world, job, small)
     handed_in_ms = now_ms()
     deadline_ms = handed_in_ms + (BOUNDS["finish_s"] + 16) * 1000.0
     while now_ms() < deadline_ms:
@@ -55,12 +59,8 @@
     return all(now_ms() - at_ms > 3000.0 for at_ms, _, _ in world.overs)
 
 
-async def hand_in(world: World, job: str) -> None:
-    """Hand a job with one subtask in, at any entry that accepts it."""
-    body = {
-        "spec": '{"ms": 500}',
-        "steps": [{"count": 1, "cpu": 1000, "mem_mb": 100, "estimate_ms": 500}],
-    }
+async def hand_in(world: World, job: str, body: dict) -> None:
+    """Hand a job in, at any entry that accepts it."""
     world.jobs[job] = body
     until_ms = now_ms() + 20_000.0
     while now_ms() < until_ms:
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -145,6 +145,7 @@
         self._handler = handler
         self._idle_s = idle_s
         self._life = 0
+        self._is_dark = False
         self.address = free_address()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -163,16 +164,16 @@
             writer.transport.abort()
 
     def lose_power(self) -> None:
-        """Stop without a word: open connections hang, as at a machine without power.
-
-        A connection from before is reset once the peer sends on it after ``start``.
-        """
-        if self._server is not None:
-            self._server.close()
-            self._server = None
+        """Go silent: all connections hang, new ones too, until ``regain_power``."""
+        self._is_dark = True
         self._life += 1
         self._writers.clear()
 
+    def regain_power(self) -> None:
+        """Serve again; a connection from before is reset once its peer sends on it."""
+        self._is_dark = False
+        self._life += 1
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -183,6 +184,9 @@
         life = self._life
         with contextlib.suppress(OSError, asyncio.IncompleteReadError, ValueError):
             while line := await asyncio.wait_for(reader.readline(), self._idle_s):
+                if self._is_dark:
+                    await reader.read()
+                    return
                 if life != self._life:
                     writer.transport.abort()
                     return
@@ -430,7 +434,7 @@
         self.cpu = cpu
         self.server = Server(self._handle, KEEP_ALIVE_S)
         self.is_up = False
-        self.is_dark = False
+        self._was_dark = False
         self.held = asyncio.Event()
         self.applied_late: Callable[[str, dict[str, Any]], float | None] | None = None
 
@@ -448,9 +452,13 @@
         self.ended: dict[str, int] = {}
         self.ends: list[list[Any]] = []
         self.end_count = 0
-        self.is_up, self.is_dark = True, False
+        self.is_up = True
         self.change = asyncio.Event()
-        await self.server.start()
+        if self._was_dark:
+            self.server.regain_power()
+        else:
+            await self.server.start()
+        self._was_dark = False
         self.world.record.add("minion-up", minion=self.name, born=self.born)
         if first_report_s:
             self.beat_ms = now_ms() + first_report_s * 1000.0 - HEARTBEAT_S * 1000.0
@@ -469,7 +477,7 @@
     async def go_dark(self) -> None:
         """Lose power: everything that runs ends, and nothing is answered any more."""
         self.world.record.add("minion-dark", minion=self.name, runs=sorted(self.runs))
-        self.is_up, self.is_dark = False, True
+        self.is_up, self._was_dark = False, True
         for run in list(self.runs.values()):
             self.world.on_run_over(self, run, "crashed")
         self.runs = {}
@@ -1013,10 +1021,13 @@
     has_trouble: bool,
 ) -> int:
     world = World(record, temporary)
+    playing = asyncio.current_task()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
     try:
         async with asyncio.timeout(110.0):
             is_kept = await case(world, has_trouble)
-    except Exception as error:  # The case could not run.
+    except (Exception, asyncio.CancelledError) as error:  # The case could not run.
         record.add("could-not-run", error=repr(error))
         print(f"could not run: {error!r}")
         return 2
