Bound what one accepted job, or several, cost a holder of the role

Cause: the holder made a set of all tasks of all steps as it read a job (335 MB). Each size that a caller sets was bounded by itself, if at all. Other sizes cost as much: 1,000 steps at 100 times at once 149 MB and 22 s a round, 10,000 tasks of no size a record of 150 KB, which the store refuses with all beside it. Ruled out for this job: the time of a round and its record.

Sets of tasks are kept as spans, the active steps and open tasks of a job are bounded (later ones begin as these end), a round tries 100 steps of a job, rows are compressed and transactions bounded by size.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -28,6 +28,7 @@
     unpack_workers,
 )
 from corianderpitch.domain.jobs import JobState
+from corianderpitch.domain.scheduling.progress import ProgressRecord
 from corianderpitch.domain.scheduling.scheduler import JobChange, Scheduler
 from corianderpitch.errors import (
     CommitError,
@@ -40,6 +41,7 @@
 
 # A transaction holds up to 100 entries, and a change needs up to four of them.
 MAX_CHANGES_PER_COMMIT = 24
+MAX_UNITS_PER_COMMIT = 5000  # of progress, up to 100 bytes each
 MAX_MOVES_PER_COMMIT = 20
 PROGRESS_INTERVAL_MS = 50.0
 RETRY_MS = 100.0
@@ -223,8 +225,9 @@
             for c in changes
             if not self._is_backing_off(self._serving_partition(c), now_ms)
         ]
-        for start in range(0, len(available), MAX_CHANGES_PER_COMMIT):
-            chunk = available[start : start + MAX_CHANGES_PER_COMMIT]
+        while available:
+            chunk = _first_batch(available)
+            available = available[len(chunk) :]
             if self._commit(chunk):
                 continue
             by_part: dict[str, list[JobChange]] = {}
@@ -238,7 +241,7 @@
                 )
                 remaining += group
             if not self._role.is_held:
-                return remaining + available[start + MAX_CHANGES_PER_COMMIT :]
+                return remaining + available
         return self._move_ended(remaining)
 
     def _is_backing_off(self, part: str, now_ms: float) -> bool:
@@ -346,7 +349,7 @@
     def _build_writes(self, change: JobChange, key) -> list[Write]:
         record = replace(change.record, recorded_ms=self._store.time_ms())
         if not change.is_final:
-            return [Write(key, pack_progress(record))]
+            return [Write(key, self._pack_open(change, record))]
         final = replace(record, steps={})
         writes = [
             Write(key, pack_progress(final)),
@@ -356,6 +359,17 @@
             writes.append(Write(cancel_key(key.part, change.job.job_id), None))
         return writes
 
+    def _pack_open(self, change: JobChange, record: ProgressRecord) -> bytes:
+        """Encode the progress of an open job, without checkpoints if it is too long.
+
+        A row that is too long would be refused together with all changes beside it.
+        """
+        value = pack_progress(record)
+        if len(value) <= self._store.max_value_bytes:
+            return value
+        log.warning("Checkpoints left out.", job=change.job.job_id, bytes=len(value))
+        return pack_progress(record.without_checkpoints())
+
     def _apply_committed(self, changes: Sequence[JobChange], version: int) -> None:
         self._scheduler.mark_committed(changes)
         for change in changes:
@@ -398,3 +412,15 @@
         home, fallback = job_partitions(change.job.workload.queue, change.job.job_id)
         is_diverted = change.job.job_id in self._scheduler.diverted
         return fallback if is_diverted else home
+
+
+def _first_batch(changes: Sequence[JobChange]) -> list[JobChange]:
+    """Return the leading changes that fit into one transaction, at least one."""
+    batch: list[JobChange] = []
+    units = 0
+    for change in changes[:MAX_CHANGES_PER_COMMIT]:
+        units += change.record.size
+        if batch and units > MAX_UNITS_PER_COMMIT:
+            break
+        batch.append(change)
+    return batch
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/guardedstore.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/guardedstore.py
@@ -50,6 +50,11 @@
         self._failures: dict[str, CallFailure] = {}
         self._next_probe_ms = 0.0
 
+    @property
+    def max_value_bytes(self) -> int:
+        """Return how long the value of a row may be."""
+        return self._store.max_value_bytes
+
     def time_ms(self) -> float:
         """Return the estimated time of the store's steady clock in milliseconds."""
         return self._store.time_ms()
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -15,6 +15,7 @@
     PROGRESS_SUFFIX,
     RANGE_END,
     cancel_key,
+    full_key,
     home_partition,
     job_key,
     job_partitions,
@@ -30,6 +31,7 @@
     MalformedData,
     OutcomeLost,
     PlatformError,
+    QueueFull,
     RateLimited,
     RowConflict,
 )
@@ -37,6 +39,7 @@
 from corianderpitch.ports import Check, Row, RowStore, Write
 
 STORE_UNAVAILABLE_RETRY_MS = 1000
+QUEUE_FULL_RETRY_MS = 5000  # many jobs must end first; other entries know as well
 MAX_CANCEL_ATTEMPTS = 3
 
 log = logger("intake")
@@ -46,11 +49,12 @@
     """Kind of a call's outcome.
 
     After ``NOT_DONE`` the call certainly had no effect; after ``UNKNOWN`` it may
-    have had its effect.
+    have had its effect. A job that is ``TOO_LARGE`` is never accepted.
     """
 
     DONE = "done"
     NO_SUCH_JOB = "no_such_job"
+    TOO_LARGE = "too_large"
     NOT_DONE = "not_done"
     UNKNOWN = "unknown"
 
@@ -83,6 +87,8 @@
         unknown, because the store may still apply the write.
         """
         value = pack_workload(workload, self._store.time_ms())
+        if len(value) > self._store.max_value_bytes:
+            return IntakeResult(IntakeKind.TOO_LARGE)
         lost_answer: OutcomeLost | None = None
         for part in job_partitions(workload.queue, workload.job_id):
             result = self._store_job(workload, part, value)
@@ -100,6 +106,10 @@
                     return IntakeResult(IntakeKind.DONE)
                 case Failure(OutcomeLost() as error):
                     lost_answer = error
+                case Failure(QueueFull() as error):
+                    return self._refuse_call(
+                        "submit", workload.job_id, part, error, QUEUE_FULL_RETRY_MS
+                    )
                 case Failure(RateLimited()):
                     break
             if not self._store.can_try_other_partition(part):
@@ -111,16 +121,33 @@
 
     def _store_job(
         self, workload: Workload, part: str, value: bytes
-    ) -> Result[int | None, CommitError]:
+    ) -> Result[int | None, CommitError | QueueFull]:
         """Store a job; returns its row's version, ``None`` if it exists already."""
         key = job_key(part, workload.job_id)
-        checks = (Check(key, 0), Check(progress_key(part, workload.job_id), 0))
+        checks = (
+            Check(key, 0),
+            Check(progress_key(part, workload.job_id), 0),
+            Check(full_key(part), 0),
+        )
         match self._store.commit(checks, (Write(key, value),)):
             case Failure(RowConflict()):
-                return Success(None)
+                return self._explain_conflict(workload, part)
             case result:
                 return result
 
+    def _explain_conflict(
+        self, workload: Workload, part: str
+    ) -> Result[None, PlatformError | QueueFull]:
+        """Find whether a job was not stored because it is, or because it may not be."""
+        job_id = workload.job_id
+        match self._store.read(JOBS_TABLE, part, job_id, job_id + RANGE_END):
+            case Success(snapshot) if not snapshot.rows:
+                return Failure(QueueFull(workload.queue))
+            case Success(_):
+                return Success(None)
+            case Failure(error):
+                return Failure(OutcomeLost(f"a conflict without a cause: {error!r}"))
+
     def _resolve_lost_submit(
         self, workload: Workload, error: OutcomeLost
     ) -> IntakeResult:
@@ -236,14 +263,17 @@
         return result.bind(lambda snapshot: _by_suffix(job_id, snapshot.rows))
 
     def _refuse_call(
-        self, call: str, job_id: JobId, part: str, error: PlatformError
+        self,
+        call: str,
+        job_id: JobId,
+        part: str,
+        error: PlatformError | QueueFull,
+        retry_after_ms: int = STORE_UNAVAILABLE_RETRY_MS,
     ) -> IntakeResult:
         log.warning(
             "Call refused.", call=call, job=job_id, partition=part, cause=repr(error)
         )
-        return IntakeResult(
-            IntakeKind.NOT_DONE, retry_after_ms=STORE_UNAVAILABLE_RETRY_MS
-        )
+        return IntakeResult(IntakeKind.NOT_DONE, retry_after_ms=retry_after_ms)
 
 
 def _by_suffix(
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -9,13 +9,14 @@
 
 import functools
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field, fields, replace
 from typing import Any, ParamSpec, TypeVar
 
 import msgpack
 
 from corianderpitch.domain.jobs import JobState, Shape
+from corianderpitch.domain.scheduling.indexes import IndexSet
 from corianderpitch.domain.scheduling.progress import (
     Placement,
     ProgressRecord,
@@ -35,6 +36,8 @@
 DIVERTED_KEY = PartitionedKey(SCHEDULER_TABLE, "", "diverted")
 PARTITIONS_PER_QUEUE = 4  # more partitions would slow down counting and takeovers
 PARTITION_SEPARATOR = "/"
+INTAKE_TABLE = "intake"
+FULL_NAME = "full"
 RANGE_END = "/"  # sorts after the dot that begins every suffix
 
 _STEP_DEFAULTS = {
@@ -42,8 +45,12 @@
 }
 
 
+COMPRESS_MIN_BYTES = 16_384
+MAX_UNPACKED_BYTES = 16_000_000
+_COMPRESSED = b"\xc1"  # no value of msgpack begins with it
+
 # The errors by which decoding or unpacking a value of another kind can fail.
-_DECODING_ERRORS = (ValueError, TypeError, AttributeError, LookupError)
+_DECODING_ERRORS = (ValueError, TypeError, AttributeError, LookupError, zlib.error)
 
 Decoded = TypeVar("Decoded")
 Arguments = ParamSpec("Arguments")
@@ -127,6 +134,11 @@
     )
 
 
+def full_key(part: str) -> PartitionedKey:
+    """Return the key of the row that exists while a partition takes no more jobs."""
+    return PartitionedKey(INTAKE_TABLE, part, FULL_NAME)
+
+
 def split_row_name(name: str) -> tuple[JobId, str]:
     """Split the name of a row into the job's id and the suffix.
 
@@ -163,13 +175,13 @@
 
 def pack_workers(worker_ids: Iterable[WorkerId]) -> bytes:
     """Encode the workers that a term may have sent orders to."""
-    return msgpack.packb(sorted(worker_ids))
+    return _pack(sorted(worker_ids))
 
 
 @_decodes("a list of workers")
 def unpack_workers(value: bytes) -> tuple[WorkerId, ...]:
     """Decode the workers that a predecessor may have sent orders to."""
-    return tuple(WorkerId(name) for name in msgpack.unpackb(value))
+    return tuple(WorkerId(name) for name in _unpack(value))
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,7 +227,7 @@
 def pack_workload(workload: Workload, accepted_ms: float) -> bytes:
     """Encode a job and the store's time of its acceptance in milliseconds."""
     schedule = workload.schedule
-    return msgpack.packb(
+    return _pack(
         [
             workload.text,
             [_pack_step(step) for step in workload.steps],
@@ -231,7 +243,7 @@
 
     Fields that a later version has appended are ignored.
     """
-    text, steps, schedule, accepted_ms, *_ = msgpack.unpackb(value)
+    text, steps, schedule, accepted_ms, *_ = _unpack(value)
     workload = Workload(
         JobId(key.name),
         queue_of(key.part),
@@ -242,6 +254,24 @@
     return workload, accepted_ms
 
 
+def _pack(value: Any) -> bytes:
+    """Encode a value, and compress it if it is long: a row holds little."""
+    packed = msgpack.packb(value)
+    if len(packed) < COMPRESS_MIN_BYTES:
+        return packed
+    return _COMPRESSED + zlib.compress(packed)
+
+
+def _unpack(value: bytes) -> Any:
+    """Decode what ``_pack`` has encoded."""
+    if value.startswith(_COMPRESSED):
+        inflate = zlib.decompressobj()
+        value = inflate.decompress(value[len(_COMPRESSED) :], MAX_UNPACKED_BYTES)
+        if not inflate.eof:
+            raise ValueError("a compressed row is incomplete or too long")
+    return msgpack.unpackb(value, strict_map_key=False)
+
+
 def _pack_step(step: Step) -> dict[str, Any]:
     """Encode the shape of a step and the fields that differ from their defaults."""
     shape = step.shape
@@ -264,17 +294,33 @@
 def pack_progress(record: ProgressRecord) -> bytes:
     """Encode a job's progress.
 
-    Crashes are left out where there are none, for entries of earlier versions.
+    Crashes are left out where there are none, for entries of earlier versions. Long
+    sequences of done tasks are written as spans.
     """
     steps = [
-        [*step_key, list(s.done), s.failed, s.checkpoints, s.placed]
+        [*step_key, _pack_indexes(s.done), s.failed, s.checkpoints, s.placed]
         + ([s.crashed] if s.crashed else [])
         + ([s.unconfirmed] if s.unconfirmed else [])
         for step_key, s in record.steps.items()
     ]
-    return msgpack.packb(
-        [record.state.value, record.finished, steps, record.recorded_ms]
-    )
+    return _pack([record.state.value, record.finished, steps, record.recorded_ms])
+
+
+def _pack_indexes(indexes: Collection[int]) -> list[Any]:
+    """Encode indexes, as ``[start, end]`` for each span of more than two."""
+    packed: list[Any] = []
+    for start, end in IndexSet(indexes).spans:
+        packed += [[start, end]] if end - start > 2 else range(start, end)
+    return packed
+
+
+def _unpack_indexes(packed: Iterable[Any]) -> IndexSet:
+    """Decode indexes; earlier versions have written each one by itself."""
+    indexes = IndexSet()
+    for item in packed:
+        start, end = item if isinstance(item, list) else (item, item + 1)
+        indexes.add_range(start, end)
+    return indexes
 
 
 @_decodes("the progress of a job")
@@ -286,9 +332,7 @@
     include runs that nobody saw begin. Fields that a later version has appended are
     ignored.
     """
-    state, finished, packed, recorded_ms, *_ = msgpack.unpackb(
-        value, strict_map_key=False
-    )
+    state, finished, packed, recorded_ms, *_ = _unpack(value)
     steps = {
         (occurrence, number): _unpack_step_record(*fields)
         for occurrence, number, *fields in packed
@@ -299,7 +343,7 @@
 
 
 def _unpack_step_record(
-    done: list[int],
+    done: list[Any],
     failed: dict[int, list[int]],
     checkpoints: dict[int, str],
     placed: dict[int, list[Any]],
@@ -308,7 +352,7 @@
     *_later_fields: Any,
 ) -> StepRecord:
     return StepRecord(
-        tuple(done),
+        _unpack_indexes(done),
         {index: tuple(numbers) for index, numbers in failed.items()},
         checkpoints,
         {index: tuple(map(_unpack_placement, runs)) for index, runs in placed.items()},
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/fitting.py
@@ -0,0 +1,48 @@
+"""Which steps of a job a planning round tries, so that a round stays short.
+
+Callers choose how many steps wait at once, and what each of them requires. A round
+tries a bounded number of steps of a job, and looks at the workers once for all steps
+that require the same.
+"""
+
+from collections.abc import Iterable
+
+from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
+from corianderpitch.domain.scheduling.workers import WorkerView
+
+MAX_STEPS_PER_ROUND = 100  # of a job
+
+
+class RoundFits:
+    """Requirements that no worker of a service meets in this round.
+
+    During a round the workers only get fuller, so that what did not fit once does not
+    fit later.
+    """
+
+    def __init__(self):
+        self._unfit: set[tuple[Shape, str]] = set()
+
+    def may_fit(self, step: ActiveStep, workers: Iterable[WorkerView]) -> bool:
+        """Return whether some worker has room, and the label, for a task of a step."""
+        reservation, label = step.step.reservation, step.step.label
+        key = (reservation, label)
+        if key in self._unfit:
+            return False
+        for worker in workers:
+            has_label = not label or label in worker.info.labels
+            if has_label and reservation.fits_in(worker.free):
+                return True
+        self._unfit.add(key)
+        return False
+
+
+def steps_to_try(job: ActiveJob, wall_ms: float) -> list[ActiveStep]:
+    """Return the ready steps for a round, others in each round if there are many."""
+    ready = list(job.ready_steps(wall_ms))
+    if len(ready) <= MAX_STEPS_PER_ROUND:
+        return ready
+    first = job.next_ready_step % len(ready)
+    job.next_ready_step = first + MAX_STEPS_PER_ROUND
+    return (ready[first:] + ready[:first])[:MAX_STEPS_PER_ROUND]
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -56,11 +56,11 @@
             for step in job.ready_steps(wall_ms)
         ]
         for step, permitted in ready:
-            tasks = step.suspects & step.pending
+            tasks = step.waiting_suspects
             _start_in_group(scheduler, job, step, tasks, workers, permitted, now_ms)
         if not _must_wait_for_suspects(scheduler, job, ready, now_ms):
             for step, permitted in ready:
-                tasks = step.pending - step.suspects
+                tasks = step.waiting_others
                 _start_in_group(scheduler, job, step, tasks, workers, permitted, now_ms)
         _note_waiting(scheduler, job, now_ms)
     isolated = _isolated_workers(scheduler)
@@ -84,7 +84,7 @@
 
 def _note_waiting(scheduler: Scheduler, job: ActiveJob, now_ms: float) -> None:
     """Note since when suspects of a job have waited without a group."""
-    is_waiting = any(step.suspects & step.pending for step in job.steps())
+    is_waiting = any(step.waiting_suspects for step in job.steps())
     if job.job_id in scheduler.crashes.groups or not is_waiting:
         job.awaits_group_since_ms = None
     elif job.awaits_group_since_ms is None:
@@ -108,7 +108,7 @@
     return any(
         _can_be_emptied_for(scheduler, step, worker)
         for step, permitted in ready
-        if step.suspects & step.pending
+        if step.waiting_suspects
         for worker in permitted
     )
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -8,6 +8,7 @@
 from corianderpitch.domain.scheduling.workloads import Step
 from corianderpitch.ids import WorkerId
 
+MAX_RUNS_OF_WORKER = 500  # tasks may reserve next to nothing
 LASTING_SPREAD = 2  # minimum number of workers for a lasting step
 RACK_CHECK_MS = 500.0  # until all workers of a rack have answered or are silent
 
@@ -93,7 +94,9 @@
     fitting = [
         worker
         for worker in workers
-        if fits_in(worker.free) and (not label or label in worker.info.labels)
+        if fits_in(worker.free)
+        and (not label or label in worker.info.labels)
+        and len(worker.runs) < MAX_RUNS_OF_WORKER
     ]
     fitting.sort(key=lambda worker: _rank(step, worker))
     return fitting
@@ -109,6 +112,8 @@
     """Return whether a task of a step fits on a worker that has the step's label."""
     if not step.step.reservation.fits_in(worker.free):
         return False
+    if len(worker.runs) >= MAX_RUNS_OF_WORKER:
+        return False
     runs = step.runs.get(index)
     if runs and any(run.worker == worker.info.worker for run in runs):
         return False
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 
 from corianderpitch.domain.scheduling.advice import permitted_workers
+from corianderpitch.domain.scheduling.fitting import RoundFits, steps_to_try
 from corianderpitch.domain.scheduling.isolation import must_be_isolated, plan_isolated
 from corianderpitch.domain.scheduling.ordering import order_key
 from corianderpitch.domain.scheduling.placing import is_schedulable, workers_in_doubt
@@ -41,10 +42,13 @@
         if job.has_waiting_tasks and scheduler.is_safe_to_start(job, now_ms):
             waiting[queue.service].append((queue, job))
     for service, jobs in waiting.items():
+        fits = RoundFits()
         jobs.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
         for queue, job in jobs:
-            for step in list(job.ready_steps(wall_ms)):
-                if not may_restart and step.ever_started & step.pending:
+            for step in steps_to_try(job, wall_ms):
+                if not fits.may_fit(step, schedulable[service]):
+                    continue
+                if not may_restart and any(i in step.pending for i in step.open):
                     continue
                 workers = permitted_workers(
                     step, queue.advice, schedulable[service], now_ms
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -1,10 +1,11 @@
 """Progress of active jobs, and the records from which a successor resumes them."""
 
-from collections.abc import Iterable, Set
-from dataclasses import dataclass, field
+from collections.abc import Collection, Iterable, Set
+from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from corianderpitch.domain.jobs import JobState
+from corianderpitch.domain.scheduling.indexes import IndexSet
 from corianderpitch.domain.scheduling.workers import EndRef, Run
 from corianderpitch.domain.scheduling.workloads import (
     Step,
@@ -14,7 +15,12 @@
 )
 from corianderpitch.ids import JobId, WorkerId
 
-MAX_ACTIVE_OCCURRENCES = 100  # of a job; a caller may ask for any number at once
+# Callers choose how many occurrences are due at once, how many steps each has, and how
+# many tasks a step has. These bounds keep what a holder remembers of one job small;
+# what is beyond them begins when something before it has ended.
+MAX_ACTIVE_OCCURRENCES = 100
+MAX_ACTIVE_STEPS = 2000  # the steps of the first occurrence always begin
+MAX_OPEN_TASKS = 1500  # started, but not done; their progress fits into a row
 
 
 class Placement(NamedTuple):
@@ -38,13 +44,19 @@
     ``unconfirmed`` those of them for which this is only possible.
     """
 
-    done: tuple[int, ...] = ()
+    done: Collection[int] = ()
     failed: dict[int, tuple[int, ...]] = field(default_factory=dict)
     checkpoints: dict[int, str] = field(default_factory=dict)
     placed: dict[int, tuple[Placement, ...]] = field(default_factory=dict)
     crashed: dict[int, tuple[int, ...]] = field(default_factory=dict)
     unconfirmed: dict[int, tuple[int, ...]] = field(default_factory=dict)
 
+    @property
+    def size(self) -> int:
+        """Return how many runs, failures and checkpoints it holds."""
+        entries = (*self.placed.values(), *self.failed.values())
+        return sum(map(len, entries)) + len(self.checkpoints)
+
 
 @dataclass(frozen=True, slots=True)
 class ProgressRecord:
@@ -61,6 +73,16 @@
     steps: dict[tuple[int, int], StepRecord] = field(default_factory=dict)
     recorded_ms: float = 0.0
 
+    @property
+    def size(self) -> int:
+        """Return how many steps, runs, failures and checkpoints it holds."""
+        return len(self.steps) + sum(step.size for step in self.steps.values())
+
+    def without_checkpoints(self) -> "ProgressRecord":
+        """Return the same progress, from which tasks start without checkpoints."""
+        steps = {key: replace(s, checkpoints={}) for key, s in self.steps.items()}
+        return replace(self, steps=steps)
+
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
@@ -75,7 +97,7 @@
 class ActiveStep:
     """A step of one occurrence, with its waiting, running and done tasks.
 
-    ``ever_started`` holds the tasks that have been started at least once.
+    ``open`` holds the tasks that have been started at least once and are not done.
     ``tickets`` were issued by the advice service, and ``denied`` holds the workers
     that it does not allow, each with its incarnation. ``crashed`` holds the numbers
     of each task's runs soon after whose start the worker has crashed, since a run
@@ -87,12 +109,12 @@
     step: Step
     number: int
     occurrence: int
-    pending: set[int]
-    done: set[int] = field(default_factory=set)
+    pending: IndexSet
+    done: IndexSet = field(default_factory=IndexSet)
     failed: dict[int, set[int]] = field(default_factory=dict)
     checkpoints: dict[int, str] = field(default_factory=dict)
     runs: dict[int, list[Run]] = field(default_factory=dict)
-    ever_started: set[int] = field(default_factory=set)
+    open: set[int] = field(default_factory=set)
     tickets: dict[WorkerId, Ticket] = field(default_factory=dict)
     denied: set[tuple[WorkerId, str]] = field(default_factory=set)
     crashed: dict[int, set[int]] = field(default_factory=dict)
@@ -118,6 +140,19 @@
         """Return the tasks that may crash the workers that start them."""
         return self.crashed.keys()
 
+    @property
+    def waiting_suspects(self) -> set[int]:
+        """Return the suspects that wait to be started."""
+        return {index for index in self.suspects if index in self.pending}
+
+    @property
+    def waiting_others(self) -> IndexSet:
+        """Return the waiting tasks that are no suspects."""
+        others = IndexSet(self.pending)
+        for index in self.suspects:
+            others.discard(index)
+        return others
+
     def crash_count(self, index: int) -> int:
         """Return how many workers may have crashed soon after they began a task."""
         return len(self.crashed.get(index, ()))
@@ -147,7 +182,10 @@
         """Mark a task as done."""
         self.done.add(index)
         self.pending.discard(index)
+        self.open.discard(index)
         self.clear_crashes(index)
+        self.late_crashed.pop(index, None)
+        self.failed.pop(index, None)
         self.checkpoints.pop(index, None)
 
     def record(self) -> StepRecord:
@@ -157,7 +195,7 @@
             for i, runs in self.runs.items()
         }
         return StepRecord(
-            tuple(sorted(self.done)),
+            self.done.copy(),
             {i: tuple(sorted(numbers)) for i, numbers in self.failed.items()},
             dict(self.checkpoints),
             placed,
@@ -167,20 +205,22 @@
 
     def restore(self, record: StepRecord) -> None:
         """Restore the progress that a predecessor has committed."""
-        for index in record.done:
-            self.mark_done(index)
+        self.done = IndexSet(record.done)
+        for start, end in self.done.spans:
+            self.pending.discard_range(start, end)
         self.failed = {i: set(numbers) for i, numbers in record.failed.items()}
         self.checkpoints = dict(record.checkpoints)
         self.crashed = {i: set(numbers) for i, numbers in record.crashed.items()}
         self.unconfirmed = {
             i: set(numbers) for i, numbers in record.unconfirmed.items()
         }
-        self.ever_started = {
+        touched = {
             *record.failed,
             *record.checkpoints,
             *record.placed,
             *record.crashed,
         }
+        self.open = touched.difference(self.done)
 
 
 class ActiveJob:
@@ -194,7 +234,9 @@
     ``may_have_unknown_runs`` is true for a job that a predecessor may have started.
     ``record_age_ms`` is the age of the progress record from which it was restored.
     ``awaits_group_since_ms`` is the time since when suspects of the job have waited
-    for an isolation group, ``None`` if none waits for one.
+    for an isolation group, ``None`` if none waits for one. ``next_ready_step`` is the
+    place among the ready steps at which the next planning round begins, if these are
+    too many for one round.
     """
 
     def __init__(self, workload: Workload, accepted_ms: float, version: int):
@@ -211,6 +253,7 @@
         self.may_have_unknown_runs = False
         self.record_age_ms = 0.0
         self.awaits_group_since_ms: float | None = None
+        self.next_ready_step = 0
         self.uncommitted_ends: list[EndRef] = []
         self.failed_on: dict[tuple[int, int], frozenset[WorkerId]] = {}
         self._recorded_placements: list[tuple[TaskRef, Placement]] = []
@@ -237,7 +280,7 @@
         """Return the steps of an occurrence, which the first call creates."""
         if occurrence not in self.occurrences:
             self.occurrences[occurrence] = [
-                ActiveStep(step, number, occurrence, set(range(step.count)))
+                ActiveStep(step, number, occurrence, IndexSet.from_range(step.count))
                 for number, step in enumerate(self.workload.steps)
             ]
             self.update_remaining_work()
@@ -285,8 +328,19 @@
                 if step.pending and all(steps[n].is_done for n in step.step.after):
                     yield step
 
+    @property
+    def max_active_occurrences(self) -> int:
+        """Return how many occurrences may be active at once."""
+        fitting = MAX_ACTIVE_STEPS // max(1, len(self.workload.steps))
+        return max(1, min(MAX_ACTIVE_OCCURRENCES, fitting))
+
+    @property
+    def startable_tasks(self) -> int:
+        """Return how many tasks may still be started that never were."""
+        return max(0, MAX_OPEN_TASKS - sum(len(step.open) for step in self.steps()))
+
     def begin_due_occurrences(self, wall_ms: float) -> None:
-        """Begin the occurrences that are due, up to ``MAX_ACTIVE_OCCURRENCES``."""
+        """Begin the occurrences that are due, up to ``max_active_occurrences``."""
         schedule = self.workload.schedule
         if schedule.repeats == 0:
             return
@@ -294,7 +348,7 @@
         while (
             upcoming < schedule.occurrences
             and wall_ms >= schedule.due_ms(upcoming)
-            and len(self.occurrences) < MAX_ACTIVE_OCCURRENCES
+            and len(self.occurrences) < self.max_active_occurrences
         ):
             self.begin_occurrence(upcoming)
             upcoming += 1
@@ -308,6 +362,13 @@
             self.finished += 1
         return self.finished == self.workload.schedule.occurrences
 
+    def count_done_task(self, step: ActiveStep, count: int) -> None:
+        """Subtract tasks that were just done from the remaining work."""
+        if step.is_done:
+            self.update_remaining_work()
+        else:
+            self.remaining_core_ms -= count * step.step.work_core_ms
+
     def update_remaining_work(self) -> None:
         """Update the remaining work, in total and along the critical path."""
         work = 0.0
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -429,7 +429,7 @@
         worker.add_run(run)
         step.runs.setdefault(index, []).append(run)
         step.pending.discard(index)
-        step.ever_started.add(index)
+        step.open.add(index)
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
         self._mark_changed(job)
@@ -673,12 +673,14 @@
         self, job: ActiveJob, step: ActiveStep, index: int, now_ms: float
     ) -> None:
         """Mark a task as done; all tasks of a gang are done together."""
-        for done_index in range(step.step.count) if step.step.is_gang else (index,):
+        done = range(step.step.count) if step.step.is_gang else (index,)
+        for done_index in done:
             step.mark_done(done_index)
+            job.failed_on.pop((step.number, done_index), None)
             self.crashes.clear(job, step, done_index)
             for copy in step.runs.get(done_index, ()):
                 self.stop(copy, now_ms)
-        job.update_remaining_work()
+        job.count_done_task(step, len(done))
         if step.is_done and job.drop_finished_occurrences():
             self._end_job(job, JobState.DONE)
 
@@ -781,7 +783,7 @@
         worker.add_run(run)
         step.runs.setdefault(reported.task.index, []).append(run)
         step.pending.discard(reported.task.index)
-        step.ever_started.add(reported.task.index)
+        step.open.add(reported.task.index)
         job.state = JobState.RUNNING
         self._mark_changed(job)
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/starting.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/starting.py
@@ -1,16 +1,23 @@
 """Starts of the waiting tasks of one step."""
 
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Sequence, Set
+from heapq import merge
+from itertools import islice
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.placing import (
+    MAX_RUNS_OF_WORKER,
     can_run,
     choose_worker,
     per_worker_limit,
     rank_workers,
 )
-from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
+from corianderpitch.domain.scheduling.progress import (
+    MAX_OPEN_TASKS,
+    ActiveJob,
+    ActiveStep,
+)
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.workers import WorkerView
 from corianderpitch.ids import WorkerId
@@ -22,17 +29,18 @@
     scheduler: Scheduler,
     job: ActiveJob,
     step: ActiveStep,
-    indexes: Iterable[int],
+    indexes: Set[int],
     workers: list[WorkerView],
     now_ms: float,
 ) -> None:
     """Start waiting tasks of a step while there is free capacity.
 
-    Tasks that have not failed anywhere share one ranking of the workers. Workers
-    are dropped from its front as they fill up.
+    ``indexes`` are in ascending order. Tasks that have not failed anywhere share one
+    ranking of the workers. Workers are dropped from its front as they fill up. Where a
+    job has many open tasks, only these are started again.
     """
     ranked = deque(rank_workers(step, workers))
-    for index in sorted(indexes):
+    for index in _startable(job, step, indexes) if ranked else ():
         if failed_workers := _failed_workers(job, step, index):
             worker = choose_worker(step, index, workers, failed_workers)
         else:
@@ -42,6 +50,13 @@
         scheduler.start(job, step, index, worker, now_ms)
 
 
+def _startable(job: ActiveJob, step: ActiveStep, indexes: Set[int]) -> Iterable[int]:
+    """Return those of some waiting tasks that may be started, in ascending order."""
+    reopened = sorted(index for index in step.open if index in indexes)
+    fresh = (index for index in indexes if index not in step.open)
+    return merge(reopened, islice(fresh, job.startable_tasks))
+
+
 def _first_able_worker(
     step: ActiveStep, index: int, ranked: deque[WorkerView]
 ) -> WorkerView | None:
@@ -69,7 +84,7 @@
     If the step asks for a single rack, each rack is tried alone before all workers
     are tried together.
     """
-    if step.runs:
+    if step.runs or step.step.count > MAX_OPEN_TASKS:
         return
     for group in gang_groups(step, workers):
         if gang_fits(step, group):
@@ -95,12 +110,15 @@
 def gang_fits(step: ActiveStep, workers: Iterable[WorkerView]) -> bool:
     """Return whether all tasks of a gang fit on the workers together."""
     limit = per_worker_limit(step.step) or step.step.count
-    fitting_tasks = sum(
-        _tasks_that_fit(step.step.reservation, worker.free, limit)
-        for worker in workers
-        if not step.step.label or step.step.label in worker.info.labels
-    )
-    return fitting_tasks >= step.step.count
+    missing = step.step.count
+    for worker in workers:
+        if step.step.label and step.step.label not in worker.info.labels:
+            continue
+        most = min(limit, missing, MAX_RUNS_OF_WORKER - len(worker.runs))
+        missing -= _tasks_that_fit(step.step.reservation, worker.free, most)
+        if missing <= 0:
+            return True
+    return False
 
 
 def _tasks_that_fit(reservation: Shape, free: Shape, limit: int) -> int:
--- a/packages/corianderpitch/corianderpitch/errors.py
+++ b/packages/corianderpitch/corianderpitch/errors.py
@@ -73,6 +73,13 @@
     keys: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class QueueFull:
+    """A queue takes no more jobs until some of its open ones have ended."""
+
+    queue: str
+
+
 @dataclass(frozen=True, slots=True)
 class RateLimited:
     """The platform refused the request because of a rate limit; it had no effect."""
--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -301,9 +301,11 @@
     """A store of rows in tables and partitions that reports changes.
 
     All rows share one version counter, so a later write of any row has the
-    higher version.
+    higher version. A row's value has at most ``max_value_bytes``.
     """
 
+    max_value_bytes: int = 65_536
+
     @abc.abstractmethod
     def read(
         self, table: str, part: str, first: str = "", end: str = ""
