Let the members of a gang agree on checkpoint, number and presence

Cause: checkpoints were kept by member, and each start took the member's own. Ruled out: different run numbers (one for each start) and refused starts (all were answered with 200). The class: a member whose start was refused or whose predecessor was gone left others waiting in vain, and a successor kept runs of two starts.

A gang now has one checkpoint, also in the record of progress; a gang that lacks a member is stopped and started again as a whole (gangs.py).

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -18,6 +18,7 @@
     IsolationGroup,
     has_passed_probation,
 )
+from corianderpitch.domain.scheduling.gangs import gang_fits, gang_groups, start_gang
 from corianderpitch.domain.scheduling.ordering import order_key
 from corianderpitch.domain.scheduling.placing import (
     count_runs_on,
@@ -25,12 +26,7 @@
 )
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.scheduler import Scheduler
-from corianderpitch.domain.scheduling.starting import (
-    gang_fits,
-    gang_groups,
-    start_gang,
-    start_tasks,
-)
+from corianderpitch.domain.scheduling.starting import start_tasks
 from corianderpitch.domain.scheduling.workers import Run, WorkerView
 from corianderpitch.domain.scheduling.workloads import Queue
 from corianderpitch.ids import JobId, ServiceName, WorkerId
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -5,12 +5,13 @@
 
 from corianderpitch.domain.scheduling.advice import permitted_workers
 from corianderpitch.domain.scheduling.fitting import RoundFits, steps_to_try
+from corianderpitch.domain.scheduling.gangs import start_gang, stop_incomplete_gang
 from corianderpitch.domain.scheduling.isolation import must_be_isolated, plan_isolated
 from corianderpitch.domain.scheduling.ordering import order_key
 from corianderpitch.domain.scheduling.placing import is_schedulable, workers_in_doubt
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler
-from corianderpitch.domain.scheduling.starting import start_gang, start_tasks
+from corianderpitch.domain.scheduling.starting import start_tasks
 from corianderpitch.domain.scheduling.workers import WorkerView
 from corianderpitch.domain.scheduling.workloads import Queue
 from corianderpitch.ids import ServiceName
@@ -46,6 +47,8 @@
         jobs.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
         for queue, job in jobs:
             for step in steps_to_try(job, wall_ms):
+                if step.step.is_gang and may_restart:
+                    stop_incomplete_gang(scheduler, step, now_ms)
                 if not fits.may_fit(step, schedulable[service]):
                     continue
                 if not may_restart and any(i in step.pending for i in step.open):
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -1,6 +1,7 @@
 """Progress of active jobs, and the records from which a successor resumes them."""
 
-from collections.abc import Collection, Iterable, Set
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping, Set
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
@@ -178,6 +179,20 @@
         ticket = self.tickets.get(worker)
         return ticket.text if ticket is not None else ""
 
+    def checkpoint_of(self, index: int) -> str:
+        """Return the checkpoint to start a task from, empty if there is none.
+
+        All members of a gang start from one; that of any member is valid for all.
+        """
+        return self.checkpoints.get(self._checkpoint_key(index), "")
+
+    def save_checkpoint(self, index: int, checkpoint: str) -> None:
+        """Save the newest checkpoint of a task, or of its whole gang."""
+        self.checkpoints[self._checkpoint_key(index)] = checkpoint
+
+    def _checkpoint_key(self, index: int) -> int:
+        return 0 if self.step.is_gang else index
+
     def mark_done(self, index: int) -> None:
         """Mark a task as done."""
         self.done.add(index)
@@ -197,19 +212,36 @@
         return StepRecord(
             self.done.copy(),
             {i: tuple(sorted(numbers)) for i, numbers in self.failed.items()},
-            dict(self.checkpoints),
+            self._recorded_checkpoints(),
             placed,
             {i: tuple(sorted(numbers)) for i, numbers in self.crashed.items()},
             {i: tuple(sorted(numbers)) for i, numbers in self.unconfirmed.items()},
         )
 
+    def _recorded_checkpoints(self) -> dict[int, str]:
+        """Return the checkpoint of each task, as entries of all versions read them."""
+        if self.step.is_gang and self.checkpoints:
+            return dict.fromkeys(range(self.step.count), self.checkpoint_of(0))
+        return dict(self.checkpoints)
+
+    def _restore_checkpoints(self, recorded: Mapping[int, str]) -> None:
+        """Restore checkpoints; an earlier version may have recorded several of a gang.
+
+        The one that most members have is the newest that all have reached.
+        """
+        if not self.step.is_gang:
+            self.checkpoints = dict(recorded)
+        elif recorded:
+            ((checkpoint, _),) = Counter(recorded.values()).most_common(1)
+            self.checkpoints = {self._checkpoint_key(0): checkpoint}
+
     def restore(self, record: StepRecord) -> None:
         """Restore the progress that a predecessor has committed."""
         self.done = IndexSet(record.done)
         for start, end in self.done.spans:
             self.pending.discard_range(start, end)
         self.failed = {i: set(numbers) for i, numbers in record.failed.items()}
-        self.checkpoints = dict(record.checkpoints)
+        self._restore_checkpoints(record.checkpoints)
         self.crashed = {i: set(numbers) for i, numbers in record.crashed.items()}
         self.unconfirmed = {
             i: set(numbers) for i, numbers in record.unconfirmed.items()
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -439,7 +439,7 @@
                 task,
                 run.number,
                 job.workload.text,
-                step.checkpoints.get(index, ""),
+                step.checkpoint_of(index),
                 fence,
                 step.ticket_for(worker.info.worker),
             )
@@ -655,7 +655,7 @@
                     self._end_job(job, JobState.FAILED)
                     return
         if end.checkpoint:
-            step.checkpoints[index] = end.checkpoint
+            step.save_checkpoint(index, end.checkpoint)
         if not step.runs.get(index):
             step.pending.add(index)
 
@@ -743,7 +743,7 @@
             run.is_proven = True
             self.crashes.clear(job, step, run.task.index)
         if reported.checkpoint:
-            step.checkpoints[reported.task.index] = reported.checkpoint
+            step.save_checkpoint(reported.task.index, reported.checkpoint)
         if run.state is RunState.STOPPING:
             self.stop(run, now_ms)
 
@@ -753,7 +753,15 @@
         return not self.has_read_all_jobs and not is_known
 
     def _may_adopt(self, step: ActiveStep, reported: ReportedRun) -> bool:
+        """Return whether a run that a predecessor has started is to be kept.
+
+        The members of a gang have one number: others would wait for each other.
+        """
         index = reported.task.index
+        if step.step.is_gang and step.runs:
+            numbers = {run.number for runs in step.runs.values() for run in runs}
+            if numbers != {reported.number}:
+                return False
         is_free = index not in step.done and not step.runs.get(index)
         return is_free or (step.step.is_speculative and index not in step.done)
 
