Count a job as begun only once a worker has confirmed that

Cause: a row of progress, which is written as soon as a start is planned, counted as a begin, and planning set the state running. Ruled out: an old count (each request reads the store) and unread partitions.

The state now becomes running on a worker's answer, report or end, and waiting counts the open jobs that are queued, with or without a row of progress.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -23,6 +23,7 @@
     progress_key,
     queue_partitions,
     unpack_progress,
+    unpack_state,
 )
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.workloads import Workload
@@ -288,16 +289,30 @@
 
 
 def _count_waiting(rows: tuple[Row, ...]) -> int:
-    names = {row.key.name for row in rows}
+    """Count the open jobs of which nothing has begun.
+
+    A progress row alone shows only that starts were planned.
+    """
+    values = {row.key.name: row.value for row in rows}
     return sum(
         1
-        for name in names
+        for name in values
         if "." not in name
-        and name + PROGRESS_SUFFIX not in names
-        and name + CANCEL_SUFFIX not in names
+        and name + CANCEL_SUFFIX not in values
+        and not _has_begun(values.get(name + PROGRESS_SUFFIX))
     )
 
 
+def _has_begun(progress: bytes | None) -> bool:
+    """Tell whether a job's progress shows a begin; one that cannot be read does."""
+    if progress is None:
+        return False
+    try:
+        return unpack_state(progress) is not JobState.QUEUED
+    except MalformedData:
+        return True
+
+
 def _is_cancelled_or_ended(rows: dict[str, Row]) -> bool:
     """Tell whether a job has no row left, is cancelled already or has ended."""
     return "" not in rows or CANCEL_SUFFIX in rows or _has_ended(rows)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -47,10 +47,18 @@
 
 COMPRESS_MIN_BYTES = 16_384
 MAX_UNPACKED_BYTES = 16_000_000
+STATE_BYTES = 64  # more than a record needs until after its state
 _COMPRESSED = b"\xc1"  # no value of msgpack begins with it
 
 # The errors by which decoding or unpacking a value of another kind can fail.
-_DECODING_ERRORS = (ValueError, TypeError, AttributeError, LookupError, zlib.error)
+_DECODING_ERRORS = (
+    ValueError,
+    TypeError,
+    AttributeError,
+    LookupError,
+    zlib.error,
+    msgpack.UnpackException,
+)
 
 Decoded = TypeVar("Decoded")
 Arguments = ParamSpec("Arguments")
@@ -342,6 +350,19 @@
     return ProgressRecord(JobState(state), finished, steps, recorded_ms)
 
 
+@_decodes("the progress of a job")
+def unpack_state(value: bytes) -> JobState:
+    """Decode only the state from a job's progress."""
+    if value.startswith(_COMPRESSED):
+        head = zlib.decompressobj().decompress(value[len(_COMPRESSED) :], STATE_BYTES)
+    else:
+        head = value[:STATE_BYTES]
+    unpacker = msgpack.Unpacker()
+    unpacker.feed(head)
+    unpacker.read_array_header()
+    return JobState(unpacker.unpack())
+
+
 def _unpack_step_record(
     done: list[Any],
     failed: dict[int, list[int]],
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -430,8 +430,6 @@
         step.runs.setdefault(index, []).append(run)
         step.pending.discard(index)
         step.open.add(index)
-        if job.state is JobState.QUEUED:
-            job.state = JobState.RUNNING
         self._mark_changed(job)
         self._orders.append(
             StartRun(
@@ -526,6 +524,13 @@
     def _mark_changed(self, job: ActiveJob) -> None:
         job.is_dirty = True
 
+    def _mark_begun(self, job_id: JobId) -> None:
+        """Record that a task of a job has begun: an order to start it is no proof."""
+        job = self.jobs.get(job_id)
+        if job is not None and job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+            self._mark_changed(job)
+
     def _note_restart(self, worker: WorkerView, now_ms: float) -> None:
         """Note that the list or an answer shows another process of a worker.
 
@@ -638,6 +643,7 @@
             self._remove_run(step, run)
         if index in step.done:
             return
+        self._mark_begun(job.job_id)
         self._mark_changed(job)
         if end.kind is not EndKind.DONE:
             self._add_notice(worker, end.task, end.number, end.kind.value)
@@ -739,6 +745,7 @@
             run.state = RunState.RUNNING
             run.state_since_ms = now_ms  # reports requested earlier may miss it
             run.begun_ms = now_ms
+        self._mark_begun(job.job_id)
         if not run.is_proven and has_passed_probation(step, run, requested_ms):
             run.is_proven = True
             self.crashes.clear(job, step, run.task.index)
@@ -792,7 +799,7 @@
         step.runs.setdefault(reported.task.index, []).append(run)
         step.pending.discard(reported.task.index)
         step.open.add(reported.task.index)
-        job.state = JobState.RUNNING
+        self._mark_begun(job.job_id)
         self._mark_changed(job)
 
     def _stop_unneeded_run(
@@ -906,6 +913,7 @@
                 if run.state is RunState.STARTING:
                     run.state = RunState.RUNNING
                     run.begun_ms = now_ms
+                    self._mark_begun(order.task.job_id)
                 run.state_since_ms = now_ms
                 self._attribute(worker, run, clock_ms, now_ms)
                 return
