Begin all due occurrences of a timed job under the next holder

Callers saw a timed job stay running for ever: an occurrence that had lost its only run when the role changed hands was never begun again (review/2, LOST).

Cause: the successor went on behind the highest occurrence that the record or a report named. Ruled out: that it took the lost run for one at work.

Occurrences that are due begin from the first one that is not finished, and those before a known one also beyond the bound of active ones.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -315,6 +315,7 @@
                 ActiveStep(step, number, occurrence, IndexSet.from_range(step.count))
                 for number, step in enumerate(self.workload.steps)
             ]
+            self.occurrences = dict(sorted(self.occurrences.items()))
             self.update_remaining_work()
         return self.occurrences[occurrence]
 
@@ -372,18 +373,24 @@
         return max(0, MAX_OPEN_TASKS - sum(len(step.open) for step in self.steps()))
 
     def begin_due_occurrences(self, wall_ms: float) -> None:
-        """Begin the occurrences that are due, up to ``max_active_occurrences``."""
+        """Begin the occurrences that are due, up to ``max_active_occurrences``.
+
+        A successor knows an occurrence from its progress or its runs. Earlier ones that
+        have neither begin in any case, as the job cannot end without them.
+        """
         schedule = self.workload.schedule
         if schedule.repeats == 0:
             return
-        upcoming = max(self.occurrences, default=self.finished - 1) + 1
-        while (
-            upcoming < schedule.occurrences
-            and wall_ms >= schedule.due_ms(upcoming)
-            and len(self.occurrences) < self.max_active_occurrences
-        ):
-            self.begin_occurrence(upcoming)
-            upcoming += 1
+        highest = max(self.occurrences, default=self.finished - 1)
+        for occurrence in range(self.finished, schedule.occurrences):
+            if occurrence in self.occurrences:
+                continue
+            is_later = occurrence > highest
+            if is_later and len(self.occurrences) >= self.max_active_occurrences:
+                return
+            if wall_ms < schedule.due_ms(occurrence):
+                return
+            self.begin_occurrence(occurrence)
 
     def drop_finished_occurrences(self) -> bool:
         """Drop leading occurrences that are done; return whether the job is done."""
