--- a/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
@@ -19,7 +19,7 @@
 from corianderpitch.domain.scheduling.orders import StartRun, StopRun
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ActiveJob
-from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.sizing import (
     DEMAND_WINDOW_MS,
     DemandWindow,
@@ -27,6 +27,7 @@
     pool_loads,
     pool_needs,
 )
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
     ReportedEnd,
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -28,8 +28,9 @@
     unpack_workers,
 )
 from corianderpitch.domain.jobs import JobState
+from corianderpitch.domain.scheduling.changes import JobChange
 from corianderpitch.domain.scheduling.progress import ProgressRecord
-from corianderpitch.domain.scheduling.scheduler import JobChange, Scheduler
+from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.errors import (
     CommitError,
     PlatformError,
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -25,7 +25,8 @@
 from corianderpitch.domain.scheduling.orders import RunNotice
 from corianderpitch.domain.scheduling.pacing import pace_fillers
 from corianderpitch.domain.scheduling.planning import plan
-from corianderpitch.domain.scheduling.scheduler import Notice, Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Notice, Scheduler
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import Queue
 from corianderpitch.errors import HistoryLost
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -18,7 +18,12 @@
     IsolationGroup,
     has_passed_probation,
 )
-from corianderpitch.domain.scheduling.gangs import gang_fits, gang_groups, start_gang
+from corianderpitch.domain.scheduling.gangs import (
+    gang_fits,
+    gang_groups,
+    start_gang,
+    stop_incomplete_gang,
+)
 from corianderpitch.domain.scheduling.ordering import order_key
 from corianderpitch.domain.scheduling.placing import (
     count_runs_on,
@@ -176,6 +181,7 @@
         return
     chosen = [w for w in permitted if w.info.worker in group.workers]
     if step.step.is_gang:
+        stop_incomplete_gang(scheduler, step, now_ms)
         start_gang(scheduler, job, step, chosen, now_ms)
     else:
         start_tasks(scheduler, job, step, tasks, chosen, now_ms)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/restarts.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/restarts.py
@@ -38,6 +38,37 @@
     ]
 
 
+def attribute(worker: WorkerView, run: Run, clock_ms: float | None) -> bool:
+    """Attribute a confirmed run to the process whose clock its answer shows.
+
+    Returns whether that is another process than the one that has reported last. An
+    answer that shows no clock leaves the run unattributed.
+    """
+    if run.is_attributed or clock_ms is None:
+        return False
+    is_other = run.incarnation != worker.incarnation or worker.shows_other_process(
+        clock_ms, run.ordered_ms
+    )
+    run.is_attributed = not is_other
+    return is_other
+
+
+def is_certainly_missing(
+    worker: WorkerView, run: Run, requested_ms: float, first_fence: int
+) -> bool:
+    """Return whether a run that a report of its worker lacks is lost for sure.
+
+    A report that was requested before the start was answered proves nothing. A start
+    without an answer may still be carried out later, so it is lost only if the report
+    was requested under a higher fence: the worker now refuses it. ``first_fence`` is
+    the lowest fence number of the term.
+    """
+    if run.state is RunState.STARTING or requested_ms < run.state_since_ms:
+        return False
+    is_refused = worker.fence_increment > run.fence - first_fence
+    return run.state is not RunState.UNSETTLED or is_refused
+
+
 def unsent_starts(worker: WorkerView) -> Iterable[Run]:
     """Return the runs whose start orders were not sent yet."""
     return [
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -6,9 +6,10 @@
 """
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from corianderpitch.domain.jobs import JobState
+from corianderpitch.domain.scheduling.changes import ChangeLog, JobChange
 from corianderpitch.domain.scheduling.crashes import (
     CrashNotice,
     has_passed_probation,
@@ -28,17 +29,18 @@
 from corianderpitch.domain.scheduling.progress import (
     ActiveJob,
     ActiveStep,
-    ProgressRecord,
 )
 from corianderpitch.domain.scheduling.restarts import (
+    attribute,
     has_start_since,
+    is_certainly_missing,
     is_restart_overdue,
     runs_of_ended_process,
     unsent_starts,
 )
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
-    EndRef,
     ReportedEnd,
     ReportedRun,
     Run,
@@ -50,53 +52,9 @@
 from corianderpitch.domain.scheduling.workloads import Queue, TaskRef
 from corianderpitch.ids import JobId, QueueName, WorkerId
 
-FENCES_PER_TERM = 1_000_000  # fence numbers available within one term
-RUNS_PER_TERM = 1_000_000  # the run numbers of a later term are always higher
 STOP_RETRY_MS = 500.0
 BACKOFF_AFTER_REFUSAL_MS = 100.0
 BACKOFF_AFTER_ERROR_MS = 1000.0
-BACKOFF_AFTER_FAILURES_MS = 4000.0
-FAILED_JOBS_BEFORE_BACKOFF = 2
-
-
-@dataclass(frozen=True, slots=True)
-class Term:
-    """One term of the scheduler's role, from its acquisition to its loss.
-
-    ``number`` counts the terms. ``version`` is the store's version of the row
-    that began the term, so it is larger than that of any earlier term, of any role.
-    ``leases_end_ms`` is the time at which all leases that earlier holders granted
-    to workers have expired. ``max_lease_ms`` is the longest lease that a worker grants
-    itself, whatever end it was told.
-    """
-
-    number: int
-    version: int
-    leases_end_ms: float
-    max_lease_ms: float = 0.0
-
-    @property
-    def fence(self) -> int:
-        """Return the lowest fence number of the term."""
-        return self.version * FENCES_PER_TERM
-
-
-@dataclass(frozen=True, slots=True)
-class JobChange:
-    """Progress of a job that is to be committed; a final change ends the job.
-
-    ``ends`` names the reported ends that the record includes. Workers keep listing
-    them until the change is committed.
-    """
-
-    job: ActiveJob
-    record: ProgressRecord
-    ends: tuple[EndRef, ...] = ()
-
-    @property
-    def is_final(self) -> bool:
-        """Return whether the job has ended."""
-        return self.record.state.has_ended
 
 
 Notice = RunNotice | CrashNotice
@@ -122,12 +80,11 @@
         self.is_superseded = False
         self.leases_end_ms = term.leases_end_ms
         self.has_read_all_jobs = True  # false while a partition of jobs is unread
-        self._last_run_number = term.number * RUNS_PER_TERM
+        self._last_run_number = term.first_run_number
         self._last_fence_increment = 0
         self._orders: list[Order] = []
         self._notices: list[RunNotice] = []
-        self._final_changes: dict[JobId, tuple[ActiveJob, ProgressRecord]] = {}
-        self._awaiting_final_commit: dict[JobId, ActiveJob] = {}
+        self._changes = ChangeLog(self.jobs, self.workers)
         self._stops_sent_ms: dict[tuple[TaskRef, int], float] = {}
 
     # Inputs from the store.
@@ -283,13 +240,7 @@
 
         Returns ``None`` for a worker whose clock is not known yet.
         """
-        worker = self.workers[worker_id]
-        clock_ms = worker.clock_estimate_ms(now_ms)
-        if clock_ms is None:
-            return None
-        until_ms = int(clock_ms + length_ms)
-        worker.leased_until_ms = max(worker.leased_until_ms, until_ms)
-        return until_ms
+        return self.workers[worker_id].extend_lease(length_ms, now_ms)
 
     def mark_terminated(
         self, worker_ids: Iterable[WorkerId], asked_ms: float | None = None
@@ -478,46 +429,20 @@
 
     def pop_changes(self) -> list[JobChange]:
         """Return the changes to commit, each with the ends that it includes."""
-        changes = [
-            JobChange(job, record, job.pop_uncommitted_ends())
-            for job, record in self._final_changes.values()
-        ]
-        self._final_changes = {}
-        for job in self.jobs.values():
-            if job.is_dirty:
-                job.is_dirty = False
-                changes.append(JobChange(job, job.record(), job.pop_uncommitted_ends()))
-        return changes
+        return self._changes.pop()
 
     def requeue_changes(self, changes: Iterable[JobChange]) -> None:
-        """Queue changes whose commit failed for another commit.
-
-        A job may have ended since. Its ends are then committed with its final record.
-        """
-        for change in changes:
-            job = change.job
-            job.uncommitted_ends = [*change.ends, *job.uncommitted_ends]
-            if change.is_final:
-                self._final_changes.setdefault(job.job_id, (job, change.record))
-            else:
-                job.is_dirty = True
+        """Queue changes whose commit failed for another commit."""
+        self._changes.requeue(changes)
 
     def mark_committed(self, changes: Iterable[JobChange]) -> None:
         """Mark changes as committed, so that workers may drop their ends."""
-        for change in changes:
-            ends = change.ends
-            if change.is_final:
-                del self._awaiting_final_commit[change.job.job_id]
-                ends += change.job.pop_uncommitted_ends()
-            for end in ends:
-                worker = self.workers.get(end.worker)
-                if worker is not None and worker.incarnation == end.incarnation:
-                    worker.uncommitted_ends.discard(end.sequence)
+        self._changes.mark_committed(changes)
 
     @property
     def has_final_changes(self) -> bool:
         """Return whether the final change of a job waits for its commit."""
-        return bool(self._final_changes)
+        return self._changes.has_final
 
     # Transitions.
 
@@ -633,7 +558,7 @@
         run = worker.runs.get(end.task)
         if run is not None and run.number == end.number:
             worker.remove_run(run)
-        self._retain_end(worker, end)
+        self._changes.retain_end(worker, end)
         job = self.jobs.get(end.task.job_id)
         step = job.find_step(end.task) if job is not None else None
         if job is None or step is None:
@@ -656,7 +581,7 @@
                 step.failed.setdefault(index, set()).add(end.number)
                 self.crashes.clear(job, step, index)
                 job.add_failed_worker(step.number, index, worker.info.worker)
-                self._count_worker_failure(worker, job, now_ms)
+                worker.count_failed_job(job.job_id, now_ms)
                 if self._is_exhausted(job, step, index):
                     self._end_job(job, JobState.FAILED)
                     return
@@ -665,16 +590,6 @@
         if not step.runs.get(index):
             step.pending.add(index)
 
-    def _retain_end(self, worker: WorkerView, end: ReportedEnd) -> None:
-        """Make a worker keep an end until its job's progress is committed."""
-        job_id = end.task.job_id
-        job = self.jobs.get(job_id) or self._awaiting_final_commit.get(job_id)
-        if job is not None and worker.incarnation is not None:
-            ref = EndRef(worker.info.worker, worker.incarnation, end.sequence)
-            job.uncommitted_ends.append(ref)
-            job.is_dirty = True
-            worker.uncommitted_ends.add(end.sequence)
-
     def _finish_task(
         self, job: ActiveJob, step: ActiveStep, index: int, now_ms: float
     ) -> None:
@@ -690,15 +605,6 @@
         if step.is_done and job.drop_finished_occurrences():
             self._end_job(job, JobState.DONE)
 
-    def _count_worker_failure(
-        self, worker: WorkerView, job: ActiveJob, now_ms: float
-    ) -> None:
-        """Back off from a worker on which several jobs in a row have failed."""
-        if job.job_id not in worker.consecutive_failed_jobs:
-            worker.consecutive_failed_jobs.append(job.job_id)
-        if len(worker.consecutive_failed_jobs) >= FAILED_JOBS_BEFORE_BACKOFF:
-            worker.backoff_until_ms = now_ms + BACKOFF_AFTER_FAILURES_MS
-
     def _is_exhausted(self, job: ActiveJob, step: ActiveStep, index: int) -> bool:
         """Return whether a task has failed as often as its queue allows.
 
@@ -823,22 +729,8 @@
     def _process_missing_run(
         self, worker: WorkerView, run: Run, requested_ms: float
     ) -> None:
-        """Mark a run that is missing from a report as lost, if that is certain.
-
-        A report that was requested before the start was answered proves nothing.
-        A start without an answer may still be carried out later, so it is lost only
-        if the report was requested under a higher fence: the worker now refuses it.
-        """
-        if run.state is RunState.UNSETTLED:
-            is_lost = requested_ms >= run.state_since_ms and worker.fence_increment > (
-                run.fence - self.term.fence
-            )
-        else:
-            is_lost = (
-                run.state is not RunState.STARTING
-                and requested_ms >= run.state_since_ms
-            )
-        if is_lost:
+        """Mark a run that is missing from a report as lost, if that is certain."""
+        if is_certainly_missing(worker, run, requested_ms, self.term.fence):
             self._mark_run_lost(worker, run, LossCause.NOT_REPORTED)
 
     def _mark_all_lost(self, worker: WorkerView, cause: LossCause) -> None:
@@ -873,9 +765,7 @@
         self.filler_jobs.discard(job.job_id)
         self.crashes.drop_job(job)
         job.state = state
-        record = ProgressRecord(state, job.finished)
-        self._final_changes[job.job_id] = (job, record)
-        self._awaiting_final_commit[job.job_id] = job
+        self._changes.add_end(job)
         for run in list(job.runs()):
             self._order_stop(run.worker, run.task, run.number)
             if run.state is not RunState.UNSETTLED:
@@ -939,13 +829,7 @@
         self, worker: WorkerView, run: Run, clock_ms: float | None, now_ms: float
     ) -> None:
         """Attribute a confirmed run to the process whose clock its answer shows."""
-        if run.is_attributed:
-            return
-        is_other = clock_ms is not None and (
-            run.incarnation != worker.incarnation
-            or worker.shows_other_process(clock_ms, run.ordered_ms)
-        )
-        run.is_attributed = clock_ms is not None and not is_other
+        is_other = attribute(worker, run, clock_ms)
         if not run.is_attributed:
             worker.stray_leases_end_ms = now_ms + self.term.max_lease_ms
         if is_other:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -7,10 +7,12 @@
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.workloads import TaskRef
-from corianderpitch.ids import ServiceName, VmId, WorkerId
+from corianderpitch.ids import JobId, ServiceName, VmId, WorkerId
 
 CLOCK_DRIFT = 0.02  # share by which a worker's clock may run slow
 LEASE_SLACK_MS = 100.0
+BACKOFF_AFTER_FAILURES_MS = 4000.0
+FAILED_JOBS_BEFORE_BACKOFF = 2
 NOTHING = Shape(0.0, 0)
 
 CLOCK_SLACK_MS = 50.0  # far below the age that a process reaches
@@ -269,6 +271,25 @@
         own_ms = self.clock_received_ms + left_ms / (1.0 - CLOCK_DRIFT) + LEASE_SLACK_MS
         return max(own_ms, unknown_ms)
 
+    def extend_lease(self, length_ms: float, now_ms: float) -> int | None:
+        """Extend the lease, and return its end in ms of the worker's clock.
+
+        Returns ``None`` if the clock is not known yet.
+        """
+        clock_ms = self.clock_estimate_ms(now_ms)
+        if clock_ms is None:
+            return None
+        until_ms = int(clock_ms + length_ms)
+        self.leased_until_ms = max(self.leased_until_ms, until_ms)
+        return until_ms
+
+    def count_failed_job(self, job_id: JobId, now_ms: float) -> None:
+        """Back off from a worker on which several jobs in a row have failed."""
+        if job_id not in self.consecutive_failed_jobs:
+            self.consecutive_failed_jobs.append(job_id)
+        if len(self.consecutive_failed_jobs) >= FAILED_JOBS_BEFORE_BACKOFF:
+            self.backoff_until_ms = now_ms + BACKOFF_AFTER_FAILURES_MS
+
     def begin_incarnation(self, incarnation: str | None) -> None:
         """Forget what an earlier process has reported; its counts start anew."""
         self.incarnation = incarnation
--- a/packages/corianderpitch/tests/schedulers.py
+++ b/packages/corianderpitch/tests/schedulers.py
@@ -4,7 +4,8 @@
 from corianderpitch.domain.scheduling.orders import StartRun
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ActiveJob
-from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
     ReportedEnd,
--- a/packages/corianderpitch/tests/test_crash_rules.py
+++ b/packages/corianderpitch/tests/test_crash_rules.py
@@ -15,7 +15,8 @@
 from corianderpitch.domain.jobs import JobState, Shape
 from corianderpitch.domain.scheduling.orders import OrderResult, StartRun
 from corianderpitch.domain.scheduling.planning import plan
-from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
     ReportedEnd,
--- a/packages/corianderpitch/tests/test_crashes.py
+++ b/packages/corianderpitch/tests/test_crashes.py
@@ -26,7 +26,8 @@
     ProgressRecord,
     StepRecord,
 )
-from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import ReportedRun
 from corianderpitch.domain.scheduling.workloads import Step, TaskRef
 from corianderpitch.ids import JobId, WorkerId
--- a/packages/corianderpitch/tests/test_job_sizes.py
+++ b/packages/corianderpitch/tests/test_job_sizes.py
@@ -36,6 +36,7 @@
     full_queues,
     remembered_bytes,
 )
+from corianderpitch.domain.scheduling.changes import JobChange
 from corianderpitch.domain.scheduling.fitting import MAX_STEPS_PER_ROUND
 from corianderpitch.domain.scheduling.indexes import IndexSet
 from corianderpitch.domain.scheduling.placing import MAX_RUNS_OF_WORKER
@@ -48,7 +49,6 @@
     ProgressRecord,
     StepRecord,
 )
-from corianderpitch.domain.scheduling.scheduler import JobChange
 from corianderpitch.domain.scheduling.workloads import Schedule, Step, Workload
 from corianderpitch.ids import EntryId, JobId, QueueName, WorkerId
 
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -39,7 +39,8 @@
     unpack_progress,
 )
 from corianderpitch.domain.jobs import JobState
-from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import ReportedRun
 from corianderpitch.errors import OutcomeLost, PlatformUnavailable
 from corianderpitch.ids import EntryId, JobId, WorkerId
--- a/packages/corianderpitch/tests/test_rack_crashes.py
+++ b/packages/corianderpitch/tests/test_rack_crashes.py
@@ -18,7 +18,8 @@
     StopRun,
 )
 from corianderpitch.domain.scheduling.planning import plan
-from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
     ReportedEnd,
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -45,7 +45,8 @@
     MAX_ACTIVE_OCCURRENCES,
     ActiveJob,
 )
-from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
     ReportedEnd,
--- a/packages/corianderpitch/tests/test_scheduler_rules.py
+++ b/packages/corianderpitch/tests/test_scheduler_rules.py
@@ -13,6 +13,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
 from corianderpitch.domain.jobs import JobState, Shape
+from corianderpitch.domain.scheduling.changes import JobChange
 from corianderpitch.domain.scheduling.orders import (
     OrderResult,
     RequestReport,
@@ -21,7 +22,8 @@
 )
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ActiveJob, ProgressRecord
-from corianderpitch.domain.scheduling.scheduler import JobChange, Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import Queue, Step, TaskRef, Workload
 from corianderpitch.ids import JobId, QueueName, ServiceName, VmId, WorkerId
--- a/packages/corianderpitch/tests/test_vmorders.py
+++ b/packages/corianderpitch/tests/test_vmorders.py
@@ -26,7 +26,8 @@
     WaveProgress,
     plan_wave,
 )
-from corianderpitch.domain.scheduling.scheduler import Scheduler, Term
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.errors import OutcomeLost, PlatformUnavailable
 from corianderpitch.ids import EntryId, ServiceName, VmId, WorkerId
 from corianderpitch.ports import VmOrderResult, VmPools
