Acknowledge ends also while the answer to a start is on its way

A start is unanswered for a few ms; while none was acknowledged, each request for a report returned at once and was repeated. Only an answer that is overdue, or did not come, may be that of another process that has run something since.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -133,7 +133,7 @@
             until_ms = self._scheduler.extend_lease(self._worker_id, length_ms, now_ms)
         fence = self._scheduler.fence_of(self._worker_id)
         result = self._link.report(
-            worker.info, fence, worker.pop_acknowledgement(), until_ms, wait_ms
+            worker.info, fence, worker.pop_acknowledgement(now_ms), until_ms, wait_ms
         )
         match result:
             case Success(report):
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -15,6 +15,7 @@
 FAILED_JOBS_BEFORE_BACKOFF = 2
 NOTHING = Shape(0.0, 0)
 
+USUAL_ANSWER_MS = 50.0  # of a worker; most answers take a few ms
 CLOCK_SLACK_MS = 50.0  # far below the age that a process reaches
 
 RunKey = tuple[TaskRef, int]  # a task and the number of its run
@@ -169,6 +170,12 @@
         """Return the task and the number of the run."""
         return (self.task, self.number)
 
+    def is_overdue(self, now_ms: float) -> bool:
+        """Return whether the answer to its start is late, or did not come."""
+        if self.state is RunState.STARTING and self.is_sent:
+            return now_ms - self.ordered_ms >= USUAL_ANSWER_MS
+        return self.state is RunState.UNSETTLED
+
 
 @dataclass(slots=True)
 class WorkerView:
@@ -314,7 +321,7 @@
         least_ms = self.clock_estimate_ms(sent_ms)
         return least_ms is not None and clock_ms < least_ms - CLOCK_SLACK_MS
 
-    def pop_acknowledgement(self) -> int:
+    def pop_acknowledgement(self, now_ms: float) -> int:
         """Return the sequence number up to which the worker may forget its ends.
 
         It is named once, and again only after a request without an answer: a process
@@ -325,7 +332,7 @@
         may_have_restarted = self.is_silent or self.restarted_ms is not None
         if may_have_restarted or sequence <= self.acknowledged_sequence:
             return 0
-        if any(run.state in UNANSWERED for run in self.runs.values() if run.is_sent):
+        if any(run.is_overdue(now_ms) for run in self.runs.values()):
             return 0
         self.acknowledged_sequence = sequence
         return sequence
