Refuse no job for a closed queue that may have been accepted before

A submission that is repeated, or whose first answer was lost, may have been stored in either partition: a 503 would say that it never runs. A queue whose closing got no answer is looked up again, so that it does not stay closed. Found by reading; three tests of test_job_sizes.py show the cases.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/admissions.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/admissions.py
@@ -78,5 +78,6 @@
                 )
                 return True
             case Failure(error):
+                self._full = None  # the write may have been made, or still be
                 log.warning("Could not close or open a queue.", cause=repr(error))
         return False
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -107,7 +107,7 @@
                     return IntakeResult(IntakeKind.DONE)
                 case Failure(OutcomeLost() as error):
                     lost_answer = error
-                case Failure(QueueFull() as error):
+                case Failure(QueueFull() as error) if lost_answer is None:
                     return self._refuse_call(
                         "submit", workload.job_id, part, error, QUEUE_FULL_RETRY_MS
                     )
@@ -132,22 +132,27 @@
         )
         match self._store.commit(checks, (Write(key, value),)):
             case Failure(RowConflict()):
-                return self._explain_conflict(workload, part)
+                return self._explain_conflict(workload)
             case result:
                 return result
 
     def _explain_conflict(
-        self, workload: Workload, part: str
+        self, workload: Workload
     ) -> Result[None, PlatformError | QueueFull]:
-        """Find whether a job was not stored because it is, or because it may not be."""
+        """Find whether a job was not stored because it is, or because it may not be.
+
+        A job that was accepted before may be in either partition.
+        """
         job_id = workload.job_id
-        match self._store.read(JOBS_TABLE, part, job_id, job_id + RANGE_END):
-            case Success(snapshot) if not snapshot.rows:
-                return Failure(QueueFull(workload.queue))
-            case Success(_):
-                return Success(None)
-            case Failure(error):
-                return Failure(OutcomeLost(f"a conflict without a cause: {error!r}"))
+        for part in job_partitions(workload.queue, job_id):
+            match self._store.read(JOBS_TABLE, part, job_id, job_id + RANGE_END):
+                case Success(snapshot) if snapshot.rows:
+                    return Success(None)
+                case Failure(error):
+                    return Failure(
+                        OutcomeLost(f"a conflict without a cause: {error!r}")
+                    )
+        return Failure(QueueFull(workload.queue))
 
     def _resolve_lost_submit(
         self, workload: Workload, error: OutcomeLost
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -142,9 +142,9 @@
         return self.crashed.keys()
 
     @property
-    def waiting_suspects(self) -> set[int]:
+    def waiting_suspects(self) -> IndexSet:
         """Return the suspects that wait to be started."""
-        return {index for index in self.suspects if index in self.pending}
+        return IndexSet(index for index in self.suspects if index in self.pending)
 
     @property
     def waiting_others(self) -> IndexSet:
--- a/packages/corianderpitch/tests/test_job_sizes.py
+++ b/packages/corianderpitch/tests/test_job_sizes.py
@@ -8,6 +8,7 @@
 import tracemalloc
 
 import pytest
+from returns.result import Failure
 from schedulers import NOW_MS, QUEUE, done, make_job, make_scheduler, report, starts
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
@@ -22,10 +23,13 @@
     IntakeKind,
 )
 from corianderpitch.daemon.scheduling.rows import (
+    full_key,
     job_key,
+    job_partitions,
     pack_progress,
     pack_workers,
     pack_workload,
+    queue_partitions,
     unpack_progress,
     unpack_workers,
     unpack_workload,
@@ -50,7 +54,9 @@
     StepRecord,
 )
 from corianderpitch.domain.scheduling.workloads import Schedule, Step, Workload
+from corianderpitch.errors import OutcomeLost
 from corianderpitch.ids import EntryId, JobId, QueueName, WorkerId
+from corianderpitch.ports import Write
 
 SMALLEST_MEMORY_BYTES = 200e6  # of an entry
 ROW_BYTES = 65_536
@@ -228,6 +234,54 @@
     assert intake.submit(make_job("b").workload).kind is IntakeKind.DONE
 
 
+def test_a_job_that_was_accepted_before_is_not_refused_by_a_closed_queue(store):
+    """It may be in its fallback partition; a refusal would say that it never runs."""
+    intake = Intake(store, ManualClock(NOW_MS))
+    workload = make_job("a").workload
+    _, fallback = job_partitions(workload.queue, workload.job_id)
+    row = Write(job_key(fallback, workload.job_id), pack_workload(workload, 1.0))
+    store.commit((), (row,))
+    for part in queue_partitions(workload.queue):
+        store.commit((), (Write(full_key(part), b""),))
+    assert intake.submit(workload).kind is IntakeKind.DONE
+    assert intake.submit(make_job("b").workload).kind is IntakeKind.NOT_DONE
+
+
+def test_a_submission_that_may_have_been_stored_is_not_refused_by_a_closed_queue(store):
+    workload = make_job("a").workload
+    home, fallback = job_partitions(workload.queue, workload.job_id)
+    store.commit((), (Write(full_key(fallback), b""),))
+    commit = store.commit
+
+    def lose_answer(checks, writes):
+        lost = checks[0].key.part == home
+        return Failure(OutcomeLost("late")) if lost else commit(checks, writes)
+
+    store.commit = lose_answer
+    intake = Intake(store, ManualClock(NOW_MS))
+    assert intake.submit(workload).kind is IntakeKind.UNKNOWN
+
+
+def test_a_queue_that_was_closed_by_a_lost_answer_is_opened_again(store):
+    scheduler = make_scheduler()
+    job = make_job("a", [HOPELESS] * 400)
+    scheduler.add_job(job)
+    admission, _ = make_admission(store, scheduler, 1e6)
+    commit = store.commit
+
+    def lose_answer(checks, writes):
+        commit(checks, writes)
+        return Failure(OutcomeLost("late"))
+
+    store.commit = lose_answer
+    admission.check()
+    store.commit = commit
+    scheduler.cancel_job(job.job_id)
+    admission.check()
+    intake = Intake(store, ManualClock(NOW_MS))
+    assert intake.submit(make_job("b").workload).kind is IntakeKind.DONE
+
+
 def make_jobs(queue, count):
     step = (Step(1, SMALL, 1.0),)
     return [
