Do not wait for unsent starts before a crashed worker's runs are lost

Only a start that is on its way, or was confirmed since the list was requested, is kept now, until the next list.

The new test of test_restarts.py fails before; 270 tests of crashes, racks, isolation, links and the scheduler pass.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/restarts.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/restarts.py
@@ -78,13 +78,21 @@
     ]
 
 
-def has_start_since(worker: WorkerView, since_ms: float) -> bool:
-    """Return whether a sent start is unanswered yet, or was answered since."""
-    return any(
-        run.state is RunState.STARTING or run.state_since_ms >= since_ms
-        for run in worker.runs.values()
-        if _is_unattributed(run) and run.state is not RunState.UNSETTLED
-    )
+def runs_from_before(worker: WorkerView, since_ms: float | None) -> list[Run]:
+    """Return the runs that no process can have begun since a time, or at all.
+
+    The others are a sent start that is unanswered yet, and one that was answered since
+    by a process that is not known. Without ``since_ms`` all runs count as older.
+    """
+    if since_ms is None:
+        return list(worker.runs.values())
+    return [run for run in worker.runs.values() if not _is_newer(run, since_ms)]
+
+
+def _is_newer(run: Run, since_ms: float) -> bool:
+    if not _is_unattributed(run) or run.state is RunState.UNSETTLED:
+        return False
+    return run.state is RunState.STARTING or run.state_since_ms >= since_ms
 
 
 def is_restart_overdue(worker: WorkerView, now_ms: float) -> bool:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -32,9 +32,9 @@
 )
 from corianderpitch.domain.scheduling.restarts import (
     attribute,
-    has_start_since,
     is_certainly_missing,
     is_restart_overdue,
+    runs_from_before,
     runs_of_ended_process,
     unsent_starts,
 )
@@ -247,22 +247,23 @@
     ) -> None:
         """Mark the runs of silent workers as lost, as their processes have ended.
 
-        The list that shows this was requested at ``asked_ms``. A worker that may have
-        begun a run since is left to the next list: another process may serve there.
+        The list that shows this was requested at ``asked_ms``. Runs that may have begun
+        since are left to the next list: another process may serve them.
         """
         for worker_id in worker_ids:
             self.awaiting_report.discard(worker_id)
             worker = self.workers.get(worker_id)
             if worker is None or worker.incarnation is None:
                 self.crashes.count_before_term(worker_id, None, frozenset())
-            if worker is None or not worker.is_silent or worker.has_terminated:
+            if worker is None or not worker.is_silent:
                 continue
-            if asked_ms is not None and has_start_since(worker, asked_ms):
-                continue
-            worker.has_terminated = True
-            worker.has_unread_runs = False
-            self.crashes.count(worker, worker.runs.values())
-            self._mark_all_lost(worker, LossCause.PROCESS_ENDED)
+            ended = runs_from_before(worker, asked_ms)
+            if not worker.has_terminated:
+                worker.has_terminated = True
+                worker.has_unread_runs = False
+                self.crashes.count(worker, ended)
+            for run in ended:
+                self._mark_run_lost(worker, run, LossCause.PROCESS_ENDED)
 
     def workers_to_record(self) -> set[WorkerId]:
         """Return the workers that may run something, known or awaiting a report."""
--- a/packages/corianderpitch/tests/test_restarts.py
+++ b/packages/corianderpitch/tests/test_restarts.py
@@ -135,6 +135,26 @@
     assert starts(scheduler, LATER_MS + 6.0) == []
 
 
+def test_starts_that_wait_to_be_sent_do_not_delay_the_loss_of_a_crashed_workers_runs():
+    """Each one that was sent took its timeout, and the runs were kept for seconds."""
+    scheduler = make_scheduler(())
+    add_worker(scheduler, "w1", rack="rack-w1")
+    for name in ("a", "b", "c"):
+        scheduler.add_job(make_job(name))
+    seen, sent, unsent = starts(scheduler)
+    scheduler.mark_sent(seen, NOW_MS)
+    scheduler.apply_order_result(seen, OrderResult.DONE, NOW_MS + 1.0, OLD_CLOCK_MS)
+    scheduler.mark_sent(sent, NOW_MS + 5.0)
+    scheduler.mark_silent(seen.worker, NOW_MS + 100.0)
+    worker = scheduler.workers[seen.worker]
+    scheduler.mark_terminated([seen.worker], asked_ms=NOW_MS + 200.0)
+    assert set(worker.runs) == {sent.task}
+    scheduler.apply_order_result(sent, OrderResult.NO_ANSWER, NOW_MS + 405.0)
+    scheduler.mark_terminated([seen.worker], asked_ms=NOW_MS + 600.0)
+    assert worker.runs == {}
+    assert not scheduler.is_awaiting_start(unsent)
+
+
 def test_ends_of_a_new_process_are_not_acknowledged_in_place_of_the_old_ones(scheduler):
     """A new process forgot its first ends, and their subtasks were started again."""
     order = start(scheduler)
