--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/admissions.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/admissions.py
@@ -5,7 +5,6 @@
 """
 
 import eventlet
-import msgpack
 from returns.result import Failure, Success
 
 from corianderpitch.daemon.logs import logger
@@ -68,11 +67,11 @@
         return False
 
     def _write(self, queue: QueueName, is_full: bool) -> bool:
-        value = msgpack.packb([]) if is_full else None
+        value = b"" if is_full else None
         writes = tuple(Write(full_key(p), value) for p in queue_partitions(queue))
         match self._store.commit((self._role.partitioned_fence(),), writes):
             case Success(_):
-                self._full = self._full | {queue} if is_full else self._full - {queue}
+                self._full = self._full ^ {queue}
                 log.warning(
                     "Queue closed." if is_full else "Queue opened.", queue=queue
                 )
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashes.py
@@ -24,7 +24,7 @@
 
 import enum
 import math
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
@@ -32,6 +32,7 @@
     Run,
     RunKey,
     WorkerInfo,
+    WorkerReport,
     WorkerView,
 )
 from corianderpitch.domain.scheduling.workloads import TaskRef
@@ -265,14 +266,18 @@
                 )
 
     def pop_crashed(
-        self, worker: WorkerId, incarnation: str | None, listed: Set[RunKey]
+        self, worker: WorkerId, report: WorkerReport | None
     ) -> Iterable[RunKey]:
         """Return a worker's runs of other incarnations, but for those it lists now.
 
-        All of its runs are dropped.
+        ``report`` is ``None`` if its process has ended. All of its runs are dropped.
         """
+        runs = self._by_worker.pop(worker, [])
+        if report is None or not runs:
+            return [(task, number) for task, number, _ in runs]
+        listed = report.run_keys
         return [
             (task, number)
-            for task, number, recorded in self._by_worker.pop(worker, [])
-            if recorded != incarnation and (task, number) not in listed
+            for task, number, recorded in runs
+            if recorded != report.incarnation and (task, number) not in listed
         ]
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/crashtracker.py
@@ -1,7 +1,7 @@
 """Counts of crashes of workers, and the jobs suspected of them, during a term."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Iterable, Mapping
 
 from corianderpitch.domain.scheduling.crashes import (
     CrashNotice,
@@ -19,7 +19,7 @@
 )
 from corianderpitch.domain.scheduling.crashlog import CrashLog
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
-from corianderpitch.domain.scheduling.workers import Run, RunKey, WorkerView
+from corianderpitch.domain.scheduling.workers import Run, WorkerReport, WorkerView
 from corianderpitch.domain.scheduling.workloads import TaskRef
 from corianderpitch.ids import JobId, WorkerId
 
@@ -98,15 +98,15 @@
             self._notices.append(crash)
 
     def count_before_term(
-        self, worker_id: WorkerId, incarnation: str | None, listed: Set[RunKey]
+        self, worker_id: WorkerId, report: WorkerReport | None
     ) -> None:
         """Count a crash before this term for the runs that a predecessor recorded.
 
         It is not known how soon after their starts the worker crashed.
-        ``incarnation`` is the worker's present one, ``None`` if its process has ended.
+        ``report`` is a complete one of the worker, ``None`` if its process has ended.
         Runs that the process lists are its own, whatever the predecessor recorded.
         """
-        runs = self._recorded_runs.pop_crashed(worker_id, incarnation, listed)
+        runs = self._recorded_runs.pop_crashed(worker_id, report)
         suspects = tuple(
             task
             for task, number in runs
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/gangs.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/gangs.py
@@ -49,7 +49,7 @@
     for group in gang_groups(step, workers):
         if gang_fits(step, group):
             number = scheduler.next_run_number()
-            for index in sorted(step.pending):
+            for index in step.pending:
                 worker = choose_worker(step, index, group, frozenset())
                 scheduler.start(job, step, index, worker, now_ms, number)
             return
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/indexes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/indexes.py
@@ -127,15 +127,11 @@
         )
         self._set_spans(sorted([*apart, joined]))
 
-    def discard_range(self, first: int, end: int) -> None:
-        """Remove all members from ``first`` up to, but not including, ``end``."""
-        if first >= end:
-            return
-        kept: list[tuple[int, int]] = []
-        for start, stop in self.spans:
-            pieces = ((start, min(stop, first)), (max(start, end), stop))
-            kept += [(a, b) for a, b in pieces if a < b]
-        self._set_spans(kept)
+    def complement(self, count: int) -> "IndexSet":
+        """Return the indexes below ``count`` that are not in the set."""
+        ends = (min(start, count) for start in [*self._starts, count])
+        gaps = zip([0, *self._ends], ends, strict=True)
+        return IndexSet.from_spans((a, b) for a, b in gaps if a < b)
 
     def _set_spans(self, spans: list[tuple[int, int]]) -> None:
         self._starts = [a for a, _ in spans]
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -238,8 +238,7 @@
     def restore(self, record: StepRecord) -> None:
         """Restore the progress that a predecessor has committed."""
         self.done = IndexSet(record.done)
-        for start, end in self.done.spans:
-            self.pending.discard_range(start, end)
+        self.pending = self.done.complement(self.step.count)
         self.failed = {i: set(numbers) for i, numbers in record.failed.items()}
         self._restore_checkpoints(record.checkpoints)
         self.crashed = {i: set(numbers) for i, numbers in record.crashed.items()}
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/restarts.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/restarts.py
@@ -7,8 +7,6 @@
 after the answers: until then such runs count as being at work.
 """
 
-from collections.abc import Iterable
-
 from corianderpitch.domain.scheduling.workers import (
     UNANSWERED,
     Run,
@@ -69,13 +67,9 @@
     return run.state is not RunState.UNSETTLED or is_refused
 
 
-def unsent_starts(worker: WorkerView) -> Iterable[Run]:
+def unsent_starts(worker: WorkerView) -> list[Run]:
     """Return the runs whose start orders were not sent yet."""
-    return [
-        run
-        for run in worker.runs.values()
-        if run.state is RunState.STARTING and not run.is_sent
-    ]
+    return [run for run in worker.runs.values() if run.is_unsent]
 
 
 def runs_from_before(worker: WorkerView, since_ms: float | None) -> list[Run]:
@@ -102,8 +96,7 @@
 
 
 def _is_unattributed(run: Run) -> bool:
-    is_unsent = run.state is RunState.STARTING and not run.is_sent
-    return not run.is_attributed and not is_unsent
+    return not run.is_attributed and not run.is_unsent
 
 
 def _is_refuted(run: Run, report: WorkerReport | None, requested_ms: float) -> bool:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -165,9 +165,7 @@
         elif worker.restarted_ms is not None and requested_ms >= worker.restarted_ms:
             worker.restarted_ms = None  # the list showed an earlier process
         if report.is_complete:
-            self.crashes.count_before_term(
-                worker_id, report.incarnation, report.run_keys
-            )
+            self.crashes.count_before_term(worker_id, report)
         worker.lapsed_runs.clear()
         worker.clock_ms = report.clock_ms
         worker.clock_received_ms = now_ms
@@ -254,7 +252,7 @@
             self.awaiting_report.discard(worker_id)
             worker = self.workers.get(worker_id)
             if worker is None or worker.incarnation is None:
-                self.crashes.count_before_term(worker_id, None, frozenset())
+                self.crashes.count_before_term(worker_id, None)
             if worker is None or not worker.is_silent:
                 continue
             ended = runs_from_before(worker, asked_ms)
@@ -481,7 +479,8 @@
         """Reset a worker on the first report of a new process."""
         self._end_process(worker, report, requested_ms, now_ms)
         worker.incarnation = report.incarnation
-        if any(run.key not in report.run_keys for run in worker.runs.values()):
+        listed = report.run_keys
+        if any(run.key not in listed for run in worker.runs.values()):
             self.request_report(worker.info.worker)
 
     def _end_process(
@@ -503,7 +502,7 @@
                 self.crashes.count(worker, ended)
             for run in ended:
                 self._mark_run_lost(worker, run, LossCause.NEW_INCARNATION)
-        worker.begin_incarnation(None)
+        worker.forget_process()
         for run in worker.runs.values():
             if run.state is RunState.UNSETTLED:
                 run.state_since_ms = now_ms  # earlier reports had the former fence
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -170,9 +170,14 @@
         """Return the task and the number of the run."""
         return (self.task, self.number)
 
+    @property
+    def is_unsent(self) -> bool:
+        """Return whether the order to start it was not sent yet."""
+        return self.state is RunState.STARTING and not self.is_sent
+
     def is_overdue(self, now_ms: float) -> bool:
         """Return whether the answer to its start is late, or did not come."""
-        if self.state is RunState.STARTING and self.is_sent:
+        if self.state is RunState.STARTING and not self.is_unsent:
             return now_ms - self.ordered_ms >= USUAL_ANSWER_MS
         return self.state is RunState.UNSETTLED
 
@@ -297,9 +302,9 @@
         if len(self.consecutive_failed_jobs) >= FAILED_JOBS_BEFORE_BACKOFF:
             self.backoff_until_ms = now_ms + BACKOFF_AFTER_FAILURES_MS
 
-    def begin_incarnation(self, incarnation: str | None) -> None:
+    def forget_process(self) -> None:
         """Forget what an earlier process has reported; its counts start anew."""
-        self.incarnation = incarnation
+        self.incarnation = None
         self.restarted_ms = None
         self.has_terminated = False
         self.processed_sequence = 0
--- a/packages/corianderpitch/tests/test_indexes.py
+++ b/packages/corianderpitch/tests/test_indexes.py
@@ -37,11 +37,13 @@
             spans.add_range(first, end)
             plain |= set(range(first, end))
         else:
-            spans.discard_range(first, end)
+            for member in range(first, end):
+                spans.discard(member)
             plain -= set(range(first, end))
         assert list(spans) == sorted(plain)
         assert len(spans) == len(plain)
         assert IndexSet.from_spans(spans.spans) == plain
+        assert spans.complement(15) == set(range(15)) - plain
 
 
 def test_members_may_be_discarded_while_iterating():
