--- a/review/standins-2/minions.py
+++ b/review/standins-2/minions.py
@@ -1,7 +1,9 @@
 """Stand-ins for minions and for the platform's list of machines.
 
 A job's ``spec`` tells the minions of this stand-in how long its subtasks work:
-``{"work_ms": 800}``. A subtask without it lasts until it is stopped.
+``{"work_ms": 800}``. A subtask without it lasts until it is stopped. With ``"gang": 3``
+the subtasks of a step work once 3 of them are there under one number. With
+``"fails": "0.0.0"`` the first run of the subtask at that place ends as failed.
 """
 
 import asyncio
@@ -19,6 +21,8 @@
 HOLD_MAX_MS = 6000
 STARTUP_MS = 300.0
 STOP_S = 0.02
+FAILS_AFTER_MS = 100.0
+GANG_WAIT_MS = 3000.0
 TICK_S = 0.005
 CAPACITY = {"cpu": 16000, "mem_mb": 32768, "gpus": 0}
 
@@ -33,6 +37,27 @@
     begun_ms: float
     done_ms: float | None
     is_stopping: bool = False
+    how: str = "done"
+
+
+@dataclass
+class Gangs:
+    """The members of gangs that are present, by step and number."""
+
+    members: dict[tuple[str, int], dict[str, "Minion"]] = field(default_factory=dict)
+    failed: set[str] = field(default_factory=set)
+
+    def join(self, task: str, number: int, minion: "Minion") -> dict[str, "Minion"]:
+        """Add a member, and return all members that are present."""
+        gang = self.members.setdefault((task.rpartition(".")[0], number), {})
+        gang[task] = minion
+        return gang
+
+    def leave(self, task: str, number: int) -> dict[str, "Minion"]:
+        """Remove a member, and return the others."""
+        gang = self.members.get((task.rpartition(".")[0], number), {})
+        gang.pop(task, None)
+        return dict(gang)
 
 
 @dataclass
@@ -54,6 +79,8 @@
     store: Store
     record: Record
     on_start: Callable[["Minion", str], None]
+    late_s: Callable[["Minion", Request], float | None]
+    gangs: Gangs
     runs: dict[str, Run] = field(default_factory=dict)
     ends: list[list[Any]] = field(default_factory=list)
     highest_runs: dict[str, int] = field(default_factory=dict)
@@ -125,7 +152,7 @@
                 if self.clock_ms >= self.lease_end_ms:
                     self._end(task, "lapsed")
                 elif run.done_ms is not None and self.clock_ms >= run.done_ms:
-                    self._end(task, "done")
+                    self._end(task, run.how)
 
     def _end(self, task: str, how: str) -> None:
         run = self.runs.pop(task)
@@ -133,8 +160,24 @@
         self.ends.append([next(self._next_end), task, run.number, how, ""])
         self.record("run ends", minion=self.name, task=task, run=run.number, how=how)
         self._ended.set()
+        others = self.gangs.leave(task, run.number)
+        if how != "done":
+            for other, minion in others.items():
+                present = minion.runs.get(other)
+                if present is not None and present.number == run.number:
+                    minion._end(other, "broken")
+
+    async def _serve(self, request: Request) -> Reply | None:
+        late_s = self.late_s(self, request)
+        if late_s is None:
+            return await self._execute(request)
+        self.record("order unanswered", minion=self.name, **request.fields)
+        asyncio.get_running_loop().call_later(
+            late_s, lambda: asyncio.ensure_future(self._execute(request))
+        )
+        return None
 
-    async def _serve(self, request: Request) -> Reply:
+    async def _execute(self, request: Request) -> Reply:
         fields = request.fields
         if request.headers.get("x-expect-instance", self.name) != self.name:
             return Reply(421)
@@ -194,14 +237,34 @@
             return Reply(200, {"clock_ms": self.clock_ms})
         if present is not None or number <= self.highest_runs.get(task, 0):
             return self._conflict("old")
-        work_ms = json.loads(fields["spec"]).get("work_ms")
+        spec = json.loads(fields["spec"])
+        work_ms = spec.get("work_ms")
         now_ms = self.clock_ms
-        done_ms = now_ms + work_ms if work_ms is not None else None
-        self.runs[task] = Run(number, now_ms, done_ms)
+        run = self.runs[task] = Run(number, now_ms, None)
+        if (
+            spec.get("fails") == task.partition(".")[2]
+            and task not in self.gangs.failed
+        ):
+            self.gangs.failed.add(task)
+            run.done_ms, run.how = now_ms + FAILS_AFTER_MS, "failed"
+        elif "gang" in spec:
+            self._join_gang(task, run, spec)
+        elif work_ms is not None:
+            run.done_ms = now_ms + work_ms
         self.record("run starts", minion=self.name, task=task, run=number)
         self.on_start(self, task)
         return Reply(200, {"clock_ms": self.clock_ms})
 
+    def _join_gang(self, task: str, run: Run, spec: dict[str, Any]) -> None:
+        """Begin the work of a gang once all are there; a run that waits ends alone."""
+        run.done_ms, run.how = self.clock_ms + GANG_WAIT_MS, "alone"
+        gang = self.gangs.join(task, run.number, self)
+        if len(gang) == spec["gang"]:
+            for member, minion in gang.items():
+                present = minion.runs[member]
+                present.done_ms = minion.clock_ms + spec["work_ms"]
+                present.how = "done"
+
     def _stop_run(self, fields: dict[str, Any]) -> Reply:
         task, number = fields["task"], fields["run"]
         self.highest_runs[task] = max(self.highest_runs.get(task, 0), number)
@@ -226,6 +289,8 @@
         self.server = HttpServer(self._serve)
         self.machines: dict[str, Machine] = {}
         self.on_start: Callable[[Minion, str], None] = lambda minion, task: None
+        self.late_s: Callable[[Minion, Request], float | None] = lambda *call: None
+        self._gangs = Gangs()
         self._store = store
         self._record = record
         self._numbers = itertools.count(1)
@@ -245,6 +310,8 @@
             self._store,
             self._record,
             lambda minion, task: self.on_start(minion, task),
+            lambda minion, request: self.late_s(minion, request),
+            self._gangs,
         )
         machine.minion = minion
         await minion.start()
