--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -364,13 +364,15 @@
     play: Callable[[Fleet, bool], Awaitable[list[str]]],
 ) -> int:
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    stop = asyncio.current_task().cancel
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(Path(folder), case_folder / "record.txt", routes)
         try:
             async with asyncio.timeout(MAX_CASE_S):
                 await fleet.start(minions, entries)
                 broken = await play(fleet, has_trouble)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             traceback.print_exc()
             fleet.record("the case could not run", cause=repr(error))
             print(f"the case could not run: {error!r}")
