Delete no cancellation before the end of its job is committed

What callers saw: jobs whose cancelling was answered 200 ran again under the next holder of the scheduler's role, and were shown as running for good.

Cause: the holder applied a cancel row from the partition that does not serve the job, ended the job in its memory, and deleted the row as misplaced while the end could not be committed in the other, silent partition. Kin: the same with the partitions exchanged, and an end that was purged while the silent partition still held a copy of its job.

Ruled out: a late read by the successor, an end that was overwritten.

Why this works: a row outside the serving partition is deleted only once the store tells all that it tells without it. All deletions now are in one module.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -10,6 +10,7 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.cleanup import RowCleanup
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.holderrow import FencedRow
 from corianderpitch.daemon.scheduling.meters import JobMeters
@@ -17,14 +18,11 @@
     JOBS_TABLE,
     WORKERS_KEY,
     cancel_key,
-    job_id_of,
     job_key,
-    job_keys,
     job_partitions,
     pack_progress,
     pack_workers,
     progress_key,
-    queue_of,
     unpack_workers,
 )
 from corianderpitch.domain.jobs import JobState
@@ -38,7 +36,7 @@
     RowConflict,
 )
 from corianderpitch.ids import JobId, WorkerId
-from corianderpitch.ports import Check, PartitionedKey, RowStore, Write
+from corianderpitch.ports import Check, RowStore, Write
 
 # A transaction holds up to 100 entries, and a change needs up to four of them.
 MAX_CHANGES_PER_COMMIT = 24
@@ -48,9 +46,6 @@
 RETRY_MS = 100.0
 REFUSALS_BEFORE_MOVE = 2  # consecutive refusals by a partition
 PARTITION_BACKOFF_MS = 500.0  # duration of a call to a partition that does not answer
-PURGE_INTERVAL_MS = 5000.0
-PURGE_SLACK_MS = 60_000.0
-MAX_PURGES_PER_COMMIT = 24  # up to four entries each, of 100 in a transaction
 IDLE_WAIT_S = 1.0
 
 log = logger("commits")
@@ -62,14 +57,6 @@
     Each write of a progress row requires that the row still has the version read
     last and that the role has not changed hands. A write whose answer was lost
     can therefore not overwrite a newer one when the store applies it late.
-
-    Attributes
-    ----------
-    stale_homes : dict of JobId to str
-        Home partitions that still hold rows of jobs whose end was committed in
-        their fallback partition.
-    ended_ms_by_key : dict of PartitionedKey to float
-        The store's time of each job's end, by the key of its progress row.
     """
 
     def __init__(
@@ -81,7 +68,7 @@
         clock: Clock,
         meters: JobMeters,
         on_committed: Callable[[], None],
-        keep_ended_ms: float,
+        cleanup: RowCleanup,
     ):
         self._store = store
         self._role = role
@@ -98,10 +85,7 @@
         self._refusals: dict[str, int] = {}
         self._next_move_ms = 0.0
         self._fallback_versions: dict[JobId, int] = {}
-        self.stale_homes: dict[JobId, str] = {}
-        self._keep_ended_ms = keep_ended_ms
-        self._next_purge_ms = 0.0
-        self.ended_ms_by_key: dict[PartitionedKey, float] = {}
+        self._cleanup = cleanup
 
     def wake(self) -> None:
         """Request a commit."""
@@ -114,7 +98,7 @@
             self._commit_event.wait()
 
     def run(self) -> None:
-        """Commit changes and purge ended jobs until the thread is killed."""
+        """Commit changes until the thread is killed."""
         while True:
             with eventlet.Timeout(IDLE_WAIT_S, False):
                 self._wake_event.wait()
@@ -124,48 +108,6 @@
             if not (self._record_workers() and self.commit_all()):
                 eventlet.sleep(RETRY_MS / 1000.0)
                 self.wake()
-            if self._clock.now_ms() >= self._next_purge_ms:
-                self._next_purge_ms = self._clock.now_ms() + PURGE_INTERVAL_MS
-                self.purge_ended_jobs()
-
-    def purge_ended_jobs(self) -> None:
-        """Delete the rows of jobs that ended before the retention period.
-
-        The period is ``keep_ended_ms`` plus a slack; callers may ask for the state
-        of an ended job until then.
-        """
-        oldest_ms = self._store.time_ms() - self._keep_ended_ms - PURGE_SLACK_MS
-        old = [
-            key
-            for key, ended_ms in self.ended_ms_by_key.items()
-            if ended_ms < oldest_ms
-        ]
-        for start in range(0, len(old), MAX_PURGES_PER_COMMIT):
-            if not self._purge(old[start : start + MAX_PURGES_PER_COMMIT]):
-                return
-
-    def _purge(self, keys: Sequence[PartitionedKey]) -> bool:
-        """Delete rows of ended jobs, including the home rows of diverted jobs.
-
-        Returns whether the store accepted the deletion.
-        """
-        writes: list[Write] = []
-        for key in keys:
-            writes.append(Write(key, None))
-            job_id = job_id_of(key)
-            if job_id in self._scheduler.diverted:
-                home, _ = job_partitions(queue_of(key.part), job_id)
-                writes += [Write(stale, None) for stale in job_keys(home, job_id)]
-        match self._store.commit((self._role.partitioned_fence(),), tuple(writes)):
-            case Success(_):
-                for key in keys:
-                    del self.ended_ms_by_key[key]
-                    self._scheduler.ended.discard(job_id_of(key))
-                    self._scheduler.diverted.discard(job_id_of(key))
-                return True
-            case Failure(error):
-                log.warning("Could not purge ended jobs.", cause=repr(error))
-        return False
 
     def read_recorded_workers(self) -> Result[tuple[WorkerId, ...], PlatformError]:
         """Read the workers that may still execute orders of a predecessor."""
@@ -297,7 +239,7 @@
                     home, _ = job_partitions(
                         change.job.workload.queue, change.job.job_id
                     )
-                    self.stale_homes[change.job.job_id] = home
+                    self._cleanup.stale_homes[change.job.job_id] = home
                 self._apply_committed(changes, version)
                 return True
             case Failure(RowConflict()):
@@ -377,7 +319,7 @@
             change.job.progress_version = version
             if change.is_final:
                 key = progress_key(self._serving_partition(change), change.job.job_id)
-                self.ended_ms_by_key[key] = self._store.time_ms()
+                self._cleanup.ended_ms_by_key[key] = self._store.time_ms()
                 took_ms = self._clock.now_ms() - change.job.accepted_ms
                 state = change.record.state.value
                 self._meters.record_end(change.job.workload.queue, state, took_ms)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -10,15 +10,13 @@
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.refusals import RefusalLog
 from corianderpitch.daemon.roles import RoleLease
-from corianderpitch.daemon.scheduling.commits import CommitTask
+from corianderpitch.daemon.scheduling.cleanup import RowCleanup
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.rows import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
     PROGRESS_SUFFIX,
     is_job_key,
-    job_id_of,
-    job_keys,
     job_partitions,
     queue_of,
     split_row_name,
@@ -36,19 +34,15 @@
     HistoryLost,
     MalformedData,
     PlatformError,
-    RowConflict,
 )
 from corianderpitch.ids import JobId
-from corianderpitch.ports import Check, PartitionedKey, Row, RowStore, Snapshot, Write
+from corianderpitch.ports import PartitionedKey, Row, RowStore, Snapshot
 
 FOLLOW_WAIT_MS = 1000
 FOLLOW_RETRY_S = 0.1
 CLEANUP_INTERVAL_S = 0.5
 DIVERT_INTERVAL_S = 0.05
 MAX_CONCURRENT_READS = 8
-MAX_MISPLACED_PER_ROUND = 20
-# Each job has three rows, and a transaction holds up to 100 entries.
-MAX_STALE_JOBS_PER_COMMIT = 30
 
 log = logger("scheduler")
 
@@ -62,8 +56,7 @@
     partition and suffix. These are jobs that may also have rows in a partition that
     could not be read, and jobs whose diversion is not recorded yet.
     ``_unread_at_load`` names the partitions that could not be read when the term
-    began, and have not been read since. ``_misplaced_rows`` holds the keys and versions
-    of rows outside the partition that their job is served from; they are to be deleted.
+    began, and have not been read since.
 
     ``max_lease_ms`` is the time after which every lease of a worker has expired.
     """
@@ -73,7 +66,7 @@
         store: RowStore,
         role: RoleLease,
         scheduler: Scheduler,
-        commits: CommitTask,
+        cleanup: RowCleanup,
         diverted: DivertedJobs,
         clock: Clock,
         max_lease_ms: float,
@@ -82,7 +75,7 @@
         self._store = store
         self._role = role
         self._scheduler = scheduler
-        self._commits = commits
+        self._cleanup = cleanup
         self._diverted = diverted
         self._clock = clock
         self._max_lease_ms = max_lease_ms
@@ -93,7 +86,6 @@
         self._unread_at_load: set[str] = set()
         self._pending_rows: dict[JobId, dict[str, RowsBySuffix]] = {}
         self._to_divert: set[JobId] = set()
-        self._misplaced_rows: dict[PartitionedKey, int] = {}
         self._refusals = RefusalLog()
 
     # Reading.
@@ -186,17 +178,14 @@
         return part, self._store.read(JOBS_TABLE, part)
 
     def run_cleanup(self) -> None:
-        """Retry unread partitions and delete misplaced rows until the thread is killed.
-
-        The thread also deletes stale home rows of jobs whose end was moved.
-        """
+        """Retry unread partitions and delete rows until the thread is killed."""
         while True:
             eventlet.sleep(CLEANUP_INTERVAL_S)
             if not self._role.has_valid_lease:
                 continue
             if self._unread:
                 self.read_unread()
-            self.delete_misplaced_rows()
+            self._cleanup.run_once()
 
     def read_unread(self) -> None:
         """Retry the partitions that could not be read."""
@@ -249,21 +238,12 @@
         elif job_id in self._scheduler.jobs or job_id in self._scheduler.ended:
             if suffix == CANCEL_SUFFIX:
                 self._scheduler.cancel_job(job_id)
-            self._mark_if_misplaced(job_id, row)
+            self._cleanup.mark_if_misplaced(row)
         else:
             self._pending_rows.setdefault(job_id, defaultdict(dict))[row.key.part][
                 suffix
             ] = row
 
-    def _mark_if_misplaced(self, job_id: JobId, row: Row) -> None:
-        """Mark a row for deletion if it is not in the partition that serves its job."""
-        if self._is_misplaced(job_id, row.key):
-            self._misplaced_rows[row.key] = row.version
-
-    def _is_misplaced(self, job_id: JobId, key: PartitionedKey) -> bool:
-        home, fallback = job_partitions(queue_of(key.part), job_id)
-        return key.part != (fallback if job_id in self._scheduler.diverted else home)
-
     def _assign_partition(self, job_id: JobId) -> None:
         """Decide which partition serves a job, and serve it if that is possible."""
         if job_id in self._diverted.undecided:
@@ -309,7 +289,7 @@
             return
         for other_part, rows in by_part.items():
             for row in rows.values() if other_part != part else ():
-                self._mark_if_misplaced(job_id, row)
+                self._cleanup.mark_if_misplaced(row)
 
     def _add_job(
         self, job_id: JobId, rows: RowsBySuffix, by_part: dict[str, RowsBySuffix]
@@ -324,7 +304,7 @@
         progress = rows.get(PROGRESS_SUFFIX)
         record = unpack_progress(progress.value) if progress is not None else None
         if record is not None and record.state.has_ended:
-            self._commits.ended_ms_by_key.setdefault(progress.key, _ended_ms(record))
+            self._cleanup.ended_ms_by_key.setdefault(progress.key, _ended_ms(record))
             self._scheduler.ended.add(job_id)
         elif "" in rows:
             job = self._make_job(rows[""], by_part, record)
@@ -361,7 +341,7 @@
             return 0.0
         return max(0.0, self._store.time_ms() - record.recorded_ms)
 
-    # Recording diversions and deleting misplaced rows.
+    # Recording diversions.
 
     def run_diversions(self) -> None:
         """Record diversions until the thread is killed."""
@@ -380,50 +360,6 @@
                 self._assign_partition(job_id)
             self._wake()
 
-    def delete_misplaced_rows(self) -> None:
-        """Delete rows outside the partitions that their jobs are served from.
-
-        A partition that fails one call is skipped until the next round. The rows of a
-        job whose diversion is undecided are kept: one may hold its final state.
-        """
-        self._delete_stale_home_rows()
-        unavailable: set[str] = set()
-        for key, version in list(self._misplaced_rows.items())[
-            :MAX_MISPLACED_PER_ROUND
-        ]:
-            job_id = job_id_of(key)
-            if key.part in unavailable or job_id in self._diverted.undecided:
-                continue
-            if not self._is_misplaced(job_id, key):
-                del self._misplaced_rows[key]
-                continue
-            checks = (self._role.partitioned_fence(), Check(key, version))
-            match self._store.commit(checks, (Write(key, None),)):
-                case Success(_) | Failure(RowConflict()):
-                    del self._misplaced_rows[key]
-                    log.info("Misplaced row deleted.", row=key.name, partition=key.part)
-                case Failure(error):
-                    unavailable.add(key.part)
-                    log.debug("Could not delete a misplaced row.", cause=repr(error))
-
-    def _delete_stale_home_rows(self) -> None:
-        """Delete the home rows of jobs whose end is in their fallback partition."""
-        homes = self._commits.stale_homes
-        by_part: dict[str, list[JobId]] = defaultdict(list)
-        for job_id, part in homes.items():
-            by_part[part].append(job_id)
-        for part, job_ids in by_part.items():
-            batch = job_ids[:MAX_STALE_JOBS_PER_COMMIT]
-            keys = [key for job_id in batch for key in job_keys(part, job_id)]
-            writes = tuple(Write(key, None) for key in keys)
-            match self._store.commit((self._role.partitioned_fence(),), writes):
-                case Success(_):
-                    for job_id in batch:
-                        del homes[job_id]
-                    log.info("Stale rows deleted.", jobs=len(batch), partition=part)
-                case Failure(error):
-                    log.debug("Could not delete stale rows.", cause=repr(error))
-
 
 def _has_ended(progress: Row) -> bool:
     try:
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -10,6 +10,7 @@
 from corianderpitch.clock import Clock
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.cleanup import RowCleanup
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.jobreader import JobReader
@@ -126,6 +127,9 @@
         term = Term(role.epoch, role.fence().version, began_ms + wait_ms, wait_ms)
         self.scheduler = Scheduler(term)
         diverted = DivertedJobs(store, role, self.scheduler)
+        cleanup = RowCleanup(
+            store, role, self.scheduler, diverted, clock, keep_ended_ms
+        )
         self._commits = CommitTask(
             store,
             role,
@@ -134,13 +138,13 @@
             clock,
             meters,
             self._plan_soon,
-            keep_ended_ms,
+            cleanup,
         )
         self._jobs = JobReader(
             store,
             role,
             self.scheduler,
-            self._commits,
+            cleanup,
             diverted,
             clock,
             wait_ms,
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/changes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/changes.py
@@ -93,6 +93,10 @@
                 if worker is not None and worker.incarnation == end.incarnation:
                     worker.uncommitted_ends.discard(end.sequence)
 
+    def awaits_final_commit(self, job_id: JobId) -> bool:
+        """Return whether a job has ended in this term and that is not committed yet."""
+        return job_id in self._awaiting_final_commit
+
     @property
     def has_final(self) -> bool:
         """Return whether the final change of a job waits for its commit."""
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -438,6 +438,10 @@
         """Mark changes as committed, so that workers may drop their ends."""
         self._changes.mark_committed(changes)
 
+    def has_committed_end(self, job_id: JobId) -> bool:
+        """Return whether the store holds the final state of a job."""
+        return job_id in self.ended and not self._changes.awaits_final_commit(job_id)
+
     @property
     def has_final_changes(self) -> bool:
         """Return whether the final change of a job waits for its commit."""
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -21,6 +21,7 @@
 from corianderpitch.adapters.partedtable import PartitionedTable
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.cleanup import RowCleanup
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.holderrow import FencedRow
@@ -101,6 +102,9 @@
         self.scheduler = Scheduler(term)
         self.scheduler.set_queues({QUEUE.name: QUEUE})
         diverted = DivertedJobs(store, self.role, self.scheduler)
+        self.cleanup = RowCleanup(
+            store, self.role, self.scheduler, diverted, clock, 120_000.0
+        )
         self.commits = CommitTask(
             store,
             self.role,
@@ -109,13 +113,13 @@
             clock,
             JobMeters(),
             lambda: None,
-            120_000.0,
+            self.cleanup,
         )
         self.reader = JobReader(
             store,
             self.role,
             self.scheduler,
-            self.commits,
+            self.cleanup,
             diverted,
             clock,
             6000.0,
@@ -133,7 +137,7 @@
         self.reader.apply_rows(changes.rows)
         self.version = changes.version
         self.reader.record_diversions()
-        self.reader.delete_misplaced_rows()
+        self.cleanup.delete_misplaced_rows()
 
     def retry_unread(self):
         self.reader.read_unread()
@@ -369,7 +373,7 @@
     assert not holder.commits.commit_all()
     assert holder.reader.load_jobs()
     store.commit = original
-    holder.reader.delete_misplaced_rows()
+    holder.cleanup.delete_misplaced_rows()
     successor = TermHarness(store, clock, "e2").load()
     assert JobId("a") in successor.scheduler.ended
 
@@ -400,10 +404,10 @@
 def test_home_rows_of_a_moved_job_are_purged_with_it(store, clock):
     holder = holder_with_a_moved_end(store, clock)
     clock.advance(300_000.0)
-    holder.commits.purge_ended_jobs()
+    holder.cleanup.purge_ended_jobs()
     assert len(rows_of(store)) == 2
     store.unavailable = set()
-    holder.commits.purge_ended_jobs()
+    holder.cleanup.purge_ended_jobs()
     assert rows_of(store) == []
     assert not holder.scheduler.diverted
 
--- a/packages/corianderpitch/tests/test_recorded_progress.py
+++ b/packages/corianderpitch/tests/test_recorded_progress.py
@@ -215,7 +215,7 @@
     def read_late(self, holder):
         if holder.role.has_valid_lease:
             holder.reader.read_unread()
-            holder.reader.delete_misplaced_rows()
+            holder.cleanup.delete_misplaced_rows()
 
     def divert(self, holder):
         if holder.role.has_valid_lease:
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -22,6 +22,7 @@
 from corianderpitch.adapters.partedtable import PartitionedTable
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.roles import RoleLease
+from corianderpitch.daemon.scheduling.cleanup import RowCleanup
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.holder import SchedulerTask
@@ -340,24 +341,19 @@
     )
     assert role.try_acquire()
     scheduler = make_scheduler()
+    diverted = DivertedJobs(store, role, scheduler)
+    cleanup = RowCleanup(store, role, scheduler, diverted, clock, 120_000.0)
     commits = CommitTask(
-        store,
-        role,
-        scheduler,
-        DivertedJobs(store, role, scheduler),
-        clock,
-        JobMeters(),
-        lambda: None,
-        120_000.0,
+        store, role, scheduler, diverted, clock, JobMeters(), lambda: None, cleanup
     )
-    return clock, store, scheduler, commits
+    return clock, store, scheduler, commits, cleanup
 
 
 class TestCommits:
     """Commits to a store that accepts at most 100 entries per transaction."""
 
     def test_many_cancelled_jobs_fit_into_transactions(self):
-        _, store, scheduler, commits = make_commits()
+        _, store, scheduler, commits, _ = make_commits()
         sizes = []
         original_commit = store.commit
 
@@ -374,14 +370,14 @@
         assert len(job_rows(store)) == 60
 
     def test_ended_jobs_are_deleted_after_their_retention_time(self):
-        clock, store, scheduler, commits = make_commits()
+        clock, store, scheduler, commits, cleanup = make_commits()
         scheduler.add_job(make_job())
         scheduler.cancel_job(JobId("a"))
         assert commits.commit_all()
-        commits.purge_ended_jobs()
+        cleanup.purge_ended_jobs()
         assert len(job_rows(store)) == 1
         clock.advance(200_000.0)
-        commits.purge_ended_jobs()
+        cleanup.purge_ended_jobs()
         assert job_rows(store) == []
 
 
@@ -569,7 +565,7 @@
         store.commit = failing_commit
 
     def test_other_partitions_are_committed_and_their_ends_released(self):
-        _, store, scheduler, commits = make_commits()
+        _, store, scheduler, commits, _ = make_commits()
         names = [f"job{number}" for number in range(12)]
         for name in names:
             scheduler.add_job(make_job(name))
@@ -597,7 +593,7 @@
             )
 
     def test_delayed_changes_are_committed_when_the_partition_is_back(self):
-        clock, store, scheduler, commits = make_commits()
+        clock, store, scheduler, commits, cleanup = make_commits()
         original_commit = store.commit
         scheduler.add_job(make_job("job0"))
         scheduler.add_job(make_job("job1"))
