Keep a run that was stopped before its start was answered until it is refused

What callers saw: a member of a gang ran on two workers side by side.

Cause: one state stood for what is wanted of a run and for what is known of its start. A stop replaced 'starting', so that a missing answer to the start was ignored: the worker's fence was not raised, and the next report without the run counted as proof that it was lost. The start was carried out 2.4 s later.

Kin: runs stopped by an evacuation, room given away by a cancelling, a stop without effect, and the report of a restarted worker.

Ruled out: a report from before, a worker that ignores its fence.

Why this works: the state of the start is kept by itself, and only a report that was requested under a higher fence after the missing answer ends such a run.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/restarts.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/restarts.py
@@ -8,9 +8,8 @@
 """
 
 from corianderpitch.domain.scheduling.workers import (
-    UNANSWERED,
     Run,
-    RunState,
+    StartState,
     WorkerReport,
     WorkerView,
 )
@@ -51,22 +50,6 @@
     return is_other
 
 
-def is_certainly_missing(
-    worker: WorkerView, run: Run, requested_ms: float, first_fence: int
-) -> bool:
-    """Return whether a run that a report of its worker lacks is lost for sure.
-
-    A report that was requested before the start was answered proves nothing. A start
-    without an answer may still be carried out later, so it is lost only if the report
-    was requested under a higher fence: the worker now refuses it. ``first_fence`` is
-    the lowest fence number of the term.
-    """
-    if run.state is RunState.STARTING or requested_ms < run.state_since_ms:
-        return False
-    is_refused = worker.fence_increment > run.fence - first_fence
-    return run.state is not RunState.UNSETTLED or is_refused
-
-
 def unsent_starts(worker: WorkerView) -> list[Run]:
     """Return the runs whose start orders were not sent yet."""
     return [run for run in worker.runs.values() if run.is_unsent]
@@ -84,9 +67,9 @@
 
 
 def _is_newer(run: Run, since_ms: float) -> bool:
-    if not _is_unattributed(run) or run.state is RunState.UNSETTLED:
+    if not _is_unattributed(run) or run.start is StartState.UNANSWERED:
         return False
-    return run.state is RunState.STARTING or run.state_since_ms >= since_ms
+    return run.start is StartState.SENT or run.state_since_ms >= since_ms
 
 
 def is_restart_overdue(worker: WorkerView, now_ms: float) -> bool:
@@ -104,6 +87,8 @@
 
     A start without an answer may still be carried out late.
     """
-    if report is None or not report.is_complete or run.state in UNANSWERED:
+    if report is None or not report.is_complete:
+        return False
+    if run.start is not StartState.CONFIRMED:
         return False
     return requested_ms >= run.state_since_ms
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -32,19 +32,24 @@
 )
 from corianderpitch.domain.scheduling.restarts import (
     attribute,
-    is_certainly_missing,
     is_restart_overdue,
     runs_from_before,
     runs_of_ended_process,
     unsent_starts,
 )
 from corianderpitch.domain.scheduling.term import Term
+from corianderpitch.domain.scheduling.unanswered import (
+    confirm_start,
+    give_up_answer,
+    is_certainly_missing,
+)
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
     ReportedEnd,
     ReportedRun,
     Run,
     RunState,
+    StartState,
     WorkerInfo,
     WorkerReport,
     WorkerView,
@@ -307,7 +312,7 @@
         """Record when a start order is sent: its run cannot have begun before."""
         run = self.workers[order.worker].runs[order.task]
         run.ordered_ms = now_ms
-        run.is_sent = True
+        run.start = StartState.SENT
 
     def expire(self, now_ms: float) -> None:
         """Mark runs with expired leases as lost, and drop workers that have left."""
@@ -399,8 +404,7 @@
         if now_ms - self._stops_sent_ms.get(key, -STOP_RETRY_MS) < STOP_RETRY_MS:
             return
         self._stops_sent_ms[key] = now_ms
-        if run.state is not RunState.UNSETTLED:
-            run.state = RunState.STOPPING
+        run.state = RunState.STOPPING
         self._order_stop(run.worker, run.task, run.number)
 
     def pop_orders(self) -> list[Order]:
@@ -508,7 +512,7 @@
                 self._mark_run_lost(worker, run, LossCause.NEW_INCARNATION)
         worker.forget_process()
         for run in worker.runs.values():
-            if run.state is RunState.UNSETTLED:
+            if run.start is StartState.UNANSWERED:
                 run.state_since_ms = now_ms  # earlier reports had the former fence
         worker.stray_leases_end_ms = now_ms + self.term.max_lease_ms
 
@@ -651,10 +655,7 @@
             self._mark_changed(job)
         run.percent = reported.percent
         run.load = reported.load
-        if run.state in (RunState.STARTING, RunState.UNSETTLED):
-            run.state = RunState.RUNNING
-            run.state_since_ms = now_ms  # reports requested earlier may miss it
-            run.begun_ms = now_ms
+        confirm_start(run, now_ms)
         self._mark_begun(job.job_id)
         if not run.is_proven and has_passed_probation(step, run, requested_ms):
             run.is_proven = True
@@ -703,6 +704,7 @@
             reported.percent,
             reported.load,
             incarnation=worker.incarnation or "",
+            start=StartState.CONFIRMED,
             is_attributed=True,
         )
         worker.add_run(run)
@@ -772,8 +774,7 @@
         self._changes.add_end(job)
         for run in list(job.runs()):
             self._order_stop(run.worker, run.task, run.number)
-            if run.state is not RunState.UNSETTLED:
-                run.state = RunState.STOPPING
+            run.state = RunState.STOPPING
 
     def _apply_stop_result(self, order: StopRun, result: OrderResult) -> None:
         """Apply the result of a stop: a lasting run serves on if it had no effect.
@@ -788,8 +789,10 @@
             return
         if result not in (OrderResult.UNHEALTHY, OrderResult.NOT_SENT):
             run.may_have_stopped = True
-        if step.step.is_lasting and run.state in (RunState.RUNNING, RunState.STOPPING):
-            run.state = RunState.STOPPING if run.may_have_stopped else RunState.RUNNING
+        if step.step.is_lasting:
+            run.state = (
+                RunState.STOPPING if run.may_have_stopped else run.state_before_stop
+            )
 
     def _apply_start_result(
         self,
@@ -805,16 +808,13 @@
         match result:
             case OrderResult.DONE:
                 if run.state is RunState.STARTING:
-                    run.state = RunState.RUNNING
-                    run.begun_ms = now_ms
                     self._mark_begun(order.task.job_id)
+                confirm_start(run, now_ms)
                 run.state_since_ms = now_ms
                 self._attribute(worker, run, clock_ms, now_ms)
                 return
             case OrderResult.NO_ANSWER:
-                if run.state is RunState.STARTING:
-                    run.state = RunState.UNSETTLED
-                    run.state_since_ms = now_ms
+                if give_up_answer(run, now_ms):
                     self._raise_fence(worker)
                     self._orders.append(RequestReport(order.worker))
                 return
@@ -826,7 +826,7 @@
                 worker.backoff_until_ms = now_ms + BACKOFF_AFTER_REFUSAL_MS
             case _:
                 worker.backoff_until_ms = now_ms + BACKOFF_AFTER_ERROR_MS
-        if run.state is not RunState.RUNNING:
+        if run.start is not StartState.CONFIRMED:
             self._mark_run_lost(worker, run, LossCause.NOT_STARTED)
 
     def _attribute(
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -114,18 +114,24 @@
 
 
 class RunState(enum.Enum):
-    """State of a run, as far as it is known.
-
-    The start of an ``UNSETTLED`` run got no answer, and may still be carried out.
-    """
+    """What is wanted of a run: that it begins, goes on or stops."""
 
     STARTING = "starting"
     RUNNING = "running"
-    UNSETTLED = "unsettled"
     STOPPING = "stopping"
 
 
-UNANSWERED = (RunState.STARTING, RunState.UNSETTLED)
+class StartState(enum.Enum):
+    """How far the order to start a run has got.
+
+    It is planned until it is sent, and sent until its call ends. An ``UNANSWERED`` one
+    may have been carried out, or may still be.
+    """
+
+    PLANNED = "planned"
+    SENT = "sent"
+    UNANSWERED = "unanswered"
+    CONFIRMED = "confirmed"
 
 
 @dataclass(slots=True)
@@ -142,8 +148,8 @@
     has started. ``is_proven`` is set once the run has passed its probation: if its
     worker crashes afterwards, the run is unlikely to be the cause.
     ``may_have_stopped`` is set once an order to stop it may have had an effect.
-    ``is_sent`` is set once the order to start it is sent, and ``is_attributed`` once it
-    is known which process of the worker has begun it.
+    ``start`` tells how far the order to start it has got, and ``is_attributed`` is set
+    once it is known which process of the worker has begun it.
     """
 
     task: TaskRef
@@ -162,7 +168,7 @@
     begun_ms: float | None = None
     is_proven: bool = False
     may_have_stopped: bool = False
-    is_sent: bool = False
+    start: StartState = StartState.PLANNED
     is_attributed: bool = False
 
     @property
@@ -173,13 +179,19 @@
     @property
     def is_unsent(self) -> bool:
         """Return whether the order to start it was not sent yet."""
-        return self.state is RunState.STARTING and not self.is_sent
+        return self.start is StartState.PLANNED
+
+    @property
+    def state_before_stop(self) -> RunState:
+        """Return the state that it has unless it is to stop."""
+        is_confirmed = self.start is StartState.CONFIRMED
+        return RunState.RUNNING if is_confirmed else RunState.STARTING
 
     def is_overdue(self, now_ms: float) -> bool:
         """Return whether the answer to its start is late, or did not come."""
-        if self.state is RunState.STARTING and not self.is_unsent:
+        if self.start is StartState.SENT:
             return now_ms - self.ordered_ms >= USUAL_ANSWER_MS
-        return self.state is RunState.UNSETTLED
+        return self.start is StartState.UNANSWERED
 
 
 @dataclass(slots=True)
--- a/packages/corianderpitch/tests/test_scheduler_rules.py
+++ b/packages/corianderpitch/tests/test_scheduler_rules.py
@@ -453,7 +453,7 @@
     machine = SchedulerRules()
     machine.begin()
     for _ in range(WALK_STEPS):
-        _walk(machine, rng)
+        walk(machine, rng)
 
 
 def _draw_unavailable(holder, rng):
@@ -470,7 +470,7 @@
     return [(which, "prompt", reach, True, rng.choice(RUN_MS), (), True, 10.0)] * 3
 
 
-def _walk(machine, rng):
+def walk(machine, rng):
     """Take one step: mostly a round of the newest holder, sometimes of an old one."""
     match rng.choices(range(7), (60, 8, 4, 8, 8, 6, 6))[0]:
         case 0:
@@ -516,7 +516,7 @@
     for _ in range(WALK_STEPS // 4):
         _restart_unnoticed(machine, rng)
         for _ in range(3):
-            _walk(machine, rng)
+            walk(machine, rng)
 
 
 def _restart_unnoticed(machine, rng):
