Withdraw queued starts whose runs are to stop

What minions saw: a start that waited in the queue of a worker that was cut off was sent after the cut, though its job had been cancelled meanwhile.

Cause: before a start is sent, the task looked only whether its run is known, and a run that is to stop is known until its end is proven.

Why this works: a run that is to stop and whose start was not sent is dropped when its turn comes, without a pause for the worker, which was not asked.

The test of test_links.py failed before (the starts of the cancelled job and of a stopped run were sent); 552 tests of the scheduler pass.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -195,8 +195,10 @@
 
     def _start(self, order: StartRun, now_ms: float) -> StartReply:
         worker = self._scheduler.workers[self._worker_id]
+        if not self._scheduler.is_awaiting_start(order):
+            return StartReply(OrderResult.WITHDRAWN)
         length_ms = self._bound_lease_ms(START_LEASE_MS)
-        if length_ms <= 0 or not self._scheduler.is_awaiting_start(order):
+        if length_ms <= 0:
             return StartReply(OrderResult.NOT_SENT)
         if worker.is_over_capacity:  # it has shrunk while the order was queued
             return StartReply(OrderResult.NO_ROOM)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
@@ -59,7 +59,8 @@
 class OrderResult(enum.Enum):
     """Result of an order.
 
-    A call with ``NO_ANSWER`` may have been carried out, or may still be.
+    A call with ``NO_ANSWER`` may have been carried out, or may still be. An order
+    that was ``WITHDRAWN`` was not wanted any more when its turn to be sent came.
     """
 
     DONE = "done"
@@ -72,12 +73,17 @@
     UNHEALTHY = "unhealthy"
     OTHER_INCARNATION = "other_life"
     NOT_SENT = "not_sent"
+    WITHDRAWN = "withdrawn"
     NO_ANSWER = "no_answer"
 
     @property
     def is_answer(self) -> bool:
         """Return whether the worker has answered."""
-        return self not in (OrderResult.NOT_SENT, OrderResult.NO_ANSWER)
+        return self not in (
+            OrderResult.NOT_SENT,
+            OrderResult.WITHDRAWN,
+            OrderResult.NO_ANSWER,
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -306,7 +306,8 @@
     def is_awaiting_start(self, order: StartRun) -> bool:
         """Return whether the run of a start order that was not sent is still wanted."""
         run = self.workers[order.worker].runs.get(order.task)
-        return run is not None and run.number == order.number
+        is_current = run is not None and run.number == order.number
+        return is_current and run.state is not RunState.STOPPING
 
     def mark_sent(self, order: StartRun, now_ms: float) -> None:
         """Record when a start order is sent: its run cannot have begun before."""
@@ -822,6 +823,8 @@
                 self._check_superseded(order.worker, order.fence)
             case OrderResult.NOT_ALLOWED:
                 self._drop_ticket(order)
+            case OrderResult.WITHDRAWN:
+                pass  # the worker was not asked
             case OrderResult.NO_ROOM:
                 worker.backoff_until_ms = now_ms + BACKOFF_AFTER_REFUSAL_MS
             case _:
--- a/packages/corianderpitch/tests/test_links.py
+++ b/packages/corianderpitch/tests/test_links.py
@@ -119,6 +119,27 @@
     assert link.fences == []
 
 
+def test_a_queued_start_is_not_sent_once_its_run_is_to_stop():
+    """A worker that was cut off got the starts of jobs cancelled meanwhile."""
+    scheduler = make_scheduler(("w1",))
+    for name in ("a", "b", "c"):
+        scheduler.add_job(make_job(name))
+    link = SilentOnceLink(scheduler)
+    link.fences.append(0)  # the first start has been answered
+    task = make_task(scheduler, link)
+    cancelled, stopped, wanted = starts(scheduler)
+    worker = scheduler.workers[WorkerId("w1")]
+    scheduler.cancel_job(cancelled.task.job_id)
+    scheduler.stop(worker.runs[stopped.task], NOW_MS)
+    for order in (cancelled, stopped, wanted):
+        task._execute(order)
+    assert len(link.fences) == 1 + 1
+    assert set(worker.runs) == {wanted.task}
+    assert worker.backoff_until_ms <= NOW_MS
+    (again,) = starts(scheduler)
+    assert again.task == stopped.task
+
+
 def test_a_queued_start_is_not_sent_to_a_worker_that_shrank_meanwhile():
     scheduler = make_scheduler(("w1",))
     scheduler.add_job(make_job("a", [Step(3, Shape(1.0, 100), 100.0)]))
