Record a cancelling of an unknown job before it is answered 410

What callers saw: a job whose cancelling had been answered 410 ran 3.2 s later, and was shown as completed.

Cause: the cancelling of a job that is not stored wrote nothing, so that no later write of that id could know of the answer: that of an entry that had stood still, of a late copy, of a call that the store carries out seconds later, or of a submission between the two reads of the cancelling.

Ruled out as a mend: a look at the caller's channel, which helps only against an entry that stood still.

Why this works: the answer is recorded where every late write must come, as cancel rows in both partitions, in one transaction that requires that neither holds the job. A submission requires that there is none, or is stored beside it and cancelled. Any holder deletes them after 120 s, never beside a job that is being stored; their number is bounded, 538 bytes each in a holder (counted).

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/cleanup.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/cleanup.py
@@ -16,12 +16,10 @@
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
 from corianderpitch.daemon.scheduling.rows import (
-    CANCEL_SUFFIX,
     job_id_of,
     job_keys,
     job_partitions,
     queue_of,
-    split_row_name,
 )
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.errors import RowConflict
@@ -117,15 +115,15 @@
     def _is_deletable(self, key: PartitionedKey) -> bool:
         """Return whether the store tells all that a misplaced row tells without it.
 
-        While a job is open, that is so for a copy of what was submitted, but not for a
-        cancellation. From the end of a job to the commit of that end it is so for none.
+        While a job is open, it is a copy of what was submitted. A cancellation ends the
+        job at once, and the store does not tell that before the end is committed.
         """
-        job_id, suffix = split_row_name(key.name)
+        job_id = job_id_of(key)
         if job_id in self._diverted.undecided:
             return False
-        if job_id in self._scheduler.jobs:
-            return suffix != CANCEL_SUFFIX
-        return self._scheduler.has_committed_end(job_id)
+        return job_id in self._scheduler.jobs or self._scheduler.has_committed_end(
+            job_id
+        )
 
     def _delete_stale_home_rows(self) -> None:
         """Delete the home rows of jobs whose end is in their fallback partition."""
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -12,6 +12,7 @@
 from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.cleanup import RowCleanup
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
+from corianderpitch.daemon.scheduling.earlycancels import EarlyCancels
 from corianderpitch.daemon.scheduling.rows import (
     CANCEL_SUFFIX,
     JOBS_TABLE,
@@ -67,6 +68,7 @@
         role: RoleLease,
         scheduler: Scheduler,
         cleanup: RowCleanup,
+        early_cancels: EarlyCancels,
         diverted: DivertedJobs,
         clock: Clock,
         max_lease_ms: float,
@@ -76,6 +78,7 @@
         self._role = role
         self._scheduler = scheduler
         self._cleanup = cleanup
+        self._early_cancels = early_cancels
         self._diverted = diverted
         self._clock = clock
         self._max_lease_ms = max_lease_ms
@@ -186,6 +189,7 @@
             if self._unread:
                 self.read_unread()
             self._cleanup.run_once()
+            self._early_cancels.run_once()
 
     def read_unread(self) -> None:
         """Retry the partitions that could not be read."""
@@ -240,9 +244,10 @@
                 self._scheduler.cancel_job(job_id)
             self._cleanup.mark_if_misplaced(row)
         else:
-            self._pending_rows.setdefault(job_id, defaultdict(dict))[row.key.part][
-                suffix
-            ] = row
+            by_part = self._pending_rows.setdefault(job_id, defaultdict(dict))
+            for early in self._early_cancels.pop(job_id):
+                by_part[early.key.part][CANCEL_SUFFIX] = early
+            by_part[row.key.part][suffix] = row
 
     def _assign_partition(self, job_id: JobId) -> None:
         """Decide which partition serves a job, and serve it if that is possible."""
@@ -266,6 +271,9 @@
                 self._scheduler.diverted.discard(job_id)
             case JobLocation.NOWHERE:
                 del self._pending_rows[job_id]
+                for rows in by_part.values():
+                    if CANCEL_SUFFIX in rows:
+                        self._early_cancels.keep(rows[CANCEL_SUFFIX])
 
     def _partition_view(
         self, part: str, by_part: dict[str, RowsBySuffix]
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -1,10 +1,11 @@
 """Rows of jobs in the store: their keys, contents and encoding.
 
-A job has a row with its workload as submitted, at most one cancel row and, once it
-has started, a progress row. After its end only the progress row remains; it holds the
-final state. The jobs of each queue are spread over ``PARTITIONS_PER_QUEUE``
-partitions, so that the loss of a partition affects only a part of each queue. A job
-that cannot be stored in its home partition is stored in its fallback partition.
+A job has a row with its workload as submitted, at most one cancel row (see
+``cancelling``) and, once it has started, a progress row. After its end only the
+progress row remains; it holds the final state. The jobs of each queue are spread over
+``PARTITIONS_PER_QUEUE`` partitions, so that the loss of a partition affects only a part
+of each queue. A job that cannot be stored in its home partition is stored in its
+fallback partition.
 """
 
 import functools
@@ -37,7 +38,8 @@
 PARTITIONS_PER_QUEUE = 4  # more partitions would slow down counting and takeovers
 PARTITION_SEPARATOR = "/"
 INTAKE_TABLE = "intake"
-FULL_NAME = "full"
+EARLY_CANCELS_TABLE = "early"
+CLOSED_NAME = "full"
 RANGE_END = "/"  # sorts after the dot that begins every suffix
 
 _STEP_DEFAULTS = {
@@ -142,9 +144,13 @@
     )
 
 
-def full_key(part: str) -> PartitionedKey:
-    """Return the key of the row that exists while a partition takes no more jobs."""
-    return PartitionedKey(INTAKE_TABLE, part, FULL_NAME)
+def closed_key(table: str, part: str) -> PartitionedKey:
+    """Return the key of the row that exists while a partition takes no more.
+
+    In ``INTAKE_TABLE`` it is for jobs, in ``EARLY_CANCELS_TABLE`` for cancellations of
+    jobs that are not stored.
+    """
+    return PartitionedKey(table, part, CLOSED_NAME)
 
 
 def split_row_name(name: str) -> tuple[JobId, str]:
@@ -186,6 +192,17 @@
     return _pack(sorted(worker_ids))
 
 
+def pack_time(time_ms: float) -> bytes:
+    """Encode a time of the store's clock, in milliseconds."""
+    return msgpack.packb(time_ms)
+
+
+@_decodes("a time")
+def unpack_time(value: bytes) -> float:
+    """Decode a time of the store's clock, in milliseconds."""
+    return float(msgpack.unpackb(value))
+
+
 @_decodes("a list of workers")
 def unpack_workers(value: bytes) -> tuple[WorkerId, ...]:
     """Decode the workers that a predecessor may have sent orders to."""
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -13,6 +13,7 @@
 from corianderpitch.daemon.scheduling.cleanup import RowCleanup
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
+from corianderpitch.daemon.scheduling.earlycancels import EarlyCancels
 from corianderpitch.daemon.scheduling.jobreader import JobReader
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
@@ -145,6 +146,7 @@
             role,
             self.scheduler,
             cleanup,
+            EarlyCancels(store, role, keep_ended_ms),
             diverted,
             clock,
             wait_ms,
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/admission.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/admission.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Set
+from collections.abc import Iterable, Mapping, Set
 
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.workloads import Workload
@@ -62,5 +62,10 @@
         return set()
     if used_bytes >= limit_bytes * CLOSE_ALL_SHARE:
         return set(by_queue)
-    mean_bytes = used_bytes / len(by_queue)
-    return {queue for queue, size in by_queue.items() if size >= mean_bytes}
+    return largest_queues(by_queue)
+
+
+def largest_queues(by_queue: Mapping[QueueName, int]) -> set[QueueName]:
+    """Return the queues that take the mean of all or more of something."""
+    mean = sum(by_queue.values()) / max(1, len(by_queue))
+    return {queue for queue, size in by_queue.items() if size >= mean}
--- a/packages/corianderpitch/tests/test_job_sizes.py
+++ b/packages/corianderpitch/tests/test_job_sizes.py
@@ -23,7 +23,8 @@
     IntakeKind,
 )
 from corianderpitch.daemon.scheduling.rows import (
-    full_key,
+    INTAKE_TABLE,
+    closed_key,
     job_key,
     job_partitions,
     pack_progress,
@@ -242,7 +243,7 @@
     row = Write(job_key(fallback, workload.job_id), pack_workload(workload, 1.0))
     store.commit((), (row,))
     for part in queue_partitions(workload.queue):
-        store.commit((), (Write(full_key(part), b""),))
+        store.commit((), (Write(closed_key(INTAKE_TABLE, part), b""),))
     assert intake.submit(workload).kind is IntakeKind.DONE
     assert intake.submit(make_job("b").workload).kind is IntakeKind.NOT_DONE
 
@@ -250,7 +251,7 @@
 def test_a_submission_that_may_have_been_stored_is_not_refused_by_a_closed_queue(store):
     workload = make_job("a").workload
     home, fallback = job_partitions(workload.queue, workload.job_id)
-    store.commit((), (Write(full_key(fallback), b""),))
+    store.commit((), (Write(closed_key(INTAKE_TABLE, fallback), b""),))
     commit = store.commit
 
     def lose_answer(checks, writes):
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -24,6 +24,7 @@
 from corianderpitch.daemon.scheduling.cleanup import RowCleanup
 from corianderpitch.daemon.scheduling.commits import CommitTask
 from corianderpitch.daemon.scheduling.diversions import DivertedJobs
+from corianderpitch.daemon.scheduling.earlycancels import EarlyCancels
 from corianderpitch.daemon.scheduling.holderrow import FencedRow
 from corianderpitch.daemon.scheduling.intake import Intake, IntakeKind
 from corianderpitch.daemon.scheduling.jobreader import JobReader
@@ -115,11 +116,13 @@
             lambda: None,
             self.cleanup,
         )
+        self.early_cancels = EarlyCancels(store, self.role, 120_000.0)
         self.reader = JobReader(
             store,
             self.role,
             self.scheduler,
             self.cleanup,
+            self.early_cancels,
             diverted,
             clock,
             6000.0,
