Open a queue again that a lost write has closed late

What callers saw: after a closing whose answer was lost and that the store made seconds later, a queue took no more jobs until the next holder of the role.

Cause: the rows were read once after the lost answer, before the late write.

test_job_sizes.py: the new test failed before, all 22 pass.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/closing.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/closing.py
@@ -18,6 +18,10 @@
 from corianderpitch.ids import QueueName
 from corianderpitch.ports import RowStore, Write
 
+# A write without an answer may be made seconds later. Until then the rows are read
+# again in each round: it is undone in the round after it is made.
+ROUNDS_IN_DOUBT = 60
+
 log = logger("admission")
 
 
@@ -35,12 +39,14 @@
         self._role = role
         self._table = table
         self._is_read = False
+        self._rounds_in_doubt = 0
         self.names: set[QueueName] = set()
 
     def read(self) -> bool:
         """Read which queues are closed, unless it is known; return whether it is."""
-        if self._is_read:
+        if self._is_read and not self._rounds_in_doubt:
             return True
+        self._rounds_in_doubt = max(0, self._rounds_in_doubt - 1)
         match self._store.list_partitions(self._table):
             case Success(parts):
                 self.names = {queue_of(part) for part in parts}
@@ -69,5 +75,6 @@
                 return True
             case Failure(error):
                 self._is_read = False
+                self._rounds_in_doubt = ROUNDS_IN_DOUBT
                 log.warning("Could not close or open a queue.", cause=repr(error))
         return False
--- a/packages/corianderpitch/tests/test_job_sizes.py
+++ b/packages/corianderpitch/tests/test_job_sizes.py
@@ -8,6 +8,7 @@
 import tracemalloc
 
 import pytest
+from fakes import DeferringStore
 from returns.result import Failure
 from schedulers import NOW_MS, QUEUE, done, make_job, make_scheduler, report, starts
 
@@ -299,6 +300,24 @@
     assert full_queues(jobs, 0.5 * used_bytes / MAX_SHARE, set()) == {"a", "b"}
 
 
+def test_a_queue_that_is_closed_late_by_a_lost_write_is_opened_again():
+    """Until the next holder, no job of that queue was accepted any more."""
+    store = DeferringStore(ManualClock(NOW_MS))
+    intake = Intake(store, ManualClock(NOW_MS))
+    scheduler = make_scheduler()
+    scheduler.add_job(make_job("a", [HOPELESS] * 400))
+    admission, _ = make_admission(store, scheduler, 1e6)
+    store.is_deferring = True
+    admission.check()
+    store.is_deferring = False
+    scheduler.cancel_job(JobId("a"))
+    admission.check()
+    store.apply_deferred()
+    assert intake.submit(make_job("b").workload).kind is IntakeKind.NOT_DONE
+    admission.check()
+    assert intake.submit(make_job("b").workload).kind is IntakeKind.DONE
+
+
 def test_a_full_queue_opens_once_clearly_fewer_jobs_are_open():
     jobs = make_jobs("a", 100)
     memory_bytes = 1.1 * sum(map(remembered_bytes, jobs)) / MAX_SHARE
