Serve accepted jobs after the configuration has dropped their queue

What callers saw: a job of several steps stopped after the step that was at work when its route was removed, beside idle workers.

Cause: a holder forgot a queue's service and settings as soon as they were not configured, and planning passes over jobs whose queue it does not know. A later holder could not have known them.

Ruled out: that the workers are dropped with the queue.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -23,9 +23,15 @@
     ProgressRecord,
     StepRecord,
 )
-from corianderpitch.domain.scheduling.workloads import Schedule, Step, Workload
+from corianderpitch.domain.scheduling.workloads import (
+    AdvicePolicy,
+    Queue,
+    Schedule,
+    Step,
+    Workload,
+)
 from corianderpitch.errors import MalformedData
-from corianderpitch.ids import JobId, QueueName, VmId, WorkerId
+from corianderpitch.ids import JobId, QueueName, ServiceName, VmId, WorkerId
 from corianderpitch.ports import PartitionedKey
 
 JOBS_TABLE = "jobs"
@@ -258,6 +264,7 @@
             [_pack_step(step) for step in workload.steps],
             [schedule.repeats, schedule.start_ms, schedule.period_ms],
             accepted_ms,
+            _pack_queue(workload.accepted_under),
         ]
     )
 
@@ -266,19 +273,56 @@
 def unpack_workload(key: PartitionedKey, value: bytes) -> tuple[Workload, float]:
     """Decode a job and the store's time of its acceptance in milliseconds.
 
-    Fields that a later version has appended are ignored.
+    Rows of earlier versions do not hold the queue. Fields that a later version has
+    appended are ignored.
     """
-    text, steps, schedule, accepted_ms, *_ = _unpack(value)
+    text, steps, schedule, accepted_ms, *rest = _unpack(value)
     workload = Workload(
         JobId(key.name),
         queue_of(key.part),
         text,
         tuple(_unpack_step(step) for step in steps),
         Schedule(*schedule),
+        _unpack_queue(queue_of(key.part), rest[0]) if rest else None,
     )
     return workload, accepted_ms
 
 
+def _pack_queue(queue: Queue | None) -> list[Any] | None:
+    """Encode a queue, without its name, which the partition tells."""
+    if queue is None:
+        return None
+    advice = queue.advice
+    return [
+        queue.service,
+        queue.priority,
+        queue.max_attempts,
+        queue.stretch,
+        queue.target_ms,
+        [advice.decision_ms, advice.per_worker_ms, advice.validity_ms]
+        if advice is not None
+        else None,
+        queue.workers_guard_capacity,
+    ]
+
+
+def _unpack_queue(name: QueueName, packed: Any) -> Queue | None:
+    """Decode a queue, ``None`` if the row holds something else in its place."""
+    if not isinstance(packed, list):
+        return None
+    service, priority, attempts, stretch, target_ms, advice, guards, *_ = packed
+    return Queue(
+        name,
+        ServiceName(service),
+        priority,
+        attempts,
+        stretch,
+        target_ms,
+        AdvicePolicy(*advice) if advice is not None else None,
+        guards,
+    )
+
+
 def _pack(value: Any) -> bytes:
     """Encode a value, and compress it if it is long: a row holds little."""
     packed = msgpack.packb(value)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -30,6 +30,7 @@
     ActiveJob,
     ActiveStep,
 )
+from corianderpitch.domain.scheduling.queues import served_queues
 from corianderpitch.domain.scheduling.restarts import (
     attribute,
     is_restart_overdue,
@@ -75,6 +76,7 @@
     def __init__(self, term: Term):
         self.term = term
         self.queues: dict[QueueName, Queue] = {}
+        self._configured_queues: Mapping[QueueName, Queue] = {}
         self.jobs: dict[JobId, ActiveJob] = {}
         self.ended: set[JobId] = set()
         self.diverted: set[JobId] = set()  # served from their fallback partitions
@@ -97,12 +99,19 @@
     def set_queues(self, queues: Mapping[QueueName, Queue]) -> None:
         """Replace the queues with those of a configuration.
 
-        Jobs whose queue was not known may have used all their attempts meanwhile.
+        Dropped ones are kept as long as they have open jobs. Jobs whose queue was not
+        known may have used all their attempts meanwhile.
         """
-        new_names = queues.keys() - self.queues.keys()
-        self.queues = dict(queues)
-        if new_names:
-            for job in list(self.jobs.values()):
+        if queues is not self._configured_queues:
+            self._configured_queues = queues
+            self._update_queues()
+
+    def _update_queues(self) -> None:
+        known = self.queues
+        jobs = self.jobs.values()
+        self.queues = served_queues(self._configured_queues, known, jobs)
+        if new_names := self.queues.keys() - known.keys():
+            for job in list(jobs):
                 if job.workload.queue in new_names:
                     self._fail_if_exhausted(job)
 
@@ -119,6 +128,8 @@
         if job.workload.has_fillers:
             self.filler_jobs.add(job.job_id)
         self.crashes.add_job(job)
+        if job.workload.queue not in self.queues:
+            self._update_queues()
         self._fail_if_exhausted(job)
 
     def cancel_job(self, job_id: JobId) -> None:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
@@ -88,27 +88,6 @@
         return self.start_ms + occurrence * self.period_ms
 
 
-@dataclass(frozen=True, slots=True)
-class Workload:
-    """A job as it was submitted; ``text`` is passed to the workers unchanged."""
-
-    job_id: JobId
-    queue: QueueName
-    text: str
-    steps: tuple[Step, ...]
-    schedule: Schedule = Schedule()
-
-    @property
-    def is_lasting(self) -> bool:
-        """Return whether the job runs until it is cancelled."""
-        return any(step.is_lasting for step in self.steps)
-
-    @property
-    def has_fillers(self) -> bool:
-        """Return whether some of the job's tasks are fillers."""
-        return any(step.is_filler for step in self.steps)
-
-
 @dataclass(frozen=True, slots=True)
 class AdvicePolicy:
     """Duration of calls to the advice service, and the validity of its tickets.
@@ -141,6 +120,31 @@
     workers_guard_capacity: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Workload:
+    """A job as it was submitted; ``text`` is passed to the workers unchanged.
+
+    ``accepted_under`` is its queue as it was configured then, if that is known.
+    """
+
+    job_id: JobId
+    queue: QueueName
+    text: str
+    steps: tuple[Step, ...]
+    schedule: Schedule = Schedule()
+    accepted_under: Queue | None = None
+
+    @property
+    def is_lasting(self) -> bool:
+        """Return whether the job runs until it is cancelled."""
+        return any(step.is_lasting for step in self.steps)
+
+    @property
+    def has_fillers(self) -> bool:
+        """Return whether some of the job's tasks are fillers."""
+        return any(step.is_filler for step in self.steps)
+
+
 def critical_path_ms(steps: tuple[Step, ...]) -> tuple[float, ...]:
     """Return, for each step, the duration of the critical path that begins with it.
 
