Pass over entries of unknown services under the id of a known worker

What callers saw: the subtasks of a living worker were started on a second one after another writer had written one entry under its id.

Cause: an entry of an unknown service was kept back for a new worker, but taken over for a known one, with its address and its time of birth. The runs were taken for lost with the process, 0.5 s later. Kin: a holder without a valid lease took such an entry over as well.

Ruled out: a malformed entry that counts as a removal.

Why this works: such an entry is treated like a malformed one on both paths. It names no worker to use, and says nothing about the one that has the id.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -277,17 +277,28 @@
     def _set_worker(self, info: WorkerInfo) -> None:
         """Add or update a worker; one of an unknown service waits for that service.
 
-        Such an entry may come from another writer. It would be asked for reports and
-        recorded, and each successor would wait for its report.
+        Such an entry may come from another writer, and names no worker to use. A new
+        one would be asked for reports and recorded, and each successor would wait for
+        its report. Under the id of a known worker it says nothing about that worker's
+        address or process.
         """
-        is_known = info.worker in self.scheduler.workers
-        if not is_known and info.service not in self._services():
+        if self._has_unknown_service(info):
             self._workers_without_service[info.worker] = info
+            self.scheduler.unlist_worker(info.worker)
             return
         self._workers_without_service.pop(info.worker, None)
         if self.scheduler.set_worker(info, self._clock.now_ms()):
             self._start_worker_tasks(info)
 
+    def _has_unknown_service(self, info: WorkerInfo) -> bool:
+        """Return whether no configuration in force has led to a worker's service.
+
+        A known worker may be of a service that was removed since.
+        """
+        worker = self.scheduler.workers.get(info.worker)
+        is_known = worker is not None and worker.info.service == info.service
+        return not is_known and info.service not in self._services()
+
     def _update_known_workers(self, listed: Iterable[WorkerInfo]) -> None:
         """Apply the entries of workers that are known and have not restarted.
 
@@ -297,7 +308,9 @@
         now_ms = self._clock.now_ms()
         for info in listed:
             worker = self.scheduler.workers.get(info.worker)
-            if worker is not None and worker.info.incarnation == info.incarnation:
+            if worker is None or worker.info.incarnation != info.incarnation:
+                continue
+            if not self._has_unknown_service(info):
                 self.scheduler.set_worker(info, now_ms)
 
     def _start_worker_tasks(self, info: WorkerInfo) -> None:
--- a/tests/adapter/test_workerlist.py
+++ b/tests/adapter/test_workerlist.py
@@ -321,6 +321,40 @@
     wait_until(lambda: processors_of(term, "odd") == 8.0)
 
 
+def test_an_entry_of_an_unknown_service_does_not_restart_a_known_worker(
+    store, start_term
+):
+    """Its tasks were started on another worker, beside their runs (review/9)."""
+    store.put_worker("w1", ROW)
+    term = start_term()
+    wait_until(lambda: processors_of(term, "w1") == 8.0)
+    worker = term.scheduler.workers[WorkerId("w1")]
+    info = worker.info
+    odd = {"service": "unheard-of", "address": "10.9.9.9:1", "born": ROW["born"] + 1}
+    store.put_worker("w1", ROW | odd)
+    wait_until(lambda: not worker.is_listed)
+    assert worker.info == info
+    assert worker.restarted_ms is None
+    assert not is_schedulable(worker, term.scheduler.leases_end_ms)
+    store.put_worker("w1", ROW)
+    wait_until(lambda: worker.is_listed)
+    assert term.scheduler.workers[WorkerId("w1")] is worker
+
+
+def test_an_entry_of_an_unknown_service_is_passed_over_without_a_valid_lease(
+    store, start_term
+):
+    store.put_worker("w1", ROW)
+    term = start_term()
+    wait_until(lambda: processors_of(term, "w1") == 8.0)
+    store.is_refusing = True
+    wait_until(lambda: not term.role.has_valid_lease)
+    store.put_worker("w1", with_cpu(3000) | {"service": "unheard-of"})
+    store.put_worker("w2", ROW)
+    eventlet.sleep(0.5)
+    assert processors_of(term, "w1") == 8.0
+
+
 def test_a_known_worker_is_followed_after_its_service_was_removed(
     store, start_term, services
 ):
