--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -15,6 +15,7 @@
     has_passed_probation,
 )
 from corianderpitch.domain.scheduling.crashtracker import CrashTracker
+from corianderpitch.domain.scheduling.ends import new_ends
 from corianderpitch.domain.scheduling.orders import (
     LossCause,
     Order,
@@ -38,6 +39,7 @@
     runs_of_ended_process,
     unsent_starts,
 )
+from corianderpitch.domain.scheduling.stops import RecentStops
 from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.unanswered import (
     confirm_start,
@@ -58,7 +60,6 @@
 from corianderpitch.domain.scheduling.workloads import Queue, TaskRef
 from corianderpitch.ids import JobId, QueueName, WorkerId
 
-STOP_RETRY_MS = 500.0
 BACKOFF_AFTER_REFUSAL_MS = 100.0
 BACKOFF_AFTER_ERROR_MS = 1000.0
 
@@ -92,7 +93,7 @@
         self._orders: list[Order] = []
         self._notices: list[RunNotice] = []
         self._changes = ChangeLog(self.jobs, self.workers)
-        self._stops_sent_ms: dict[tuple[TaskRef, int], float] = {}
+        self._stops = RecentStops()
 
     # Inputs from the store.
 
@@ -189,7 +190,8 @@
         worker.is_silent = False
         worker.silent_since_ms = None
         worker.has_terminated = False
-        self._process_ends(worker, report.ended, now_ms)
+        for end in new_ends(worker, report.ended, self._may_be_unread):
+            self._process_end(worker, end, now_ms)
         reported_runs = {(run.task, run.number) for run in report.running}
         worker.has_unread_runs = any(
             self._may_be_unread(run.task.job_id) for run in report.running
@@ -316,9 +318,8 @@
 
     def is_awaiting_start(self, order: StartRun) -> bool:
         """Return whether the run of a start order that was not sent is still wanted."""
-        run = self.workers[order.worker].runs.get(order.task)
-        is_current = run is not None and run.number == order.number
-        return is_current and run.state is not RunState.STOPPING
+        _, run = self._find_run(order)
+        return run is not None and run.state is not RunState.STOPPING
 
     def mark_sent(self, order: StartRun, now_ms: float) -> None:
         """Record when a start order is sent: its run cannot have begun before."""
@@ -412,12 +413,9 @@
 
     def stop(self, run: Run, now_ms: float) -> None:
         """Order a run to stop, unless it was ordered a short while ago."""
-        key = (run.task, run.number)
-        if now_ms - self._stops_sent_ms.get(key, -STOP_RETRY_MS) < STOP_RETRY_MS:
-            return
-        self._stops_sent_ms[key] = now_ms
-        run.state = RunState.STOPPING
-        self._order_stop(run.worker, run.task, run.number)
+        if self._stops.note_if_due(run.key, now_ms):
+            run.state = RunState.STOPPING
+            self._order_stop(run.worker, run.task, run.number)
 
     def pop_orders(self) -> list[Order]:
         """Return the orders queued since the last call."""
@@ -465,6 +463,18 @@
 
     # Transitions.
 
+    def _find_step(self, task: TaskRef) -> tuple[ActiveJob | None, ActiveStep | None]:
+        """Return the open job and the step of a task, if there are such."""
+        job = self.jobs.get(task.job_id)
+        return job, job.find_step(task) if job is not None else None
+
+    def _find_run(self, order: RunOrder) -> tuple[WorkerView | None, Run | None]:
+        """Return the worker and the run that an order is about, if there still are."""
+        worker = self.workers.get(order.worker)
+        run = worker.runs.get(order.task) if worker is not None else None
+        is_current = run is not None and run.number == order.number
+        return worker, run if is_current else None
+
     def _mark_changed(self, job: ActiveJob) -> None:
         job.is_dirty = True
 
@@ -548,39 +558,13 @@
         self._last_fence_increment += 1
         worker.fence_increment = self._last_fence_increment
 
-    def _process_ends(
-        self, worker: WorkerView, ends: Iterable[ReportedEnd], now_ms: float
-    ) -> None:
-        """Process the ends that are new.
-
-        An end of a job that is not read yet is left for later. The worker lists it
-        again, together with all later ends. The later ends are still processed at
-        once: otherwise their runs, which are missing from the report, would count
-        as lost.
-        """
-        worker.has_unread_ends = False
-        for end in sorted(ends, key=lambda e: e.sequence):
-            if end.sequence <= worker.processed_sequence:
-                continue
-            if self._may_be_unread(end.task.job_id):
-                worker.has_unread_ends = True
-                continue
-            if end.sequence not in worker.processed_ahead:
-                self._process_end(worker, end, now_ms)
-            if worker.has_unread_ends:
-                worker.processed_ahead.add(end.sequence)
-            else:
-                worker.processed_ahead.discard(end.sequence)
-                worker.processed_sequence = end.sequence
-
     def _process_end(self, worker: WorkerView, end: ReportedEnd, now_ms: float) -> None:
-        self._stops_sent_ms.pop((end.task, end.number), None)
+        self._stops.forget((end.task, end.number))
         run = worker.runs.get(end.task)
         if run is not None and run.number == end.number:
             worker.remove_run(run)
         self._changes.retain_end(worker, end)
-        job = self.jobs.get(end.task.job_id)
-        step = job.find_step(end.task) if job is not None else None
+        job, step = self._find_step(end.task)
         if job is None or step is None:
             return
         index = end.task.index
@@ -651,8 +635,7 @@
     ) -> None:
         """Apply a reported run, which was at work some time after ``requested_ms``."""
         run = worker.runs.get(reported.task)
-        job = self.jobs.get(reported.task.job_id)
-        step = job.find_step(reported.task) if job is not None else None
+        job, step = self._find_step(reported.task)
         is_known = run is not None and run.number == reported.number
         if not is_known and step is not None and self._may_adopt(step, reported):
             self._adopt(worker, job, step, reported, now_ms)
@@ -735,11 +718,8 @@
         """
         run = worker.runs.get(reported.task)
         worker.has_unneeded_runs |= run is None or run.number != reported.number
-        key = (reported.task, reported.number)
-        if now_ms - self._stops_sent_ms.get(key, -STOP_RETRY_MS) < STOP_RETRY_MS:
-            return
-        self._stops_sent_ms[key] = now_ms
-        self._order_stop(worker.info.worker, reported.task, reported.number)
+        if self._stops.note_if_due((reported.task, reported.number), now_ms):
+            self._order_stop(worker.info.worker, reported.task, reported.number)
 
     def _order_stop(self, worker: WorkerId, task: TaskRef, number: int) -> None:
         self._orders.append(StopRun(worker, task, number, self.fence_of(worker)))
@@ -760,9 +740,8 @@
         worker.remove_run(run)
         how = f"lost_{run.state.value}"
         self._add_notice(worker, run.task, run.number, how, cause)
-        self._stops_sent_ms.pop((run.task, run.number), None)
-        job = self.jobs.get(run.task.job_id)
-        step = job.find_step(run.task) if job is not None else None
+        self._stops.forget(run.key)
+        job, step = self._find_step(run.task)
         if job is None or step is None:
             return
         self._remove_run(step, run)
@@ -793,11 +772,9 @@
 
         Before the run is stopped again, the budget of unavailable tasks is checked.
         """
-        worker = self.workers.get(order.worker)
-        run = worker.runs.get(order.task) if worker is not None else None
-        job = self.jobs.get(order.task.job_id)
-        step = job.find_step(order.task) if job is not None else None
-        if run is None or run.number != order.number or step is None:
+        _, run = self._find_run(order)
+        _, step = self._find_step(order.task)
+        if run is None or step is None:
             return
         if result not in (OrderResult.UNHEALTHY, OrderResult.NOT_SENT):
             run.may_have_stopped = True
@@ -813,9 +790,8 @@
         now_ms: float,
         clock_ms: float | None,
     ) -> None:
-        worker = self.workers.get(order.worker)
-        run = worker.runs.get(order.task) if worker is not None else None
-        if worker is None or run is None or run.number != order.number:
+        worker, run = self._find_run(order)
+        if worker is None or run is None:
             return
         match result:
             case OrderResult.DONE:
@@ -854,15 +830,13 @@
             self._note_restart(worker, now_ms)
 
     def _apply_pace(self, order: PaceRun) -> None:
-        worker = self.workers.get(order.worker)
-        run = worker.runs.get(order.task) if worker is not None else None
-        if run is not None and run.number == order.number:
+        _, run = self._find_run(order)
+        if run is not None:
             run.pace_percent = order.percent
 
     def _drop_ticket(self, order: StartRun) -> None:
         """Drop a ticket that a worker has refused, so that a new one is requested."""
-        job = self.jobs.get(order.task.job_id)
-        step = job.find_step(order.task) if job is not None else None
+        _, step = self._find_step(order.task)
         if step is not None:
             step.tickets.pop(order.worker, None)
 
--- a/packages/corianderpitch/tests/test_gangs.py
+++ b/packages/corianderpitch/tests/test_gangs.py
@@ -13,7 +13,7 @@
 from corianderpitch.domain.scheduling.orders import OrderResult, StartRun, StopRun
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ProgressRecord, StepRecord
-from corianderpitch.domain.scheduling.scheduler import STOP_RETRY_MS
+from corianderpitch.domain.scheduling.stops import STOP_RETRY_MS
 from corianderpitch.domain.scheduling.workers import EndKind, ReportedEnd, ReportedRun
 from corianderpitch.domain.scheduling.workloads import Step, TaskRef
 from corianderpitch.ids import JobId
--- a/packages/corianderpitch/tests/test_unanswered_starts.py
+++ b/packages/corianderpitch/tests/test_unanswered_starts.py
@@ -23,7 +23,8 @@
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.orders import OrderResult, StartRun, StopRun
 from corianderpitch.domain.scheduling.planning import plan
-from corianderpitch.domain.scheduling.scheduler import STOP_RETRY_MS, Scheduler
+from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.stops import STOP_RETRY_MS
 from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import EndKind, ReportedEnd, ReportedRun
 from corianderpitch.domain.scheduling.workloads import Step
