Read partitions one read after the other

What callers would see: jobs of one partition that are not started until the next holder.

Cause: after a lost history all partitions are read, while another thread retries one that was unread. If that read is older, and the new one of the same partition fails, the partition counts as read, and the changes are followed from a later version.

Why this works: one such read follows the other, so that none is older than what is followed afterwards.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 
 import eventlet
+from eventlet.semaphore import Semaphore
 from returns.result import Failure, Result, Success
 
 from corianderpitch.clock import Clock
@@ -85,6 +86,7 @@
         self._wake = wake
         self._version = 0
         self._unread: set[str] = set()
+        self._read_lock = Semaphore()
         self._is_loaded = False
         self._unread_at_load: set[str] = set()
         self._pending_rows: dict[JobId, dict[str, RowsBySuffix]] = {}
@@ -153,7 +155,14 @@
         The role is renewed meanwhile, because the reads may take longer than its lease
         lasts. If the lease has lapsed, what was read remains unread: a successor may
         already serve jobs that were accepted since.
+
+        One such read follows the other: of two at once, one could drop a partition from
+        the unread ones that it has read at an older version than is followed then.
         """
+        with self._read_lock:
+            return self._read_unread_parts(parts)
+
+    def _read_unread_parts(self, parts: Iterable[str]) -> list[int]:
         self._unread |= set(parts)
         pool = eventlet.GreenPool(MAX_CONCURRENT_READS)
         read: dict[str, Snapshot] = {}
--- a/packages/corianderpitch/tests/test_jobreader.py
+++ b/packages/corianderpitch/tests/test_jobreader.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import replace
 
+import eventlet
 import msgpack
 import pytest
 from returns.result import Failure, Success
@@ -868,3 +869,37 @@
     assert holder.reader.load()
     assert len(holder.scheduler.jobs) == 8
     assert holder.role.has_valid_lease
+
+
+def test_jobs_of_a_partition_that_is_read_twice_at_once_are_found(store, clock):
+    """They stayed unread until the next holder: the reads had different versions."""
+    home = home_partition(QUEUE.name, JobId("a"))
+    names = [f"j{n}" for n in range(99)]
+    late = next(name for name in names if is_home(name, home))
+    elsewhere = next(name for name in names if not is_home(name, home))
+    submit(store, clock)
+    submit(store, clock, elsewhere)
+    store.unavailable = {home}
+    holder = TermHarness(store, clock, "e1").load()
+    store.unavailable = set()
+    clock.advance(BACKOFF_MS)
+    read = store.read
+
+    def read_slowly(table, part, first="", end=""):
+        result = read(table, part, first, end)
+        eventlet.sleep(0.01 if part == home else 0.0)
+        return result
+
+    store.read = read_slowly
+    thread = eventlet.spawn(holder.reader.read_unread)
+    eventlet.sleep(0.001)
+    store.read = read
+    assert submit(store, clock, late) is IntakeKind.DONE
+    store.unavailable = {home}
+    assert holder.reader.load_jobs()  # the history was lost
+    thread.wait()
+    store.unavailable = set()
+    holder.version = holder.reader._version
+    holder.retry_unread()
+    holder.follow()
+    assert set(holder.scheduler.jobs) == {"a", late, elsewhere}
