--- a/packages/corianderpitch-standins/corianderpitch_standins/simulatedworkers.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/simulatedworkers.py
@@ -10,6 +10,7 @@
     WorkerReport,
 )
 from corianderpitch.domain.scheduling.workloads import TaskRef
+from corianderpitch.ids import JobId
 
 HOLD_MAX_MS = 6000.0
 
@@ -51,9 +52,18 @@
     done: dict[TaskRef, list[CompletedRun]] = field(default_factory=dict)
     starts_after_completion: dict[TaskRef, int] = field(default_factory=dict)
     failed: dict[TaskRef, int] = field(default_factory=dict)
+    started_ms: dict[TaskRef, float] = field(default_factory=dict)
 
-    def record_start(self, task: TaskRef, worker: str) -> None:
+    def last_start_ms(self) -> dict[JobId, float]:
+        """Return the time of the last start of each job's tasks."""
+        last_ms: dict[JobId, float] = {}
+        for task, at_ms in self.started_ms.items():
+            last_ms[task.job_id] = max(at_ms, last_ms.get(task.job_id, 0.0))
+        return last_ms
+
+    def record_start(self, task: TaskRef, worker: str, now_ms: float) -> None:
         """Record the start of a run; raise if the task is already running."""
+        self.started_ms[task] = now_ms
         others = self.running.setdefault(task, set())
         assert not others, f"TWICE: {task} starts on {worker} while it runs on {others}"
         others.add(worker)
@@ -192,7 +202,7 @@
         highest_number = self.highest_run_numbers.get(order.task, 0)
         if run is not None or order.number <= highest_number:
             return OrderResult.OLD_RUN
-        self.ledger.record_start(order.task, self.name)
+        self.ledger.record_start(order.task, self.name, now_ms)
         self.runs[order.task] = SimulatedRun(order.number, now_ms + run_ms, fails)
         return OrderResult.DONE
 
--- a/packages/corianderpitch-standins/corianderpitch_standins/soak.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soak.py
@@ -34,6 +34,8 @@
 
 RULES = OrderRules(lease_ms=3000.0, contact_ms=CONTACT_MS)
 LOSS_SLACK_MS = 200.0
+CANCEL_MS = 3000.0
+ENDED_WELL = ("", "completed")
 CALLERS = 8
 PEAK_S = 4.0
 WAVE_DEADLINE_S = 30
@@ -105,6 +107,7 @@
 
     def _settle(self) -> None:
         """Wait without troubles until all accepted jobs and all waves are done."""
+        self._calm_ms = self._fleet.clock.now_ms() + CONTACT_MS
         for number in range(max(0, 2 - len(self._fleet.serving()))):
             self._fleet.start_entry(f"last{number}")
         for caller in self._callers:
@@ -140,17 +143,37 @@
         for wave, down in report["most_down"].items():
             if down > self.waves[wave]:
                 self.findings.append(f"wave {wave}: {down} VMs down at once")
-        started = set(self._fleet.control("runs")["started_jobs"])
+        started_ms = self._fleet.control("runs")["started_ms"]
         for job in self._jobs():
-            if job.state not in ("", "completed"):
-                self.findings.append(f"{job.path}: shown as {job.state}")
-            if job.was_refused and job.path.rpartition("/")[2] in started:
-                self.findings.append(f"{job.path}: refused, but started")
+            self._check_job(job, started_ms.get(job.path.rpartition("/")[2]))
         orders = self._orders()
         breaks = RULES.find_breaks(orders, self._fleet.disturbances)
         self.findings += [str(item) for item in breaks]
         self._check_broken_calls()
 
+    def _check_job(self, job: Job, started_ms: float | None) -> None:
+        """Check a job, of which a task was last started at a time, ``None`` if never.
+
+        After an acknowledged cancelling nothing may start, but for what is still on its
+        way while there are troubles.
+        """
+        allowed = ("", "completed", "cancelled") if job.cancelled_ms else ENDED_WELL
+        if job.state not in allowed:
+            self.findings.append(f"{job.path}: shown as {job.state}")
+        if started_ms is None:
+            return
+        if job.was_refused:
+            self.findings.append(f"{job.path}: refused, but started")
+        if job.cancelled_ms:
+            late_ms = started_ms - max(job.cancelled_ms, self._calm_ms) - CANCEL_MS
+            if late_ms > 0 or self._starts_late_in_touch(job, started_ms):
+                self.findings.append(f"{job.path}: cancelled, but started later")
+
+    def _starts_late_in_touch(self, job: Job, started_ms: float) -> bool:
+        """Return whether a cancelled job was started late with no trouble near."""
+        due_ms = job.cancelled_ms + CANCEL_MS
+        return started_ms > due_ms and not self._fleet.has_trouble(due_ms, started_ms)
+
     def _orders(self) -> list[OrderArrival]:
         rows = self._fleet.control("orders")["orders"]
         return [OrderArrival(**row) for row in rows]
@@ -179,10 +202,12 @@
         jobs, orders = self._jobs(), (self.folder / "orders.jsonl").read_text()
         accepted = sum(1 for job in jobs if job.accepted_ms)
         refused = sum(1 for job in jobs if job.was_refused)
+        cancelled = sum(1 for job in jobs if job.cancelled_ms)
         holders = {json.loads(line)["holder"] for line in orders.splitlines()}
         return (
             f"seed {self.seed}: {len(self._script.log)} troubles, {len(jobs)} jobs, "
-            f"{accepted} accepted, {refused} refused, {len(self.waves)} waves, "
+            f"{accepted} accepted, {refused} refused, {cancelled} cancelled, "
+            f"{len(self.waves)} waves, "
             f"{len(orders.splitlines())} orders by {len(holders)} holders, "
             f"{len(self._fleet.entries)} processes, {len(self.findings)} findings"
         )
--- a/packages/corianderpitch-standins/corianderpitch_standins/soakcallers.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soakcallers.py
@@ -1,7 +1,9 @@
-"""Callers of a soak, which submit jobs and ask for their states.
+"""Callers of a soak, which submit jobs, ask for their states and cancel some of them.
 
-A caller keeps using its connection until the process behind it is gone. What each
-attempt to hand a job in led to is recorded for the checks at the end.
+A caller that gives a job up cancels it at once, also without an answer to its
+submission, which may still be on its way. A caller keeps using its connection until the
+process behind it is gone. What each attempt to hand a job in led to is recorded for the
+checks at the end.
 """
 
 import http.client
@@ -20,6 +22,10 @@
 RETRY_S = 0.1
 VISIBLE_MS = 3000.0
 REFUSALS = (429, 503)
+CANCELLED = (200, 410)
+GIVE_UP_SHARE = 0.2  # of the jobs
+GIVE_UP_S = 0.3
+MAX_ATTEMPTS = 1000
 ENDED_STATES = ("completed", "failed", "cancelled")
 UNKNOWN = (None, 502, 504)
 HEADERS = {"Host": "shop.example", "Content-Type": "application/json"}
@@ -41,6 +47,7 @@
     path: str
     answers: list[int | None] = field(default_factory=list)
     accepted_ms: float = 0.0
+    cancelled_ms: float = 0.0
     state: str = ""
 
     @property
@@ -70,7 +77,11 @@
         """Submit jobs and ask for states until stopped."""
         while not self.is_stopped:
             if self.is_submitting:
-                self._submit(self._new_job())
+                job = self._new_job()
+                gives_up = self._rng.random() < GIVE_UP_SHARE
+                self._submit(job, 1 if gives_up else MAX_ATTEMPTS)
+                if gives_up:
+                    self._cancel(job)
             open_jobs = [job for job in self.jobs if job.accepted_ms and not job.state]
             for job in self._rng.sample(open_jobs, min(3, len(open_jobs))):
                 self._ask(job)
@@ -84,15 +95,16 @@
         self.jobs.append(job)
         return job
 
-    def _submit(self, job: Job) -> None:
+    def _submit(self, job: Job, attempts: int) -> None:
         """Hand a job in, again after no answer, until it is accepted or refused."""
         step = {"cpu": 1000, "mem_mb": 100, "estimate_ms": 150}
         steps = [step | {"count": self._rng.randint(1, 8)}]
         if self._rng.random() < 0.5:
             steps.append(step | {"count": 2, "after": [0]})
         body = {"spec": "soak", "steps": steps}
-        while not self.is_stopped:
-            status, _ = self._call("POST", job.path, body)
+        while not self.is_stopped and len(job.answers) < attempts:
+            timeout_s = CALL_TIMEOUT_S if attempts > 1 else GIVE_UP_S
+            status, _ = self._call("POST", job.path, body, timeout_s)
             job.answers.append(status)
             if status == 200:
                 job.accepted_ms = self._fleet.clock.now_ms()
@@ -102,6 +114,18 @@
         if job.answers[-1] not in (200, *REFUSALS, *UNKNOWN):
             self.findings.append(f"{job.path}: answered {job.answers[-1]}")
 
+    def _cancel(self, job: Job) -> None:
+        """Cancel a job, again until that is acknowledged."""
+        while not self.is_stopped:
+            status, _ = self._call("DELETE", job.path)
+            if status in CANCELLED:
+                job.cancelled_ms = self._fleet.clock.now_ms()
+                return
+            if status not in (*REFUSALS, *UNKNOWN):
+                self.findings.append(f"{job.path}: cancelling answered {status}")
+                return
+            time.sleep(RETRY_S)
+
     def _ask(self, job: Job) -> None:
         status, fields = self._call("GET", job.path)
         if status == 200 and "state" not in fields:
@@ -118,12 +142,19 @@
                 f"{job.path}: accepted {age_ms:.0f} ms before, {name} answers {status}"
             )
 
-    def _call(self, method: str, path: str, body: Any = None) -> tuple[int | None, Any]:
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int | None, Any]:
         """Make a call; the status is ``None`` if there was no complete answer."""
         connection = self._connect()
         if connection is None:
             time.sleep(RETRY_S)
             return None, None
+        connection.sock.settimeout(timeout_s)
         sent_ms = self._fleet.clock.now_ms()
         try:
             content = json.dumps(body) if body is not None else None
--- a/packages/corianderpitch-standins/corianderpitch_standins/soakfleet.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soakfleet.py
@@ -204,6 +204,11 @@
             for item in self.disturbances
         )
 
+    def has_trouble(self, from_ms: float, until_ms: float) -> bool:
+        """Tell whether any entry was not in touch at some time of a span."""
+        names = {item.entry for item in self.disturbances} | {""}
+        return any(self.is_disturbed(name, from_ms, until_ms) for name in names)
+
     def begin_cut(self, entry: SoakEntry, services: list[str], mode: str) -> Any:
         """Add a rule of the proxy for some maps of an entry, and return it."""
         maps = [entry.maps[service] for service in services]
@@ -224,6 +229,8 @@
         self.control("store", away=False)
         self.control("store-faults")
         self.control("machine-faults")
+        self.control("order-faults")
+        self.control("store-parts")
         for entry in self.running():
             self.signal(entry, signal.SIGCONT)
 
--- a/packages/corianderpitch-standins/corianderpitch_standins/soaktroubles.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soaktroubles.py
@@ -43,7 +43,11 @@
     "slow store",
     "lossy store",
     "store away",
+    "silent partitions",
+    "refusing partitions",
+    "late orders",
 )
+PARTITIONS_SHARE = 0.3
 CUT_MODES = ("cut", "freeze", "one_way", "delay")
 CUT_SERVICES = (["store"], ["machines"], ["store", "machines"])
 
@@ -136,6 +140,18 @@
                 fleet.control("store", away=True)
                 self.later(store_s, lambda: fleet.control("store", away=False))
 
+            case "silent partitions" | "refusing partitions":
+                fleet.disturb("", 1000.0 * length_s)
+                self._set_faults(
+                    "store-parts",
+                    length_s,
+                    share=PARTITIONS_SHARE,
+                    silent=kind.startswith("silent"),
+                )
+            case "late orders":
+                fleet.disturb("", 1000.0 * length_s)
+                self._set_faults("order-faults", length_s, silent_share=0.1)
+
     def _set_faults(self, service: str, length_s: float, **faults: Any) -> None:
         self._fleet.control(service, **faults)
         self.later(length_s, lambda: self._fleet.control(service))
--- a/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
@@ -30,7 +30,7 @@
 from corianderpitch_standins.simulatedworkers import RunLedger, SimulatedWorker
 from corianderpitch_standins.usermachines import Machine, MachineService
 from corianderpitch_standins.userprotocol import Reply, Request
-from corianderpitch_standins.userstore import StoreService
+from corianderpitch_standins.userstore import StoreService, parts_of
 
 HOST = "127.0.0.1"
 ADVANCE_INTERVAL_S = 0.01
@@ -76,6 +76,9 @@
         self.handler_errors: list[str] = []
         self.is_store_down = False
         self.store_faults, self.machine_faults = CallFaults(), CallFaults()
+        self.order_faults = CallFaults()
+        self.away_parts: frozenset[str] = frozenset()
+        self.are_parts_silent = False
         self._rng = random.Random(0)
         self.machines = MachineService(
             self.clock, MACHINE_DOWN_MS, self._stop_machine, self._start_machine
@@ -137,6 +140,9 @@
     def _serve_store(self, request: Request) -> Reply:
         if self.is_store_down:
             return Reply(503, {})
+        if not self.away_parts.isdisjoint(parts_of(request.fields)):
+            eventlet.sleep(SILENCE_S if self.are_parts_silent else 0.0)
+            return Reply(503, {})
         return self._carry_out(
             lambda: self.store.serve(request.name, request.fields), self.store_faults
         )
@@ -193,11 +199,22 @@
             return Reply(503, {})
         if request.instance not in ("", machine.worker):
             return Reply(421, {})
+        if request.name == "hold":
+            worker.advance(self.clock.now_ms())
+            return self._renew_lease(worker, request.fields)
+        incarnation_id = worker.incarnation_id
+
+        def execute() -> Reply:
+            if not worker.is_up or worker.incarnation_id != incarnation_id:
+                return Reply(421, {})  # the process that was asked has ended
+            return self._execute_order(worker, request)
+
+        return self._carry_out(execute, self.order_faults)
+
+    def _execute_order(self, worker: SimulatedWorker, request: Request) -> Reply:
         name, body = request.name, request.fields
         now_ms = self.clock.now_ms()
         worker.advance(now_ms)
-        if name == "hold":
-            return self._renew_lease(worker, body)
         task = _parse_task(body["task"])
         fence = body["fence_token"]
         if name == "run-start":
@@ -316,6 +333,16 @@
             execute = partial(self.machines.carry_out, order)
         return self._carry_out(execute, self.machine_faults)
 
+    def _set_away_parts(self, share: float = 0.0, silent: bool = False) -> None:
+        """Let a share of the partitions of jobs refuse all calls, or leave them."""
+        parts = [
+            part
+            for part in self.rows.list_partitions("jobs").unwrap()
+            if self._rng.random() < share
+        ]
+        self.away_parts = frozenset(parts)
+        self.are_parts_silent = silent
+
     def _serve_control(self, request: Request) -> Reply:
         """Switch faults or write a row as operators do, and return the counts."""
         body = request.fields
@@ -326,12 +353,15 @@
                 self.store_faults = CallFaults(**body)
             case "machine-faults":
                 self.machine_faults = CallFaults(**body)
+            case "order-faults":
+                self.order_faults = CallFaults(**body)
+            case "store-parts":
+                self._set_away_parts(**body)
             case "orders":
                 orders = [asdict(order) for order in self.machines.arrivals]
                 return Reply(200, {"orders": orders})
             case "runs":
-                jobs = {task.job_id for task in self.ledger.running}
-                return Reply(200, {"started_jobs": sorted(jobs)})
+                return Reply(200, {"started_ms": self.ledger.last_start_ms()})
             case "history":
                 self.rows.truncate_history()
             case "crash":
--- a/packages/corianderpitch-standins/corianderpitch_standins/userstore.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/userstore.py
@@ -77,6 +77,16 @@
         return Reply(200, fields | {"row_version": version, "now_ms": now_ms})
 
 
+def parts_of(body: dict[str, Any]) -> set[str]:
+    """Return the partitions that a call reads or writes."""
+    entries = [
+        *body.get("expected_rev", ()),
+        *body.get("put", ()),
+        *body.get("remove", ()),
+    ]
+    return {entry.get("part", "") for entry in (body, *entries)} - {""}
+
+
 def _key_fields(key: PartitionedKey) -> dict[str, str]:
     return {"table": key.table, "part": key.part, "key": key.name}
 
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -10,7 +10,7 @@
 from corianderpitch_standins.soakfleet import SoakFleet
 
 SEED = 1
-SOAK_S = 25.0
+SOAK_S = 50.0
 ENTRIES = 4
 
 
