Count the latest settings of each dropped queue by itself

Settings of one dropped queue hid those of another that were accepted earlier: one version was compared for all of them. Found while reading the change before the landing; the new test of test_dropped_queues.py failed before. The look-up of a conflict in a submission names the partitions that it reads, in order.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -141,8 +141,9 @@
         row if it was cancelled before it came, unless the write knew of that row.
         Otherwise its queue is closed.
         """
-        parts = job_partitions(workload.queue, workload.job_id)
-        for part in sorted(parts, key=lambda part: part != conflicting):
+        home, fallback = job_partitions(workload.queue, workload.job_id)
+        other = fallback if conflicting == home else home
+        for part in (conflicting, other):
             match read_partition_rows(self._store, part, workload.job_id):
                 case Success(rows) if holds_job(rows):
                     return Success(None)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/queues.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/queues.py
@@ -22,16 +22,14 @@
     Of jobs that were accepted under different settings, the latest one counts.
     """
     served = dict(configured)
-    latest = 0
+    versions: dict[QueueName, int] = {}
     for job in jobs:
-        name = job.workload.queue
+        name, stored = job.workload.queue, job.workload.accepted_under
         if name in configured:
             continue
         if name in known:
             served[name] = known[name]
-        elif job.workload.accepted_under is not None and (
-            name not in served or job.version > latest
-        ):
-            served[name] = job.workload.accepted_under
-            latest = job.version
+        elif stored is not None and job.version > versions.get(name, -1):
+            served[name] = stored
+            versions[name] = job.version
     return served
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -129,7 +129,7 @@
         if job.workload.has_fillers:
             self.filler_jobs.add(job.job_id)
         self.crashes.add_job(job)
-        if job.workload.queue not in self.queues:
+        if job.workload.queue not in self.queues and job.workload.accepted_under:
             self._update_queues()
         self._fail_if_exhausted(job)
 
--- a/packages/corianderpitch/tests/test_dropped_queues.py
+++ b/packages/corianderpitch/tests/test_dropped_queues.py
@@ -14,9 +14,11 @@
     unpack_workload,
 )
 from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.progress import ActiveJob
+from corianderpitch.domain.scheduling.queues import served_queues
 from corianderpitch.domain.scheduling.workers import EndKind
 from corianderpitch.domain.scheduling.workloads import AdvicePolicy, Step
-from corianderpitch.ids import JobId, ServiceName
+from corianderpitch.ids import JobId, QueueName, ServiceName
 
 STEPS = (Step(1, Shape(1.0, 100), 100.0), Step(1, Shape(1.0, 100), 100.0, after=(0,)))
 ADVISED = replace(QUEUE, advice=AdvicePolicy(50.0, 2.0, 4000.0), max_attempts=7)
@@ -99,6 +101,16 @@
     assert not holder.scheduler.queues
 
 
+def test_the_latest_settings_count_of_each_dropped_queue():
+    jobs = []
+    for name, version, attempts in (("q1", 3, 4), ("q2", 0, 3), ("q1", 1, 2)):
+        queue = replace(QUEUE, name=QueueName(name), max_attempts=attempts)
+        workload = replace(make_workload(queue), queue=queue.name)
+        jobs.append(ActiveJob(workload, 0.0, version))
+    served = served_queues({}, {}, jobs)
+    assert {name: q.max_attempts for name, q in served.items()} == {"q1": 4, "q2": 3}
+
+
 @pytest.mark.parametrize("accepted_under", [None, QUEUE, ADVISED])
 def test_the_queue_is_stored_with_the_job(accepted_under):
     workload = make_workload(accepted_under)
