Say in the soak that a caller gives up, and look for disturbances in one place

Found on reading the whole change again. A number of attempts stood for whether a caller gives up, with 1000 for one that does not; has_trouble repeated the look of is_disturbed once for each entry. Stand-ins only; no check or bound changes.

--- a/packages/corianderpitch-standins/corianderpitch_standins/soakcallers.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soakcallers.py
@@ -25,7 +25,6 @@
 CANCELLED = (200, 410)
 GIVE_UP_SHARE = 0.2  # of the jobs
 GIVE_UP_S = 0.3
-MAX_ATTEMPTS = 1000
 ENDED_STATES = ("completed", "failed", "cancelled")
 UNKNOWN = (None, 502, 504)
 HEADERS = {"Host": "shop.example", "Content-Type": "application/json"}
@@ -79,7 +78,7 @@
             if self.is_submitting:
                 job = self._new_job()
                 gives_up = self._rng.random() < GIVE_UP_SHARE
-                self._submit(job, 1 if gives_up else MAX_ATTEMPTS)
+                self._submit(job, gives_up)
                 if gives_up:
                     self._cancel(job)
             open_jobs = [job for job in self.jobs if job.accepted_ms and not job.state]
@@ -95,20 +94,23 @@
         self.jobs.append(job)
         return job
 
-    def _submit(self, job: Job, attempts: int) -> None:
-        """Hand a job in, again after no answer, until it is accepted or refused."""
+    def _submit(self, job: Job, gives_up: bool) -> None:
+        """Hand a job in, again after no answer, until it is accepted or refused.
+
+        A caller that gives up tries once, and does not wait for long.
+        """
         step = {"cpu": 1000, "mem_mb": 100, "estimate_ms": 150}
         steps = [step | {"count": self._rng.randint(1, 8)}]
         if self._rng.random() < 0.5:
             steps.append(step | {"count": 2, "after": [0]})
         body = {"spec": "soak", "steps": steps}
-        while not self.is_stopped and len(job.answers) < attempts:
-            timeout_s = CALL_TIMEOUT_S if attempts > 1 else GIVE_UP_S
+        timeout_s = GIVE_UP_S if gives_up else CALL_TIMEOUT_S
+        while not self.is_stopped:
             status, _ = self._call("POST", job.path, body, timeout_s)
             job.answers.append(status)
             if status == 200:
                 job.accepted_ms = self._fleet.clock.now_ms()
-            if status not in UNKNOWN:
+            if status not in UNKNOWN or gives_up:
                 break
             time.sleep(RETRY_S)
         if job.answers[-1] not in (200, *REFUSALS, *UNKNOWN):
--- a/packages/corianderpitch-standins/corianderpitch_standins/soakfleet.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soakfleet.py
@@ -197,17 +197,19 @@
 
     def is_disturbed(self, name: str, from_ms: float, until_ms: float) -> bool:
         """Tell whether an entry was not in touch at some time of a span."""
-        return any(
-            item.entry in ("", name)
-            and item.began_ms <= until_ms
-            and item.ended_ms + CONTACT_MS >= from_ms
-            for item in self.disturbances
-        )
+        near = self._disturbances_near(from_ms, until_ms)
+        return any(item.entry in ("", name) for item in near)
 
     def has_trouble(self, from_ms: float, until_ms: float) -> bool:
         """Tell whether any entry was not in touch at some time of a span."""
-        names = {item.entry for item in self.disturbances} | {""}
-        return any(self.is_disturbed(name, from_ms, until_ms) for name in names)
+        return bool(self._disturbances_near(from_ms, until_ms))
+
+    def _disturbances_near(self, from_ms: float, until_ms: float) -> list[Disturbance]:
+        return [
+            item
+            for item in self.disturbances
+            if item.began_ms <= until_ms and item.ended_ms + CONTACT_MS >= from_ms
+        ]
 
     def begin_cut(self, entry: SoakEntry, services: list[str], mode: str) -> Any:
         """Add a rule of the proxy for some maps of an entry, and return it."""
--- a/packages/corianderpitch-standins/corianderpitch_standins/soaktroubles.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soaktroubles.py
@@ -139,7 +139,6 @@
                 fleet.disturb("", 1000.0 * store_s)
                 fleet.control("store", away=True)
                 self.later(store_s, lambda: fleet.control("store", away=False))
-
             case "silent partitions" | "refusing partitions":
                 fleet.disturb("", 1000.0 * length_s)
                 self._set_faults(
