Serve teams by their keys, and count what they have running against their quotas

A configuration that names teams made no difference so far: calls came without a key, and nothing counted what a team has running.

Keys are looked up by digest in the configuration in force, which is confirmed before 401. The team is stored with the job and in its progress. Tasks start only within the quota, beside all that may be running. Rows of jobs without a team are as before.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/commits.py
@@ -298,7 +298,7 @@
             Write(key, pack_progress(final)),
             Write(job_key(key.part, change.job.job_id), None),
         ]
-        if record.state is JobState.CANCELLED:
+        if record.state is JobState.CANCELLED or change.job.has_other_cancel:
             writes.append(Write(cancel_key(key.part, change.job.job_id), None))
         return writes
 
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/earlycancels.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/earlycancels.py
@@ -19,7 +19,7 @@
     job_id_of,
     job_key,
     queue_of,
-    unpack_time,
+    unpack_cancellation,
 )
 from corianderpitch.domain.scheduling.admission import REOPEN_SHARE, largest_queues
 from corianderpitch.errors import MalformedData, RowConflict
@@ -59,7 +59,7 @@
         One that does not tell when it was written is taken for new.
         """
         try:
-            written_ms = unpack_time(row.value)
+            written_ms = unpack_cancellation(row.value).time_ms
         except MalformedData:
             written_ms = self._store.time_ms()
         by_part = self._rows.setdefault(job_id_of(row.key), {})
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -14,6 +14,7 @@
 )
 from corianderpitch.daemon.scheduling.jobrows import (
     holds_job,
+    is_hidden_from,
     read_job_rows,
     read_partition_rows,
     state_of,
@@ -37,6 +38,7 @@
 from corianderpitch.domain.scheduling.workloads import Workload
 from corianderpitch.errors import (
     CommitError,
+    JobIdTaken,
     MalformedData,
     OutcomeLost,
     PlatformError,
@@ -44,7 +46,7 @@
     RateLimited,
     RowConflict,
 )
-from corianderpitch.ids import JobId, QueueName
+from corianderpitch.ids import JobId, QueueName, TeamName
 from corianderpitch.ports import Check, Row, RowStore, Write
 
 MAX_SUBMIT_ATTEMPTS = 3
@@ -84,6 +86,8 @@
                         at=version,
                     )
                     return IntakeResult(IntakeKind.DONE)
+                case Failure(JobIdTaken()):
+                    return _refuse_taken_id(workload)
                 case Failure(OutcomeLost() as error):
                     lost_answer = error
                 case Failure(QueueFull() as error) if lost_answer is None:
@@ -101,7 +105,7 @@
 
     def _store_job(
         self, workload: Workload, part: str, value: bytes
-    ) -> Result[int | None, CommitError | QueueFull]:
+    ) -> Result[int | None, CommitError | QueueFull | JobIdTaken]:
         """Store a job; returns its row's version, ``None`` if it exists already.
 
         A job that was cancelled before it came is stored beside its cancel row.
@@ -134,7 +138,7 @@
 
     def _explain_conflict(
         self, workload: Workload, conflicting: str, cancel_version: int
-    ) -> Result[Row | None, PlatformError | QueueFull]:
+    ) -> Result[Row | None, PlatformError | QueueFull | JobIdTaken]:
         """Find why a job was not stored in a partition.
 
         Returns ``None`` if it was accepted before, in either partition, and the cancel
@@ -145,6 +149,8 @@
         other = fallback if conflicting == home else home
         for part in (conflicting, other):
             match read_partition_rows(self._store, part, workload.job_id):
+                case Success(rows) if is_hidden_from(rows, workload.team):
+                    return Failure(JobIdTaken(workload.job_id))
                 case Success(rows) if holds_job(rows):
                     return Success(None)
                 case Success(rows) if part == conflicting and CANCEL_SUFFIX in rows:
@@ -161,8 +167,11 @@
         self, workload: Workload, error: OutcomeLost
     ) -> IntakeResult:
         """Read whether a job was stored although the answer of its write was lost."""
-        rows = read_job_rows(self._store, workload.queue, workload.job_id)
-        is_stored = isinstance(rows, Success) and holds_job(rows.unwrap())
+        read = read_job_rows(self._store, workload.queue, workload.job_id)
+        rows = read.value_or({})
+        if is_hidden_from(rows, workload.team):
+            return _refuse_taken_id(workload)
+        is_stored = holds_job(rows)
         log.warning(
             "Lost the store's answer to a submission.",
             job=workload.job_id,
@@ -171,19 +180,23 @@
         )
         return IntakeResult(IntakeKind.DONE if is_stored else IntakeKind.UNKNOWN)
 
-    def show(self, queue: QueueName, job_id: JobId) -> IntakeResult:
-        """Return the state of a job."""
+    def show(
+        self, queue: QueueName, job_id: JobId, team: TeamName | None = None
+    ) -> IntakeResult:
+        """Return the state of a job; ``team`` is the caller's, if the queue asks."""
         match read_job_rows(self._store, queue, job_id):
-            case Success(rows) if not holds_job(rows):
+            case Success(rows) if not holds_job(rows) or is_hidden_from(rows, team):
                 return IntakeResult(IntakeKind.NO_SUCH_JOB)
             case Success(rows):
                 return IntakeResult(IntakeKind.DONE, state_of(rows))
             case Failure(error):
                 return refuse_call("show", job_id, home_partition(queue, job_id), error)
 
-    def cancel(self, queue: QueueName, job_id: JobId) -> IntakeResult:
-        """Cancel a job, also one that is not stored yet."""
-        return cancel_job(self._store, queue, job_id)
+    def cancel(
+        self, queue: QueueName, job_id: JobId, team: TeamName | None = None
+    ) -> IntakeResult:
+        """Cancel a job, also one that is not stored yet, for a caller's team."""
+        return cancel_job(self._store, queue, job_id, team)
 
     def count_waiting(self, queue: QueueName) -> IntakeResult:
         """Return how many accepted jobs of a queue have not started."""
@@ -197,6 +210,12 @@
         return IntakeResult(IntakeKind.DONE, waiting=waiting)
 
 
+def _refuse_taken_id(workload: Workload) -> IntakeResult:
+    """Refuse a job whose id another team's job has; nothing is told of that one."""
+    log.warning("Job id taken.", job=workload.job_id, team=workload.team)
+    return IntakeResult(IntakeKind.ID_TAKEN)
+
+
 def _count_waiting(rows: tuple[Row, ...]) -> int:
     """Count the open jobs of which nothing has begun.
 
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intakeresults.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intakeresults.py
@@ -18,12 +18,14 @@
     """Kind of a call's outcome.
 
     After ``NOT_DONE`` the call certainly had no effect; after ``UNKNOWN`` it may
-    have had its effect. A job that is ``TOO_LARGE`` is never accepted.
+    have had its effect. A job that is ``TOO_LARGE`` is never accepted, and neither is
+    one whose id another team's job has (``ID_TAKEN``).
     """
 
     DONE = "done"
     NO_SUCH_JOB = "no_such_job"
     TOO_LARGE = "too_large"
+    ID_TAKEN = "id_taken"
     NOT_DONE = "not_done"
     UNKNOWN = "unknown"
 
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -18,6 +18,7 @@
     CANCEL_SUFFIX,
     JOBS_TABLE,
     PROGRESS_SUFFIX,
+    cancels_team,
     is_job_key,
     job_partitions,
     queue_of,
@@ -25,6 +26,7 @@
     unpack_progress,
     unpack_workload,
 )
+from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.diversion import (
     JobLocation,
     PartitionView,
@@ -250,7 +252,7 @@
             self._refusals.record(row.key, MalformedData("not the key of a job's row"))
         elif job_id in self._scheduler.jobs or job_id in self._scheduler.ended:
             if suffix == CANCEL_SUFFIX:
-                self._scheduler.cancel_job(job_id)
+                self._cancel(job_id, [row])
             self._cleanup.mark_if_misplaced(row)
         else:
             by_part = self._pending_rows.setdefault(job_id, defaultdict(dict))
@@ -323,13 +325,32 @@
         if record is not None and record.state.has_ended:
             self._cleanup.ended_ms_by_key.setdefault(progress.key, _ended_ms(record))
             self._scheduler.ended.add(job_id)
+            self._note_stopped_runs(record)
         elif "" in rows:
             job = self._make_job(rows[""], by_part, record)
             if progress is not None:
                 job.progress_version = progress.version
             self._scheduler.add_job(job)
-            if any(CANCEL_SUFFIX in others for others in by_part.values()):
+            others = by_part.values()
+            self._cancel(
+                job_id, [o[CANCEL_SUFFIX] for o in others if CANCEL_SUFFIX in o]
+            )
+
+    def _cancel(self, job_id: JobId, rows: Iterable[Row]) -> None:
+        """Cancel a job if one of its cancel rows binds its team."""
+        job = self._scheduler.jobs.get(job_id)
+        for row in rows if job is not None else ():
+            if cancels_team(row.value, job.workload.team):
                 self._scheduler.cancel_job(job_id)
+            else:
+                job.has_other_cancel = True
+
+    def _note_stopped_runs(self, record: ProgressRecord) -> None:
+        """Note that runs of a job may not have stopped yet when its end was recorded."""
+        if record.team is None or record.state is JobState.DONE:
+            return
+        if self._age_ms(record) < self._max_lease_ms:
+            self._scheduler.usage.note_stopped_runs(record.team)
 
     def _make_job(
         self,
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobrows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobrows.py
@@ -10,12 +10,14 @@
     JOBS_TABLE,
     PROGRESS_SUFFIX,
     RANGE_END,
+    cancels_team,
     job_partitions,
     unpack_progress,
+    unpack_team,
 )
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.errors import MalformedData, OutcomeLost, PlatformError
-from corianderpitch.ids import JobId, QueueName
+from corianderpitch.ids import JobId, QueueName, TeamName
 from corianderpitch.ports import Row
 
 JobRows = dict[str, Row]  # by the suffix of their names
@@ -30,24 +32,25 @@
     override the fallback rows if the home partition holds progress, and the
     fallback rows override the home rows if it does not, because the job may then
     be served from its fallback partition. Rows that hold no job, or none at all, are
-    returned only if both partitions have answered.
+    returned only if both partitions have answered. A cancel row of another team than
+    the job's is left out.
     """
     home, fallback = job_partitions(queue, job_id)
     at_home = read_partition_rows(store, home, job_id)
     if isinstance(at_home, Success) and has_ended(at_home.unwrap()):
-        return at_home
+        return at_home.map(_merge)
     if isinstance(at_home, Failure) and not store.can_try_other_partition(home):
         return at_home
     at_fallback = read_partition_rows(store, fallback, job_id)
     match at_home, at_fallback:
         case Success(rows), Success(fallback_rows) if has_ended(fallback_rows):
-            return Success(fallback_rows)
+            return Success(_merge(fallback_rows))
         case Success(rows), Success(fallback_rows) if PROGRESS_SUFFIX in rows:
-            return Success(fallback_rows | rows)
+            return Success(_merge(rows, fallback_rows))
         case Success(rows), Success(fallback_rows):
-            return Success(rows | fallback_rows)
+            return Success(_merge(fallback_rows, rows))
         case (Success(rows), _) | (_, Success(rows)) if holds_job(rows):
-            return Success(rows)
+            return Success(_merge(rows))
         case (Failure(_), _):
             return at_home
     return at_fallback
@@ -61,6 +64,36 @@
     return result.bind(lambda snapshot: _by_suffix(job_id, snapshot.rows))
 
 
+def _merge(preferred: JobRows, other: Mapping[str, Row] | None = None) -> JobRows:
+    """Merge the rows of two partitions, with a cancel row only if it binds the job."""
+    merged = {**(other or {}), **preferred}
+    if CANCEL_SUFFIX not in merged or not holds_job(merged):
+        return merged
+    team = team_of(merged)
+    cancels = [rows.get(CANCEL_SUFFIX) for rows in (preferred, other or {})]
+    binding = [row for row in cancels if row and cancels_team(row.value, team)]
+    del merged[CANCEL_SUFFIX]
+    return merged | ({CANCEL_SUFFIX: binding[0]} if binding else {})
+
+
+def team_of(rows: Mapping[str, Row]) -> TeamName | None:
+    """Return the team of the job among some rows, ``None`` if it cannot be read."""
+    suffix = "" if "" in rows else PROGRESS_SUFFIX
+    try:
+        return unpack_team(suffix, rows[suffix].value)
+    except MalformedData:
+        return None
+
+
+def is_hidden_from(rows: Mapping[str, Row], team: TeamName | None) -> bool:
+    """Return whether the job among some rows belongs to another team than a caller's.
+
+    Callers without a team come on a queue that takes calls without a key.
+    """
+    owner = team_of(rows) if team is not None and holds_job(rows) else None
+    return owner is not None and owner != team
+
+
 def _by_suffix(job_id: JobId, rows: Iterable[Row]) -> Result[JobRows, PlatformError]:
     by_suffix = {row.key.name.removeprefix(job_id): row for row in rows}
     try:
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -31,7 +31,14 @@
     Workload,
 )
 from corianderpitch.errors import MalformedData
-from corianderpitch.ids import JobId, QueueName, ServiceName, VmId, WorkerId
+from corianderpitch.ids import (
+    JobId,
+    QueueName,
+    ServiceName,
+    TeamName,
+    VmId,
+    WorkerId,
+)
 from corianderpitch.ports import PartitionedKey
 
 JOBS_TABLE = "jobs"
@@ -56,6 +63,7 @@
 COMPRESS_MIN_BYTES = 16_384
 MAX_UNPACKED_BYTES = 16_000_000
 STATE_BYTES = 64  # more than a record needs until after its state
+_TEAM_POSITIONS = {"": 5, PROGRESS_SUFFIX: 4}  # the field of a row that holds it
 _COMPRESSED = b"\xc1"  # no value of msgpack begins with it
 
 # The errors by which decoding or unpacking a value of another kind can fail.
@@ -198,15 +206,48 @@
     return _pack(sorted(worker_ids))
 
 
-def pack_time(time_ms: float) -> bytes:
-    """Encode a time of the store's clock, in milliseconds."""
-    return msgpack.packb(time_ms)
+@dataclass(frozen=True, slots=True)
+class Cancellation:
+    """A cancellation, at a time of the store's clock in milliseconds.
+
+    ``teams`` are those whose callers have cancelled; it is ``None`` if the queue takes
+    calls without a key, and the cancellation then binds the job of any team.
+    """
+
+    time_ms: float
+    teams: frozenset[TeamName] | None = None
+
+    def binds(self, team: TeamName | None) -> bool:
+        """Return whether it cancels a job of a team."""
+        return self.teams is None or team is None or team in self.teams
+
 
+def pack_cancellation(cancellation: Cancellation) -> bytes:
+    """Encode a cancellation; without teams it is as earlier versions write it."""
+    if cancellation.teams is None:
+        return msgpack.packb(cancellation.time_ms)
+    return msgpack.packb([cancellation.time_ms, sorted(cancellation.teams)])
 
-@_decodes("a time")
-def unpack_time(value: bytes) -> float:
-    """Decode a time of the store's clock, in milliseconds."""
-    return float(msgpack.unpackb(value))
+
+@_decodes("a cancellation")
+def unpack_cancellation(value: bytes) -> Cancellation:
+    """Decode a cancellation."""
+    match msgpack.unpackb(value):
+        case [time_ms, [*teams], *_]:
+            return Cancellation(float(time_ms), frozenset(map(TeamName, teams)))
+        case time_ms:
+            return Cancellation(float(time_ms))
+
+
+def cancels_team(value: bytes, team: TeamName | None) -> bool:
+    """Return whether the value of a cancel row cancels a job of a team.
+
+    One that cannot be read does: it was acknowledged.
+    """
+    try:
+        return unpack_cancellation(value).binds(team)
+    except MalformedData:
+        return True
 
 
 @_decodes("a list of workers")
@@ -256,7 +297,10 @@
 
 
 def pack_workload(workload: Workload, accepted_ms: float) -> bytes:
-    """Encode a job and the store's time of its acceptance in milliseconds."""
+    """Encode a job and the store's time of its acceptance in milliseconds.
+
+    A job without a team is encoded as earlier versions do.
+    """
     schedule = workload.schedule
     return _pack(
         [
@@ -265,6 +309,7 @@
             [schedule.repeats, schedule.start_ms, schedule.period_ms],
             accepted_ms,
             _pack_queue(workload.accepted_under),
+            *([workload.team] if workload.team is not None else []),
         ]
     )
 
@@ -277,17 +322,37 @@
     appended are ignored.
     """
     text, steps, schedule, accepted_ms, *rest = _unpack(value)
+    queue, team, *_ = (*rest, None, None)
     workload = Workload(
         JobId(key.name),
         queue_of(key.part),
         text,
         tuple(_unpack_step(step) for step in steps),
         Schedule(*schedule),
-        _unpack_queue(queue_of(key.part), rest[0]) if rest else None,
+        _unpack_queue(queue_of(key.part), queue),
+        _unpack_team(team),
     )
     return workload, accepted_ms
 
 
+def _unpack_team(packed: Any) -> TeamName | None:
+    """Decode a team, ``None`` if the row holds something else in its place."""
+    return TeamName(packed) if isinstance(packed, str) else None
+
+
+@_decodes("the team of a job")
+def unpack_team(suffix: str, value: bytes) -> TeamName | None:
+    """Decode only the team from a job's row or from its progress row."""
+    position = _TEAM_POSITIONS[suffix]
+    unpacker = msgpack.Unpacker()
+    unpacker.feed(_inflate(value))
+    if unpacker.read_array_header() <= position:
+        return None
+    for _ in range(position):
+        unpacker.skip()
+    return _unpack_team(unpacker.unpack())
+
+
 def _pack_queue(queue: Queue | None) -> list[Any] | None:
     """Encode a queue, without its name, which the partition tells."""
     if queue is None:
@@ -331,14 +396,20 @@
     return _COMPRESSED + zlib.compress(packed)
 
 
+def _inflate(value: bytes) -> bytes:
+    """Return what ``_pack`` has encoded without its compression."""
+    if not value.startswith(_COMPRESSED):
+        return value
+    inflate = zlib.decompressobj()
+    value = inflate.decompress(value[len(_COMPRESSED) :], MAX_UNPACKED_BYTES)
+    if not inflate.eof:
+        raise ValueError("a compressed row is incomplete or too long")
+    return value
+
+
 def _unpack(value: bytes) -> Any:
     """Decode what ``_pack`` has encoded."""
-    if value.startswith(_COMPRESSED):
-        inflate = zlib.decompressobj()
-        value = inflate.decompress(value[len(_COMPRESSED) :], MAX_UNPACKED_BYTES)
-        if not inflate.eof:
-            raise ValueError("a compressed row is incomplete or too long")
-    return msgpack.unpackb(value, strict_map_key=False)
+    return msgpack.unpackb(_inflate(value), strict_map_key=False)
 
 
 def _pack_step(step: Step) -> dict[str, Any]:
@@ -372,7 +443,10 @@
         + ([s.unconfirmed] if s.unconfirmed else [])
         for step_key, s in record.steps.items()
     ]
-    return _pack([record.state.value, record.finished, steps, record.recorded_ms])
+    team = [record.team] if record.team is not None else []
+    return _pack(
+        [record.state.value, record.finished, steps, record.recorded_ms, *team]
+    )
 
 
 def _pack_indexes(indexes: Collection[int]) -> list[Any]:
@@ -401,14 +475,15 @@
     include runs that nobody saw begin. Fields that a later version has appended are
     ignored.
     """
-    state, finished, packed, recorded_ms, *_ = _unpack(value)
+    state, finished, packed, recorded_ms, *rest = _unpack(value)
     steps = {
         (occurrence, number): _unpack_step_record(*fields)
         for occurrence, number, *fields in packed
     }
     if not recorded_ms:
         steps = {key: replace(s, unconfirmed=s.crashed) for key, s in steps.items()}
-    return ProgressRecord(JobState(state), finished, steps, recorded_ms)
+    team = _unpack_team(rest[0]) if rest else None
+    return ProgressRecord(JobState(state), finished, steps, recorded_ms, team)
 
 
 @_decodes("the progress of a job")
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -1,6 +1,6 @@
 """One term of the scheduler's role: state it loads, changes it follows, its tasks."""
 
-from collections.abc import Callable, Container, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 import eventlet
@@ -18,6 +18,7 @@
 from corianderpitch.daemon.scheduling.links import WorkerTask
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.supervision import keep_running
+from corianderpitch.domain.scheduling.catalog import Catalog
 from corianderpitch.domain.scheduling.crashes import (
     EarlierCrash,
     JobGivenUp,
@@ -30,9 +31,8 @@
 from corianderpitch.domain.scheduling.scheduler import Notice, Scheduler
 from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import WorkerInfo
-from corianderpitch.domain.scheduling.workloads import Queue
 from corianderpitch.errors import HistoryLost
-from corianderpitch.ids import QueueName, ServiceName, WorkerId
+from corianderpitch.ids import WorkerId
 from corianderpitch.ports import RowStore, WorkerChanges, WorkerLink, WorkerList
 
 FOLLOW_WAIT_MS = 1000
@@ -77,10 +77,8 @@
         Measures all intervals and leases.
     meters : JobMeters
         Counters and histograms of this entry.
-    queues : callable
-        Returns the queues of the configuration in force.
-    services : callable
-        Returns the services of the configuration in force.
+    catalog : callable
+        Returns the configuration in force.
     lease_ms : float
         Length of the lease that a worker gets with each report, in milliseconds.
     role_lease_ms : float
@@ -102,8 +100,7 @@
         role: RoleLease,
         clock: Clock,
         meters: JobMeters,
-        queues: Callable[[], Mapping[QueueName, Queue]],
-        services: Callable[[], Container[ServiceName]],
+        catalog: Callable[[], Catalog],
         lease_ms: float,
         role_lease_ms: float,
         keep_ended_ms: float,
@@ -118,8 +115,7 @@
         self._role = role
         self._clock = clock
         self._meters = meters
-        self._queues = queues
-        self._services = services
+        self._catalog = catalog
         self._lease_ms = lease_ms
         self._role_lease_ms = role_lease_ms
         self._has_larger_candidate = has_larger_candidate
@@ -226,11 +222,16 @@
     # Reading and following the store.
 
     def _load(self) -> bool:
-        self.scheduler.set_queues(self._queues())
+        self._apply_catalog()
         return (
             self._load_recorded_workers() and self._jobs.load() and self._load_workers()
         )
 
+    def _apply_catalog(self) -> None:
+        catalog = self._catalog()
+        self.scheduler.set_queues(catalog.queues)
+        self.scheduler.usage.set_teams(catalog.teams)
+
     def _load_recorded_workers(self) -> bool:
         """Read which workers may still execute orders of a predecessor."""
         match self._commits.read_recorded_workers():
@@ -297,7 +298,7 @@
         """
         worker = self.scheduler.workers.get(info.worker)
         is_known = worker is not None and worker.info.service == info.service
-        return not is_known and info.service not in self._services()
+        return not is_known and info.service not in self._catalog().pools
 
     def _update_known_workers(self, listed: Iterable[WorkerInfo]) -> None:
         """Apply the entries of workers that are known and have not restarted.
@@ -352,7 +353,7 @@
             delay_ms = min(MAX_BATCH_DELAY_MS, max(MIN_BATCH_DELAY_MS, delay_ms))
 
     def _plan(self, now_ms: float) -> None:
-        self.scheduler.set_queues(self._queues())
+        self._apply_catalog()
         for info in list(self._workers_without_service.values()):
             self._set_worker(info)
         if now_ms >= self._next_expiry_ms:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/catalog.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/catalog.py
@@ -3,17 +3,22 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
+from corianderpitch.domain.scheduling.teams import KeyDigest, Team
 from corianderpitch.domain.scheduling.workloads import Queue
-from corianderpitch.ids import QueueName, ServiceName, VmId
+from corianderpitch.ids import QueueName, ServiceName, TeamName, VmId
 
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Assignment of calls to a queue, by requested host and prefix of the path."""
+    """Assignment of calls to a queue, by requested host and prefix of the path.
+
+    Calls on a public route carry no key.
+    """
 
     host: str
     prefix: str
     queue: QueueName
+    is_public: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,13 +41,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Catalog:
-    """One version of the configuration."""
+    """One version of the configuration.
+
+    ``teams_by_key`` holds the team of each key, by the key's digest.
+    """
 
     version: int
     queues: Mapping[QueueName, Queue]
     routes: tuple[Route, ...]
     pools: Mapping[ServiceName, ServicePool]
     limits: CallerLimits = CallerLimits()
+    teams: Mapping[TeamName, Team] = field(default_factory=dict)
+    teams_by_key: Mapping[KeyDigest, TeamName] = field(default_factory=dict)
     by_host: Mapping[str, tuple[Route, ...]] = field(init=False)
 
     def __post_init__(self):
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/changes.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/changes.py
@@ -41,7 +41,7 @@
 
     def add_end(self, job: ActiveJob) -> None:
         """Queue the final record of a job that has just ended."""
-        record = ProgressRecord(job.state, job.finished)
+        record = ProgressRecord(job.state, job.finished, team=job.workload.team)
         self._final[job.job_id] = (job, record)
         self._awaiting_final_commit[job.job_id] = job
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/gangs.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/gangs.py
@@ -46,6 +46,9 @@
     """
     if step.runs or step.step.count > MAX_OPEN_TASKS:
         return
+    team, shape = job.workload.team, step.step.shape
+    if not scheduler.usage.admits(team, shape, step.step.count):
+        return
     for group in gang_groups(step, workers):
         if gang_fits(step, group):
             number = scheduler.next_run_number()
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -29,10 +29,11 @@
     that may crash their workers are started in isolation, before all others.
     """
     schedulable = _schedulable_by_service(scheduler, now_ms)
+    scheduler.count_usage()
     if may_restart:
         scheduler.give_up_crashing_jobs(now_ms)
         plan_isolated(scheduler, schedulable, now_ms, wall_ms)
-    waiting: dict[ServiceName, list[tuple[Queue, ActiveJob]]] = defaultdict(list)
+    waiting: list[tuple[Queue, ActiveJob]] = []
     for job in scheduler.jobs.values():
         queue = scheduler.queues.get(job.workload.queue)
         if queue is None or not schedulable.get(queue.service):
@@ -41,25 +42,26 @@
         if must_be_isolated(scheduler, job, now_ms):
             continue
         if job.has_waiting_tasks and scheduler.is_safe_to_start(job, now_ms):
-            waiting[queue.service].append((queue, job))
-    for service, jobs in waiting.items():
-        fits = RoundFits()
-        jobs.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
-        for queue, job in jobs:
-            for step in steps_to_try(job, wall_ms):
-                if step.step.is_gang and may_restart:
-                    stop_incomplete_gang(scheduler, step, now_ms)
-                if not fits.may_fit(step, schedulable[service]):
-                    continue
-                if not may_restart and any(i in step.pending for i in step.open):
-                    continue
-                workers = permitted_workers(
-                    step, queue.advice, schedulable[service], now_ms
-                )
-                if step.step.is_gang:
-                    start_gang(scheduler, job, step, workers, now_ms)
-                else:
-                    start_tasks(scheduler, job, step, step.pending, workers, now_ms)
+            waiting.append((queue, job))
+    fits: dict[ServiceName, RoundFits] = defaultdict(RoundFits)
+    # One order for all services: a team's quota is shared between them.
+    waiting.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
+    for queue, job in waiting:
+        workers = schedulable[queue.service]
+        for step in steps_to_try(job, wall_ms):
+            if step.step.is_gang and may_restart:
+                stop_incomplete_gang(scheduler, step, now_ms)
+            if not scheduler.usage.admits(job.workload.team, step.step.shape):
+                continue
+            if not fits[queue.service].may_fit(step, workers):
+                continue
+            if not may_restart and any(i in step.pending for i in step.open):
+                continue
+            permitted = permitted_workers(step, queue.advice, workers, now_ms)
+            if step.step.is_gang:
+                start_gang(scheduler, job, step, permitted, now_ms)
+            else:
+                start_tasks(scheduler, job, step, step.pending, permitted, now_ms)
 
 
 def backlogged_services(scheduler: Scheduler) -> frozenset[ServiceName]:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -14,7 +14,7 @@
     Workload,
     critical_path_ms,
 )
-from corianderpitch.ids import JobId, WorkerId
+from corianderpitch.ids import JobId, TeamName, WorkerId
 
 # Callers choose how many occurrences are due at once, how many steps each has, and how
 # many tasks a step has. These bounds keep what a holder remembers of one job small;
@@ -66,13 +66,14 @@
     ``finished`` is the number of leading occurrences that are completely done.
     ``steps`` has (occurrence, step number) as keys. ``recorded_ms`` is the store's
     time of the record, 0 if it is not known. For a job that has ended it is the time
-    of the end.
+    of the end. ``team`` submitted the job.
     """
 
     state: JobState
     finished: int = 0
     steps: dict[tuple[int, int], StepRecord] = field(default_factory=dict)
     recorded_ms: float = 0.0
+    team: TeamName | None = None
 
     @property
     def size(self) -> int:
@@ -267,7 +268,8 @@
     ``awaits_group_since_ms`` is the time since when suspects of the job have waited
     for an isolation group, ``None`` if none waits for one. ``next_ready_step`` is the
     place among the ready steps at which the next planning round begins, if these are
-    too many for one round.
+    too many for one round. ``has_other_cancel`` is set if a cancel row of another team
+    lies beside the job's rows.
     """
 
     def __init__(self, workload: Workload, accepted_ms: float, version: int):
@@ -285,6 +287,7 @@
         self.record_age_ms = 0.0
         self.awaits_group_since_ms: float | None = None
         self.next_ready_step = 0
+        self.has_other_cancel = False
         self.uncommitted_ends: list[EndRef] = []
         self.failed_on: dict[tuple[int, int], frozenset[WorkerId]] = {}
         self._recorded_placements: list[tuple[TaskRef, Placement]] = []
@@ -426,7 +429,7 @@
             for step in self.steps()
             if step.done or step.runs or step.failed or step.checkpoints or step.crashed
         }
-        return ProgressRecord(self.state, self.finished, steps)
+        return ProgressRecord(self.state, self.finished, steps, team=self.workload.team)
 
     def restore(self, record: ProgressRecord) -> None:
         """Restore the progress that a predecessor has committed."""
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -46,6 +46,7 @@
     give_up_answer,
     is_certainly_missing,
 )
+from corianderpitch.domain.scheduling.usage import TeamUsage
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
     ReportedEnd,
@@ -94,6 +95,7 @@
         self._notices: list[RunNotice] = []
         self._changes = ChangeLog(self.jobs, self.workers)
         self._stops = RecentStops()
+        self.usage = TeamUsage()
 
     # Inputs from the store.
 
@@ -107,6 +109,12 @@
             self._configured_queues = queues
             self._update_queues()
 
+    def count_usage(self) -> None:
+        """Count what teams have running, before a planning round."""
+        self.usage.count(
+            self.workers, self.jobs, self.awaiting_report, self.has_read_all_jobs
+        )
+
     def _update_queues(self) -> None:
         known = self.queues
         jobs = self.jobs.values()
@@ -337,6 +345,7 @@
             has_expired = worker.lease_end_ms(self.leases_end_ms) <= now_ms
             if has_expired and worker.is_silent:
                 worker.has_unread_runs = False
+                worker.has_unneeded_runs = False
                 worker.lapsed_runs += worker.runs.values()
                 self._mark_all_lost(worker, LossCause.LEASE_EXPIRED)
                 self.awaiting_report.discard(worker.info.worker)
@@ -393,7 +402,10 @@
             now_ms,
             incarnation=worker.incarnation or "",
             ordered_ms=now_ms,
+            team=job.workload.team,
+            usage=step.step.shape,
         )
+        self.usage.add(run.team, run.usage)
         worker.add_run(run)
         step.runs.setdefault(index, []).append(run)
         step.pending.discard(index)
@@ -701,6 +713,8 @@
             incarnation=worker.incarnation or "",
             start=StartState.CONFIRMED,
             is_attributed=True,
+            team=job.workload.team,
+            usage=step.step.shape,
         )
         worker.add_run(run)
         step.runs.setdefault(reported.task.index, []).append(run)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/starting.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/starting.py
@@ -29,7 +29,7 @@
     workers: list[WorkerView],
     now_ms: float,
 ) -> None:
-    """Start waiting tasks of a step while there is free capacity.
+    """Start waiting tasks of a step while there is free capacity and quota.
 
     ``indexes`` are in ascending order. Tasks that have not failed anywhere share one
     ranking of the workers. Workers are dropped from its front as they fill up. Where a
@@ -37,6 +37,8 @@
     """
     ranked = deque(rank_workers(step, workers))
     for index in _startable(job, step, indexes) if ranked else ():
+        if not scheduler.usage.admits(job.workload.team, step.step.shape):
+            return
         if failed_workers := _failed_workers(job, step, index):
             worker = choose_worker(step, index, workers, failed_workers)
         else:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -7,7 +7,7 @@
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.workloads import TaskRef
-from corianderpitch.ids import JobId, ServiceName, VmId, WorkerId
+from corianderpitch.ids import JobId, ServiceName, TeamName, VmId, WorkerId
 
 CLOCK_DRIFT = 0.02  # share by which a worker's clock may run slow
 LEASE_SLACK_MS = 100.0
@@ -149,7 +149,8 @@
     worker crashes afterwards, the run is unlikely to be the cause.
     ``may_have_stopped`` is set once an order to stop it may have had an effect.
     ``start`` tells how far the order to start it has got, and ``is_attributed`` is set
-    once it is known which process of the worker has begun it.
+    once it is known which process of the worker has begun it. ``usage`` counts towards
+    the quota of ``team``.
     """
 
     task: TaskRef
@@ -170,6 +171,8 @@
     may_have_stopped: bool = False
     start: StartState = StartState.PLANNED
     is_attributed: bool = False
+    team: TeamName | None = None
+    usage: Shape = NOTHING
 
     @property
     def key(self) -> RunKey:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from corianderpitch.domain.jobs import Shape
-from corianderpitch.ids import JobId, QueueName, ServiceName
+from corianderpitch.ids import JobId, QueueName, ServiceName, TeamName
 
 MAX_TASKS_OF_STEP = 10_000
 MAX_STEPS = 1_000
@@ -125,6 +125,7 @@
     """A job as it was submitted; ``text`` is passed to the workers unchanged.
 
     ``accepted_under`` is its queue as it was configured then, if that is known.
+    ``team`` submitted it, ``None`` on a queue that takes jobs without a key.
     """
 
     job_id: JobId
@@ -133,6 +134,7 @@
     steps: tuple[Step, ...]
     schedule: Schedule = Schedule()
     accepted_under: Queue | None = None
+    team: TeamName | None = None
 
     @property
     def is_lasting(self) -> bool:
--- a/packages/corianderpitch/corianderpitch/errors.py
+++ b/packages/corianderpitch/corianderpitch/errors.py
@@ -80,6 +80,13 @@
     queue: str
 
 
+@dataclass(frozen=True, slots=True)
+class JobIdTaken:
+    """Another team has submitted a job with this id."""
+
+    job_id: JobId
+
+
 @dataclass(frozen=True, slots=True)
 class RateLimited:
     """The platform refused the request because of a rate limit; it had no effect."""
--- a/tests/adapter/test_front.py
+++ b/tests/adapter/test_front.py
@@ -28,10 +28,10 @@
     def submit(self, workload):
         return self.result
 
-    def show(self, queue, job_id):
+    def show(self, queue, job_id, team):
         return self.result
 
-    def cancel(self, queue, job_id):
+    def cancel(self, queue, job_id, team):
         return self.result
 
 
@@ -57,7 +57,7 @@
     route = Route("shop.example", "/q/", QueueName("q"))
     catalog = Catalog(1, {}, (route,), {})
     return JobsApp(
-        FixedResultIntake(result), lambda: catalog, ManualClock(), JobMeters()
+        FixedResultIntake(result), lambda: catalog, ManualClock(), JobMeters(), None
     )
 
 
@@ -182,7 +182,7 @@
         super().__init__(None)
         self.was_left = False
 
-    def show(self, queue, job_id):
+    def show(self, queue, job_id, team):
         try:
             Event().wait()
         finally:
--- a/tests/adapter/test_holder_changes.py
+++ b/tests/adapter/test_holder_changes.py
@@ -98,7 +98,7 @@
         self._store = PlatformStore(f"{self.host}:{STORE_PORT}", self._clock)
         self._pools = PlatformVmPools(f"{self.host}:{MACHINES_PORT}")
         self._operators = PlatformOperatorRows(self._store)
-        self._catalogs = CatalogTask(self._operators)
+        self._catalogs = CatalogTask(self._operators, self._clock)
         table = PartitionedTable(self._store)
         self._role = RoleLease(
             "scheduler",
@@ -131,8 +131,7 @@
             self._role,
             self._clock,
             JobMeters(),
-            lambda: self._catalogs.catalog.queues,
-            lambda: self._catalogs.catalog.pools,
+            lambda: self._catalogs.catalog,
             HOLD_MAX_MS,
             ROLE_LEASE_MS,
             KEEP_ENDED_MS,
--- a/tests/adapter/test_workerlist.py
+++ b/tests/adapter/test_workerlist.py
@@ -14,6 +14,7 @@
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.terms import SchedulerTerm
 from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.catalog import Catalog
 from corianderpitch.domain.scheduling.placing import is_schedulable
 from corianderpitch.domain.scheduling.workers import WorkerReport
 from corianderpitch.errors import PlatformUnavailable
@@ -174,8 +175,7 @@
             role,
             clock,
             JobMeters(),
-            dict,
-            lambda: services,
+            lambda: Catalog(1, {}, (), dict.fromkeys(services)),
             6000.0,
             ROLE_LEASE_MS,
             120_000.0,
