--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -346,7 +346,7 @@
                 job.has_other_cancel = True
 
     def _note_stopped_runs(self, record: ProgressRecord) -> None:
-        """Note that runs of a job may not have stopped yet when its end was recorded."""
+        """Note that a job ended while tasks ran, which may not have stopped yet."""
         if record.team is None or record.state is JobState.DONE:
             return
         if self._age_ms(record) < self._max_lease_ms:
--- a/packages/corianderpitch/tests/test_scheduler_rules.py
+++ b/packages/corianderpitch/tests/test_scheduler_rules.py
@@ -5,7 +5,9 @@
 """
 
 import random
+from collections.abc import Mapping
 from dataclasses import dataclass, field
+from types import MappingProxyType
 
 import pytest
 from hypothesis import settings
@@ -23,10 +25,18 @@
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.progress import ActiveJob, ProgressRecord
 from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.teams import Team
 from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.domain.scheduling.workloads import Queue, Step, TaskRef, Workload
-from corianderpitch.ids import JobId, QueueName, ServiceName, VmId, WorkerId
+from corianderpitch.ids import (
+    JobId,
+    QueueName,
+    ServiceName,
+    TeamName,
+    VmId,
+    WorkerId,
+)
 from corianderpitch_standins.simulatedworkers import RunLedger, SimulatedWorker
 
 QUEUE = Queue(QueueName("quotes"), ServiceName("counter"), max_attempts=3)
@@ -79,7 +89,13 @@
 class Holder:
     """One term, with the work of the tasks that surround the scheduler."""
 
-    def __init__(self, store: Store, now_ms: float, unread: tuple[str, ...] = ()):
+    def __init__(
+        self,
+        store: Store,
+        now_ms: float,
+        unread: tuple[str, ...] = (),
+        teams: Mapping[TeamName, Team] = MappingProxyType({}),
+    ):
         store.term += 1
         store.term_version = store.next_version()
         store.beat_ms = now_ms
@@ -89,6 +105,7 @@
         term = Term(store.term, store.term_version, now_ms + lease_ms, lease_ms)
         self.scheduler = Scheduler(term)
         self.scheduler.set_queues({QUEUE.name: QUEUE})
+        self.scheduler.usage.set_teams(teams)
         self.scheduler.awaiting_report = set(store.recorded)
         self.known: set[str] = set()
         self.unread = set(unread) & set(store.jobs)
@@ -109,6 +126,8 @@
             self.known.add(name)
             record = self.store.progress.get(name)
             if record is not None and record.state.has_ended:
+                if record.state is not JobState.DONE:
+                    self.scheduler.usage.note_stopped_runs(record.team)
                 continue
             job = ActiveJob(workload, now_ms, version)
             if record is not None:
@@ -157,15 +176,19 @@
 class SchedulerRules(RuleBasedStateMachine):
     """Holders and workers whose messages are delivered, lost or late."""
 
+    teams: Mapping[TeamName, Team] = MappingProxyType({})
+    team: TeamName | None = None
+    new_ledger = RunLedger
+
     @initialize()
     def begin(self):
         self.now_ms = 10_000.0
-        self.ledger = RunLedger()
+        self.ledger = self.new_ledger()
         self.workers = {name: SimulatedWorker(name, self.ledger) for name in WORKERS}
         for worker in self.workers.values():
             worker.start_incarnation(self.now_ms - 100.0)
         self.store = Store()
-        self.holders = [Holder(self.store, self.now_ms)]
+        self.holders = [Holder(self.store, self.now_ms, teams=self.teams)]
         self.calls: list[Call] = []
         self.jobs = 0
         for worker in self.workers:
@@ -196,7 +219,7 @@
         chain = tuple(
             Step(count, shape, 500.0, after=(n - 1,) if n else ()) for n in range(steps)
         )
-        workload = Workload(name, QUEUE.name, "", chain)
+        workload = Workload(name, QUEUE.name, "", chain, team=self.team)
         self.store.jobs[name] = (workload, self.store.next_version())
 
     @rule(
@@ -430,7 +453,7 @@
         """
         if len(self.holders) > 3 or self.now_ms - self.store.beat_ms < ROLE_LEASE_MS:
             return
-        holder = Holder(self.store, self.now_ms, unread)
+        holder = Holder(self.store, self.now_ms, unread, self.teams)
         for name, worker in self.workers.items():
             if worker.is_up and lists_workers:
                 self._list(holder, name)
