--- a/tests/adapter/test_front.py
+++ b/tests/adapter/test_front.py
@@ -4,19 +4,29 @@
 import json
 
 import eventlet
+import logbook
 import pytest
 from eventlet.event import Event
+from returns.result import Failure, Success
 
 from corianderpitch.clock import ManualClock
 from corianderpitch.daemon.scheduling.intake import IntakeKind, IntakeResult
 from corianderpitch.daemon.scheduling.meters import JobMeters
 from corianderpitch.daemon.scheduling.rows import pack_workload
+from corianderpitch.daemon.scheduling.teamkeys import (
+    ConfigurationUnconfirmed,
+    UnknownKey,
+)
 from corianderpitch.domain.jobs import JobState, Shape
+from corianderpitch.domain.quotas import Quota
 from corianderpitch.domain.scheduling.catalog import Catalog, Route
-from corianderpitch.ids import QueueName
+from corianderpitch.domain.scheduling.teams import Team
+from corianderpitch.ids import QueueName, TeamName
 from corianderpitch_platform.front import JobsApp
 
 JOB = "5c0e7a21d94b36f8"
+TEAM = Team(TeamName("yard-staff"), 1.0, Quota(8.0))
+KEY = "pqk8bdk9eevyxq2yyaza"
 
 
 class FixedResultIntake:
@@ -35,7 +45,7 @@
         return self.result
 
 
-def call(app, method="GET", path=f"/q/{JOB}", body=b""):
+def call(app, method="GET", path=f"/q/{JOB}", body=b"", authorization=None):
     response = {}
 
     def start_response(status, headers):
@@ -49,15 +59,17 @@
         "CONTENT_LENGTH": str(len(body)),
         "wsgi.input": io.BytesIO(body),
     }
+    if authorization is not None:
+        environ["HTTP_AUTHORIZATION"] = authorization
     response["body"] = b"".join(app(environ, start_response))
     return response
 
 
-def app_with_result(result):
-    route = Route("shop.example", "/q/", QueueName("q"))
-    catalog = Catalog(1, {}, (route,), {})
+def app_with_result(result, keys=None):
+    route = Route("shop.example", "/q/", QueueName("q"), is_public=keys is None)
+    catalog = Catalog(1, {}, (route,), {}, teams={TEAM.name: TEAM})
     return JobsApp(
-        FixedResultIntake(result), lambda: catalog, ManualClock(), JobMeters(), None
+        FixedResultIntake(result), lambda: catalog, ManualClock(), JobMeters(), keys
     )
 
 
@@ -200,3 +212,74 @@
     assert caller.wait()["status"] == 504
     assert intake.was_left
     assert app.in_flight == 0
+
+
+class FixedKeys:
+    """Knows one key."""
+
+    def __init__(self, problem=None):
+        self._problem = problem or UnknownKey()
+
+    def find_team(self, key):
+        return Success(TEAM.name) if key == KEY else Failure(self._problem)
+
+
+ODD_HEADERS = {
+    "none": None,
+    "empty": "",
+    "no key": "Token ",
+    "another key": "Token x",
+    "another scheme": f"Bearer {KEY}",
+    "no scheme": KEY,
+    "two spaces": f"Token  {KEY}",
+    "not ASCII": "Token k\xe9y",
+    "long": "Token " + "x" * 10_000,
+}
+
+
+@pytest.mark.parametrize("odd", ODD_HEADERS)
+@pytest.mark.parametrize("method", ["POST", "GET", "DELETE"])
+def test_a_call_without_a_known_key_is_refused(method, odd):
+    app = app_with_result(IntakeResult(IntakeKind.DONE), FixedKeys())
+    response = call(app, method, body=job(), authorization=ODD_HEADERS[odd])
+    assert response["status"] == 401
+    assert ("WWW-Authenticate", "Token") in response["headers"]
+
+
+def test_waiting_jobs_are_counted_only_for_a_known_key():
+    app = app_with_result(IntakeResult(IntakeKind.DONE), FixedKeys())
+    assert call(app, path="/q/")["status"] == 401
+
+
+def test_a_key_that_cannot_be_told_from_a_new_one_is_refused_for_a_while():
+    """An entry that cannot read the configuration must not answer 401."""
+    keys = FixedKeys(ConfigurationUnconfirmed())
+    app = app_with_result(IntakeResult(IntakeKind.DONE), keys)
+    response = call(app, authorization="Token new")
+    assert response["status"] == 503
+    assert ("Retry-After", "1") in response["headers"]
+
+
+def test_a_job_belongs_to_the_team_of_the_key():
+    app = app_with_result(None, FixedKeys())
+    app._intake = intake = StoringIntake()
+    call(app, "POST", body=job(), authorization=f"Token {KEY}")
+    assert [workload.team for workload in intake.workloads] == [TEAM.name]
+
+
+def test_a_gang_that_its_teams_quota_never_admits_is_refused_at_once():
+    app = app_with_result(None, FixedKeys())
+    app._intake = intake = StoringIntake()
+    gang = job({"cpu": 2001, "gang": True})
+    assert call(app, "POST", body=gang, authorization=f"Token {KEY}")["status"] == 400
+    assert not intake.workloads
+
+
+def test_no_key_is_logged_or_answered():
+    app = app_with_result(IntakeResult(IntakeKind.ID_TAKEN), FixedKeys())
+    with logbook.TestHandler() as records:
+        good = call(app, "POST", body=job(), authorization=f"Token {KEY}")
+        bad = call(app, "POST", body=job(), authorization=f"Token {KEY}x")
+    assert (good["status"], bad["status"]) == (409, 401)
+    assert KEY not in str(records.formatted_records)
+    assert KEY.encode() not in good["body"] + bad["body"]
