Put jobs beyond their team's share after all others

When a team sends many times its usual, its jobs were ordered like those of others and could push them out of their objective. Jobs are counted against the team's weight in the order of acceptance; those beyond it run in the room that others leave.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/ordering.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/ordering.py
@@ -6,6 +6,9 @@
 and among these to the one with the least remaining work, so that a given capacity
 completes the most jobs in time (shortest remaining processing time first,
 Schrage, 1968).
+
+What a team sends beyond its share comes after all jobs that are within theirs, late
+ones included: it may use only what these leave.
 """
 
 from corianderpitch.domain.scheduling.progress import ActiveJob
@@ -32,8 +35,13 @@
 def order_key(
     job: ActiveJob, queue: Queue, now_ms: float
 ) -> tuple[int, float, float, JobId]:
-    """Return the sort key of a job: lasting jobs, then punctual, then late ones."""
+    """Return the sort key of a job: lasting jobs, then punctual, then late ones.
+
+    Jobs beyond their team's share come last.
+    """
     if job.workload.is_lasting:
         return (0, job.accepted_ms, 0.0, job.job_id)
     rank = 2 if will_miss_objective(job, queue, now_ms) else 1
+    if job.is_beyond_share:
+        rank = 3
     return (rank, job.remaining_core_ms, job.accepted_ms, job.job_id)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -269,7 +269,8 @@
     for an isolation group, ``None`` if none waits for one. ``next_ready_step`` is the
     place among the ready steps at which the next planning round begins, if these are
     too many for one round. ``has_other_cancel`` is set if a cancel row of another team
-    lies beside the job's rows.
+    lies beside the job's rows, and ``is_beyond_share`` if its team had sent more jobs
+    than its share.
     """
 
     def __init__(self, workload: Workload, accepted_ms: float, version: int):
@@ -288,6 +289,7 @@
         self.awaits_group_since_ms: float | None = None
         self.next_ready_step = 0
         self.has_other_cancel = False
+        self.is_beyond_share = False
         self.uncommitted_ends: list[EndRef] = []
         self.failed_on: dict[tuple[int, int], frozenset[WorkerId]] = {}
         self._recorded_placements: list[tuple[TaskRef, Placement]] = []
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -39,6 +39,7 @@
     runs_of_ended_process,
     unsent_starts,
 )
+from corianderpitch.domain.scheduling.shares import ShareMeter, mark_beyond_share
 from corianderpitch.domain.scheduling.stops import RecentStops
 from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.unanswered import (
@@ -96,6 +97,8 @@
         self._changes = ChangeLog(self.jobs, self.workers)
         self._stops = RecentStops()
         self.usage = TeamUsage()
+        self._shares = ShareMeter()
+        self._unmetered: list[ActiveJob] = []
 
     # Inputs from the store.
 
@@ -110,7 +113,10 @@
             self._update_queues()
 
     def count_usage(self) -> None:
-        """Count what teams have running, before a planning round."""
+        """Count what teams have running and have sent, before a planning round."""
+        jobs, self._unmetered = self._unmetered, []
+        pairs = ((job, self.usage.team(job.workload.team)) for job in jobs)
+        mark_beyond_share(self._shares, pairs)
         self.usage.count(
             self.workers, self.jobs, self.awaiting_report, self.has_read_all_jobs
         )
@@ -134,6 +140,7 @@
             return
         job.may_have_unknown_runs = job.version < self.term.version
         self.jobs[job.job_id] = job
+        self._unmetered.append(job)
         if job.workload.has_fillers:
             self.filler_jobs.add(job.job_id)
         self.crashes.add_job(job)
--- /dev/null
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/shares.py
@@ -0,0 +1,47 @@
+"""Which jobs of a team are within its share, and which are beyond it.
+
+A team's weight is the number of jobs a second that it is owed. When a team sends many
+times its usual, what is beyond its weight must not push the jobs of other teams out of
+their objective. It runs only in the room that these leave, so that nothing is idle
+while a job waits.
+
+The jobs are counted by the generic cell rate algorithm (ITU-T I.371): a job is within
+the share if its team is at most ``SHARE_WINDOW_MS`` ahead of its rate. Jobs that come
+together by chance are therefore within it.
+"""
+
+import math
+from collections.abc import Iterable
+
+from corianderpitch.domain.scheduling.progress import ActiveJob
+from corianderpitch.domain.scheduling.teams import Team
+from corianderpitch.ids import TeamName
+
+SHARE_WINDOW_MS = 5000.0
+
+
+class ShareMeter:
+    """Counts the jobs of each team against its weight, in the order of acceptance."""
+
+    def __init__(self):
+        self._due_ms: dict[TeamName, float] = {}
+
+    def is_beyond_share(self, team: Team, accepted_ms: float) -> bool:
+        """Count a job, unless it is beyond its team's share; return whether it is."""
+        due_ms = max(self._due_ms.get(team.name, -math.inf), accepted_ms)
+        if team.weight <= 0 or due_ms - accepted_ms > SHARE_WINDOW_MS:
+            return True
+        self._due_ms[team.name] = due_ms + 1000.0 / team.weight
+        return False
+
+
+def mark_beyond_share(
+    meter: ShareMeter, jobs: Iterable[tuple[ActiveJob, Team | None]]
+) -> None:
+    """Mark which of some new jobs are beyond their team's share.
+
+    Lasting jobs and those without a team are within it.
+    """
+    counted = [(j, t) for j, t in jobs if t is not None and not j.workload.is_lasting]
+    for job, team in sorted(counted, key=lambda pair: pair[0].accepted_ms):
+        job.is_beyond_share = meter.is_beyond_share(team, job.accepted_ms)
