Keep room for jobs within a share, and ask for no workers that quotas leave idle

Shorter windows of the share were tried and delay jobs that only came close together. Pools were also sized for tasks that a quota does not admit, and waves waited for them.

--- a/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
@@ -27,6 +27,7 @@
     pool_loads,
     pool_needs,
 )
+from corianderpitch.domain.scheduling.teams import Team
 from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import (
     EndKind,
@@ -36,7 +37,14 @@
     WorkerReport,
 )
 from corianderpitch.domain.scheduling.workloads import Queue, Step, TaskRef, Workload
-from corianderpitch.ids import JobId, QueueName, ServiceName, VmId, WorkerId
+from corianderpitch.ids import (
+    JobId,
+    QueueName,
+    ServiceName,
+    TeamName,
+    VmId,
+    WorkerId,
+)
 
 TICK_MS = 20
 SIZING_INTERVAL_MS = 100
@@ -71,6 +79,29 @@
         return self.mean_per_s * self.peak_factor * risen
 
 
+@dataclass(frozen=True, slots=True)
+class TeamMix:
+    """Teams that submit jobs in proportion to their weights.
+
+    From ``flood_begins_s`` to ``flood_ends_s`` the team ``flooding`` sends
+    ``flood_factor`` times its usual.
+    """
+
+    teams: tuple[Team, ...]
+    flooding: TeamName = TeamName("")
+    flood_factor: float = 7.0
+    flood_begins_s: float = 0.0
+    flood_ends_s: float = 0.0
+
+    def surplus_rate_per_s(self, rate_per_s: float, now_ms: float) -> float:
+        """Return how many jobs a second the flooding team sends beyond its usual."""
+        if not self.flood_begins_s <= now_ms / 1000.0 < self.flood_ends_s:
+            return 0.0
+        total = sum(team.weight for team in self.teams)
+        own = sum(team.weight for team in self.teams if team.name == self.flooding)
+        return rate_per_s * own / total * (self.flood_factor - 1.0)
+
+
 @dataclass(frozen=True, slots=True)
 class ReplayPolicy:
     """How many VMs the pools have, and what decides their sizes.
@@ -92,11 +123,15 @@
 
 @dataclass(slots=True)
 class QueueReport:
-    """Jobs of a queue that ended in time or late, and how long each took."""
+    """Jobs of a queue or a team that ended in time or late, and how long each took.
+
+    ``waited_ms`` holds the time until the first start of each.
+    """
 
     in_time: int = 0
     late: int = 0
     took_ms: list[float] = field(default_factory=list)
+    waited_ms: list[float] = field(default_factory=list)
 
     @property
     def share_in_time(self) -> float:
@@ -113,6 +148,7 @@
     """
 
     queues: dict[QueueName, QueueReport] = field(default_factory=dict)
+    teams: dict[TeamName, QueueReport] = field(default_factory=dict)
     vm_s: float = 0.0
     moves: int = 0
 
@@ -142,16 +178,26 @@
 
 
 class _PatternReplay:
-    def __init__(self, pattern: RotatingPeaks, policy: ReplayPolicy, seed: int):
+    def __init__(
+        self,
+        pattern: RotatingPeaks,
+        policy: ReplayPolicy,
+        seed: int,
+        mix: TeamMix | None,
+    ):
         self._pattern = pattern
         self._policy = policy
+        self._mix = mix
         self._random = random.Random(seed)
+        self._flood_random = random.Random(-seed)
         self._scheduler = Scheduler(Term(1, 1, 0.0))
         self._queues = [
             Queue(QueueName(f"q{n}"), ServiceName(f"s{n}"), 0, 4, 1.6, target_ms=600.0)
             for n in range(pattern.queues)
         ]
         self._scheduler.set_queues({queue.name: queue for queue in self._queues})
+        teams = mix.teams if mix is not None else ()
+        self._scheduler.usage.set_teams({team.name: team for team in teams})
         self._vms = [
             _SimulatedVm(VmId(f"vm{n}-{m}"), queue.service)
             for n, queue in enumerate(self._queues)
@@ -165,13 +211,17 @@
         self._run_times_ms: dict[tuple[JobId, int], list[float]] = {}
         self._job_count = 0
         self._worker_count = 0
-        self.report = ReplayReport({q.name: QueueReport() for q in self._queues})
+        self._first_start_ms: dict[JobId, float] = {}
+        self.report = ReplayReport(
+            {q.name: QueueReport() for q in self._queues},
+            {team.name: QueueReport() for team in teams},
+        )
 
     def run(self, length_s: float) -> ReplayReport:
         self._start_workers(0.0)
         for queue in self._queues:
             step = Step(5, Shape(1.5, 2400), 0.0, is_lasting=True, max_unavailable=1)
-            self._submit_job(queue, (step,), 0.0)
+            self._submit_job(queue, (step,), 0.0, self._random)
         for now_ms in range(0, int(length_s * 1000), TICK_MS):
             self._tick(float(now_ms))
         return self.report
@@ -180,10 +230,17 @@
         self._start_workers(now_ms)
         self._end_runs(now_ms)
         for number, queue in enumerate(self._queues):
-            rate = self._pattern.rate_per_s(number, now_ms) * TICK_MS / 1000.0
-            whole, fraction = divmod(rate, 1.0)
-            for _ in range(int(whole) + (self._random.random() < fraction)):
-                self._submit_job(queue, self._draw_steps(), now_ms)
+            rate_per_s = self._pattern.rate_per_s(number, now_ms)
+            self._submit_jobs(queue, rate_per_s, now_ms, self._random)
+            if self._mix is not None:
+                surplus_per_s = self._mix.surplus_rate_per_s(rate_per_s, now_ms)
+                self._submit_jobs(
+                    queue,
+                    surplus_per_s,
+                    now_ms,
+                    self._flood_random,
+                    self._mix.flooding,
+                )
         plan(self._scheduler, now_ms, now_ms)
         for order in self._scheduler.pop_orders():
             self._execute_order(order, now_ms)
@@ -193,9 +250,29 @@
         active = sum(1 for vm in self._vms if vm.pool != STANDBY)
         self.report.vm_s += active * TICK_MS / 1000.0
 
-    def _draw_steps(self) -> tuple[Step, ...]:
+    def _submit_jobs(
+        self,
+        queue: Queue,
+        rate_per_s: float,
+        now_ms: float,
+        rng: random.Random,
+        team: TeamName | None = None,
+    ) -> None:
+        """Submit the jobs of one tick; without ``team`` each is of any team."""
+        whole, fraction = divmod(rate_per_s * TICK_MS / 1000.0, 1.0)
+        for _ in range(int(whole) + (rng.random() < fraction)):
+            steps = self._draw_steps(rng)
+            owner = team if team is not None else self._draw_team(rng)
+            self._submit_job(queue, steps, now_ms, rng, owner)
+
+    def _draw_team(self, rng: random.Random) -> TeamName | None:
+        if self._mix is None:
+            return None
+        weights = [team.weight for team in self._mix.teams]
+        return rng.choices(self._mix.teams, weights)[0].name
+
+    def _draw_steps(self, rng: random.Random) -> tuple[Step, ...]:
         """Draw the steps of a short job; task counts and run times vary widely."""
-        rng = self._random
         estimate_ms = 800.0 * rng.lognormvariate(0.0, 0.5)
         return tuple(
             Step(
@@ -207,13 +284,20 @@
             for number in range(rng.choice((1, 1, 1, 2, 2, 3)))
         )
 
-    def _submit_job(self, queue: Queue, steps: tuple[Step, ...], now_ms: float) -> None:
+    def _submit_job(
+        self,
+        queue: Queue,
+        steps: tuple[Step, ...],
+        now_ms: float,
+        rng: random.Random,
+        team: TeamName | None = None,
+    ) -> None:
         self._job_count += 1
         job_id = JobId(f"{self._job_count:016x}")
-        workload = Workload(job_id, queue.name, "", steps)
+        workload = Workload(job_id, queue.name, "", steps, team=team)
         for number, step in enumerate(steps):
             self._run_times_ms[job_id, number] = [
-                step.estimate_ms * self._random.lognormvariate(0.0, 0.3)
+                step.estimate_ms * rng.lognormvariate(0.0, 0.3)
                 for _ in range(step.count)
             ]
         self._scheduler.add_job(ActiveJob(workload, now_ms, 2))
@@ -268,6 +352,7 @@
             case StartRun(worker, task, number):
                 vm = next(vm for vm in self._vms if vm.worker == worker)
                 job = self._scheduler.jobs[task.job_id]
+                self._first_start_ms.setdefault(job.job_id, now_ms)
                 step = job.workload.steps[task.step]
                 took_ms = self._run_times_ms[task.job_id, task.step][task.index]
                 done_ms = float("inf") if step.is_lasting else now_ms + took_ms
@@ -286,17 +371,21 @@
 
     def _record_job_end(self, job: ActiveJob, now_ms: float) -> None:
         queue = self._scheduler.queues[job.workload.queue]
-        queue_report = self.report.queues[queue.name]
+        reports = [self.report.queues[queue.name]]
+        if job.workload.team is not None:
+            reports.append(self.report.teams[job.workload.team])
         took_ms = now_ms - job.accepted_ms
-        queue_report.took_ms.append(took_ms)
+        waited_ms = self._first_start_ms[job.job_id] - job.accepted_ms
         steps = range(len(job.workload.steps))
         critical_path_ms = sum(
             max(self._run_times_ms.pop((job.job_id, n))) for n in steps
         )
-        if took_ms <= queue.stretch * critical_path_ms + queue.target_ms:
-            queue_report.in_time += 1
-        else:
-            queue_report.late += 1
+        is_in_time = took_ms <= queue.stretch * critical_path_ms + queue.target_ms
+        for report in reports:
+            report.took_ms.append(took_ms)
+            report.waited_ms.append(waited_ms)
+            report.in_time += is_in_time
+            report.late += not is_in_time
 
     def _move_vms(self, now_ms: float) -> None:
         loads = pool_loads(self._scheduler, self._arrivals, now_ms, now_ms)
@@ -318,7 +407,14 @@
 
 
 def replay(
-    pattern: RotatingPeaks, policy: ReplayPolicy, seed: int, length_s: float
+    pattern: RotatingPeaks,
+    policy: ReplayPolicy,
+    seed: int,
+    length_s: float,
+    mix: TeamMix | None = None,
 ) -> ReplayReport:
-    """Replay a pattern for ``length_s`` simulated seconds and return the results."""
-    return _PatternReplay(pattern, policy, seed).run(length_s)
+    """Replay a pattern for ``length_s`` simulated seconds and return the results.
+
+    The jobs are of the teams of a mix, if there is one.
+    """
+    return _PatternReplay(pattern, policy, seed, mix).run(length_s)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -11,6 +11,7 @@
 from corianderpitch.domain.scheduling.placing import is_schedulable, workers_in_doubt
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.shares import has_headroom
 from corianderpitch.domain.scheduling.starting import start_tasks
 from corianderpitch.domain.scheduling.workers import WorkerView
 from corianderpitch.domain.scheduling.workloads import Queue
@@ -48,6 +49,8 @@
     waiting.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
     for queue, job in waiting:
         workers = schedulable[queue.service]
+        if job.is_beyond_share and not has_headroom(workers):
+            continue
         for step in steps_to_try(job, wall_ms):
             if step.step.is_gang and may_restart:
                 stop_incomplete_gang(scheduler, step, now_ms)
@@ -65,13 +68,20 @@
 
 
 def backlogged_services(scheduler: Scheduler) -> frozenset[ServiceName]:
-    """Return the services with tasks that are ready, but wait for free capacity."""
+    """Return the services with tasks that are ready, but wait for free capacity.
+
+    Tasks that their team's quota does not admit would not use more of it.
+    """
     backlogged: set[ServiceName] = set()
     for job in scheduler.jobs.values():
         queue = scheduler.queues.get(job.workload.queue)
         if queue is None or queue.service in backlogged:
             continue
-        if any(step.pending for step in job.ready_steps(math.inf)):
+        team = job.workload.team
+        if any(
+            scheduler.usage.admits(team, step.step.shape)
+            for step in job.ready_steps(math.inf)
+        ):
             backlogged.add(queue.service)
     return frozenset(backlogged)
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/shares.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/shares.py
@@ -11,13 +11,17 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.teams import Team
+from corianderpitch.domain.scheduling.workers import WorkerView
 from corianderpitch.ids import TeamName
 
 SHARE_WINDOW_MS = 5000.0
+# Tasks run to their end: a pool that is filled by jobs beyond their share has no room
+# for the next job that is within one.
+HEADROOM_SHARE = 0.2  # of the processors of a pool
 
 
 class ShareMeter:
@@ -45,3 +49,10 @@
     counted = [(j, t) for j, t in jobs if t is not None and not j.workload.is_lasting]
     for job, team in sorted(counted, key=lambda pair: pair[0].accepted_ms):
         job.is_beyond_share = meter.is_beyond_share(team, job.accepted_ms)
+
+
+def has_headroom(workers: Collection[WorkerView]) -> bool:
+    """Return whether a pool has room for more than the next jobs within a share."""
+    free = sum(worker.free.processors for worker in workers)
+    total = sum(worker.info.capacity.processors for worker in workers)
+    return free > HEADROOM_SHARE * total
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
@@ -22,8 +22,9 @@
 from corianderpitch.domain.scheduling.ordering import will_miss_objective
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler
-from corianderpitch.domain.scheduling.workers import WorkerView
-from corianderpitch.ids import ServiceName, VmId, WorkerId
+from corianderpitch.domain.scheduling.usage import times
+from corianderpitch.domain.scheduling.workers import NOTHING, WorkerView
+from corianderpitch.ids import ServiceName, TeamName, VmId, WorkerId
 
 MIN_WORKERS = 3  # after the loss of a VM, lasting tasks still have two workers
 PACKING_HEADROOM = 1.1  # tasks of different sizes do not fill a VM completely
@@ -36,7 +37,8 @@
 
     ``running`` and ``lasting`` tasks occupy capacity, and ``lasting`` includes
     lasting tasks that wait. ``waiting`` tasks need capacity. ``late`` tasks wait
-    too, but their jobs can no longer meet their objective. ``arriving`` is the
+    too, but their jobs can no longer meet their objective, or are beyond their team's
+    share. ``arriving`` is the
     average load that the recent arrivals and their growth lead to.
     """
 
@@ -105,6 +107,7 @@
     The forecast records the jobs that arrived since the last call.
     """
     capacities = _capacities(scheduler.workers.values())
+    admitted = _admitted_shares(scheduler, wall_ms)
     loads = {queue.service: PoolLoad() for queue in scheduler.queues.values()}
     arrivals: list[Arrival] = []
     for job in scheduler.jobs.values():
@@ -112,11 +115,12 @@
         capacity = capacities.get(queue.service) if queue is not None else None
         if capacity is None:
             continue
-        is_late = will_miss_objective(job, queue, now_ms)
-        load = _job_load(job, capacity, is_late, wall_ms)
+        is_late = job.is_beyond_share or will_miss_objective(job, queue, now_ms)
+        share = admitted.get(job.workload.team, 1.0)
+        load = _job_load(job, capacity, is_late, share, wall_ms)
         loads[queue.service] = loads[queue.service].plus(load)
         is_recent = forecast.covers(job.accepted_ms, now_ms)
-        if is_recent and not job.workload.is_lasting:
+        if is_recent and not (job.workload.is_lasting or job.is_beyond_share):
             work_ms = _work_ms(job, capacity)
             arrivals.append(
                 Arrival(job.job_id, queue.service, job.accepted_ms, work_ms)
@@ -128,6 +132,23 @@
     return loads
 
 
+def _admitted_shares(
+    scheduler: Scheduler, wall_ms: float
+) -> dict[TeamName | None, float]:
+    """Return the share of each team's waiting tasks that its quota admits."""
+    waiting: dict[TeamName, Shape] = defaultdict(lambda: NOTHING)
+    for job in scheduler.jobs.values():
+        team = job.workload.team
+        for step in job.ready_steps(wall_ms) if team is not None else ():
+            waiting[team] = waiting[team].plus(
+                times(step.step.shape, len(step.pending))
+            )
+    return {
+        team: scheduler.usage.admitted_share(team, shape)
+        for team, shape in waiting.items()
+    }
+
+
 def _work_ms(job: ActiveJob, capacity: Shape) -> float:
     """Return a job's total work, in worker-milliseconds."""
     return sum(
@@ -137,8 +158,9 @@
 
 
 def _job_load(
-    job: ActiveJob, capacity: Shape, is_late: bool, wall_ms: float
+    job: ActiveJob, capacity: Shape, is_late: bool, admitted: float, wall_ms: float
 ) -> PoolLoad:
+    """Return the load of a job; its team's quota admits a share of what waits."""
     running = lasting = waiting = 0.0
     for step in job.steps():
         occupied = worker_share(step.step.reservation, capacity) * len(step.runs)
@@ -151,7 +173,7 @@
         if step.step.is_lasting:
             lasting += needed
         else:
-            waiting += needed
+            waiting += needed * admitted
     if is_late:
         return PoolLoad(running, lasting, 0.0, waiting)
     return PoolLoad(running, lasting, waiting)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/usage.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/usage.py
@@ -88,7 +88,26 @@
         used = self.used(team.name)
         if count == 1 and used == NOTHING:
             return True
-        return team.quota.admits(used.plus(_times(shape, count)))
+        return team.quota.admits(used.plus(times(shape, count)))
+
+    def admitted_share(self, name: TeamName | None, waiting: Shape) -> float:
+        """Return the share of some waiting tasks that a quota admits at present.
+
+        Workers for the others would stand idle.
+        """
+        team = self.team(name)
+        if team is None:
+            return 1.0
+        used, quota = self.used(team.name), team.quota
+        return min(
+            _share(quota.max_processors - used.processors, waiting.processors),
+            _share(quota.max_memory_mb - used.memory_mb, waiting.memory_mb),
+            _share(quota.max_accelerators - used.accelerators, waiting.accelerators),
+        )
+
+
+def _share(room: float, needed: float) -> float:
+    return min(1.0, max(0.0, room) / needed) if needed > 0 else 1.0
 
 
 def fits_quota(workload: Workload, teams: Mapping[TeamName, Team]) -> bool:
@@ -98,7 +117,7 @@
     """
     team = teams.get(workload.team) if workload.team is not None else None
     return team is None or all(
-        team.quota.admits(_times(step.shape, step.count))
+        team.quota.admits(times(step.shape, step.count))
         for step in workload.steps
         if step.is_gang
     )
@@ -113,7 +132,7 @@
             continue
         for step in job.steps():
             count = step.step.count - len(step.done) - len(step.runs)
-            needed = _times(step.step.shape, max(0, count))
+            needed = times(step.step.shape, max(0, count))
             startable[team] = startable.get(team, NOTHING).plus(needed)
     return startable
 
@@ -140,7 +159,8 @@
     return total
 
 
-def _times(shape: Shape, count: int) -> Shape:
+def times(shape: Shape, count: int) -> Shape:
+    """Return the sum of some equal shapes."""
     return Shape(
         shape.processors * count, shape.memory_mb * count, shape.accelerators * count
     )
