--- a/packages/corianderpitch/tests/test_shares.py
+++ b/packages/corianderpitch/tests/test_shares.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 import pytest
-from schedulers import NOW_MS, QUEUE, make_scheduler, starts
+from schedulers import NOW_MS, QUEUE, add_worker, make_scheduler, starts
 from test_usage import OTHER, TEAM, team_job
 
 from corianderpitch.domain.jobs import Shape
@@ -80,7 +80,17 @@
 
 
 def test_a_flood_runs_where_there_is_room():
-    assert len(starts(make_flooded_scheduler())) == 8
+    scheduler = make_flooded_scheduler()
+    add_worker(scheduler, "w3")
+    assert len(starts(scheduler)) == 8
+
+
+def test_a_flood_leaves_room_for_the_next_job_of_another_team():
+    """Its tasks run to their end, so that the next job would wait for them."""
+    scheduler = make_flooded_scheduler()
+    assert len(starts(scheduler)) == 7
+    scheduler.add_job(team_job("other", [Step(1, Shape(1.0, 100), 900.0)], OTHER))
+    assert [order.task.job_id for order in starts(scheduler)] == ["other"]
 
 
 def test_a_flood_does_not_count_as_load_that_must_be_served():
