Learn run times from finished runs, and order and size by what is expected

Order, lateness and the sizes of pools rested on declared run times. A regression for each queue and image, and the finished tasks of a step itself, now correct them.

--- a/packages/corianderpitch-standins/corianderpitch_standins/ablation.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/ablation.py
@@ -17,7 +17,13 @@
 
 import cyclopts
 
-from corianderpitch.domain.scheduling import ordering, placing, planning, sizing
+from corianderpitch.domain.scheduling import (
+    learning,
+    ordering,
+    placing,
+    planning,
+    sizing,
+)
 from corianderpitch_standins.loadreplay import (
     ReplayPolicy,
     ReplayReport,
@@ -30,10 +36,14 @@
 PATTERNS = {
     "rising": RotatingPeaks(mean_per_s=14.0, peak_duration_s=8.0, rise_s=3.0),
     "overload": RotatingPeaks(mean_per_s=14.0, peak_duration_s=5.0),
+    "misdeclared": RotatingPeaks(
+        mean_per_s=14.0, peak_duration_s=5.0, estimate_error=0.5
+    ),
 }
 POLICIES = {
     "rising": ReplayPolicy(workers=3, spare=48),
     "overload": ReplayPolicy(workers=3, spare=18),
+    "misdeclared": ReplayPolicy(workers=3, spare=18),
 }
 
 
@@ -60,6 +70,16 @@
         yield
 
 
+@contextlib.contextmanager
+def _without_learning() -> Iterator[None]:
+    """Believe the declared run times, whatever the finished runs show."""
+    with (
+        mock.patch.object(learning.RunTimeLearner, "expect", lambda *_: None),
+        mock.patch.object(learning.RunTimeLearner, "observe_done", lambda *_: None),
+    ):
+        yield
+
+
 @dataclass(frozen=True, slots=True)
 class Variant:
     """A policy with one mechanism switched off.
@@ -92,6 +112,7 @@
         "late only without any slack",
         patch=lambda: mock.patch.object(ordering, "MIN_SHARE_OF_ESTIMATE", 1.0),
     ),
+    Variant("declared run times only", patch=_without_learning),
     Variant("worst fit", patch=lambda: mock.patch.object(placing, "_rank", _worst_fit)),
 )
 
--- a/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/loadreplay.py
@@ -60,7 +60,8 @@
 
     The queue at its peak receives ``peak_factor`` times the mean rate, and the others
     ``trough_factor`` times that rate. The rate rises evenly during the first
-    ``rise_s`` of a peak.
+    ``rise_s`` of a peak. ``estimate_error`` is the standard deviation of the natural
+    logarithm of the factor by which the declared run times of a step are wrong.
     """
 
     queues: int = 4
@@ -69,6 +70,7 @@
     trough_factor: float = 0.05
     peak_duration_s: float = 5.0
     rise_s: float = 0.0
+    estimate_error: float = 0.0
 
     def rate_per_s(self, queue: int, now_ms: float) -> float:
         """Return how many jobs a second a queue receives."""
@@ -190,6 +192,7 @@
         self._mix = mix
         self._random = random.Random(seed)
         self._flood_random = random.Random(-seed)
+        self._estimate_random = random.Random(1_000_000 + seed)
         self._scheduler = Scheduler(Term(1, 1, 0.0))
         self._queues = [
             Queue(QueueName(f"q{n}"), ServiceName(f"s{n}"), 0, 4, 1.6, target_ms=600.0)
@@ -294,7 +297,8 @@
     ) -> None:
         self._job_count += 1
         job_id = JobId(f"{self._job_count:016x}")
-        workload = Workload(job_id, queue.name, "", steps, team=team)
+        declared = tuple(self._declare(step) for step in steps)
+        workload = Workload(job_id, queue.name, "", declared, team=team)
         for number, step in enumerate(steps):
             self._run_times_ms[job_id, number] = [
                 step.estimate_ms * rng.lognormvariate(0.0, 0.3)
@@ -302,6 +306,11 @@
             ]
         self._scheduler.add_job(ActiveJob(workload, now_ms, 2))
 
+    def _declare(self, step: Step) -> Step:
+        """Return a step with the run time that its caller declares."""
+        error = self._estimate_random.lognormvariate(0.0, self._pattern.estimate_error)
+        return replace(step, estimate_ms=step.estimate_ms * error)
+
     def _start_workers(self, now_ms: float) -> None:
         for vm in self._vms:
             if vm.worker or vm.pool == STANDBY or now_ms < vm.ready_ms:
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/meters.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/meters.py
@@ -1,6 +1,23 @@
 """Metrics of multi-step jobs, in the Prometheus text format."""
 
+from dataclasses import dataclass
+
 from corianderpitch.daemon.metrics import MeterSet
+from corianderpitch.ids import TeamName
+
+
+@dataclass(frozen=True, slots=True)
+class TeamStatus:
+    """What a team has running, in processors, and its open jobs.
+
+    ``running`` includes what may be running although the holder does not know it.
+    """
+
+    name: TeamName
+    running: float
+    quota: float
+    jobs_within_share: int
+    jobs_beyond_share: int
 
 
 class JobMeters(MeterSet):
@@ -18,6 +35,19 @@
         self._commit_ms = self._histogram("job_commit_ms", "Time of a commit.")
         self._terms = self._counter("job_terms_total", "Tenures of this entry.")
         self._open_jobs = self._gauge("jobs_open", "Jobs that have not ended.")
+        self._team_processors = self._gauge(
+            "team_processors", "Processors of a team: running, and its quota."
+        )
+        self._team_jobs = self._gauge(
+            "team_jobs", "Open jobs of a team, within and beyond its share."
+        )
+        self._run_time_ratio = self._gauge(
+            "run_time_ratio", "Observed run times as a share of the declared ones."
+        )
+        self._run_time_error = self._gauge(
+            "run_time_error",
+            "Variance of the binary logarithm of a step's time about what is expected.",
+        )
 
     def record_call(self, call: str, outcome: str, took_ms: float) -> None:
         """Record a call of a caller and the time until its answer."""
@@ -46,3 +76,16 @@
     def set_open_jobs(self, jobs: int) -> None:
         """Set the number of jobs that have not ended; 0 without the scheduler role."""
         self._open_jobs.set({}, jobs)
+
+    def set_team(self, status: TeamStatus) -> None:
+        """Set the gauges of a team."""
+        team = {"team": status.name}
+        self._team_processors.set({**team, "kind": "running"}, status.running)
+        self._team_processors.set({**team, "kind": "quota"}, status.quota)
+        self._team_jobs.set({**team, "kind": "within"}, status.jobs_within_share)
+        self._team_jobs.set({**team, "kind": "beyond"}, status.jobs_beyond_share)
+
+    def set_run_times(self, queue: str, ratio: float, error_variance: float) -> None:
+        """Set what was learned of a queue's run times."""
+        self._run_time_ratio.set({"queue": queue}, ratio)
+        self._run_time_error.set({"queue": queue}, error_variance)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -9,9 +9,10 @@
 """
 
 import functools
+import math
 import zlib
-from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass, field, fields, replace
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
+from dataclasses import astuple, dataclass, field, fields, replace
 from typing import Any, ParamSpec, TypeVar
 
 import msgpack
@@ -23,6 +24,7 @@
     ProgressRecord,
     StepRecord,
 )
+from corianderpitch.domain.scheduling.runtimes import WHOLE_QUEUE, RunTimeStats
 from corianderpitch.domain.scheduling.workloads import (
     AdvicePolicy,
     Queue,
@@ -50,6 +52,7 @@
 DIVERTED_KEY = PartitionedKey(SCHEDULER_TABLE, "", "diverted")
 PARTITIONS_PER_QUEUE = 4  # more partitions would slow down counting and takeovers
 PARTITION_SEPARATOR = "/"
+RUN_TIMES_TABLE = "runtimes"
 INTAKE_TABLE = "intake"
 EARLY_CANCELS_TABLE = "early"
 CLOSED_NAME = "full"
@@ -167,6 +170,11 @@
     return PartitionedKey(table, part, CLOSED_NAME)
 
 
+def run_times_key(queue: QueueName) -> PartitionedKey:
+    """Return the key of the row with the learned run times of a queue."""
+    return PartitionedKey(RUN_TIMES_TABLE, "", queue)
+
+
 def split_row_name(name: str) -> tuple[JobId, str]:
     """Split the name of a row into the job's id and the suffix.
 
@@ -499,6 +507,34 @@
     return JobState(unpacker.unpack())
 
 
+def pack_run_times(by_image: Mapping[str, RunTimeStats]) -> bytes:
+    """Encode the learned run times of a queue, by image."""
+    return _pack({image: astuple(stats) for image, stats in by_image.items()})
+
+
+@_decodes("run times")
+def unpack_run_times(value: bytes) -> dict[str, RunTimeStats]:
+    """Decode the learned run times of a queue.
+
+    Sums that a later version has appended are ignored.
+    """
+    by_image = {
+        str(image): _unpack_run_time_stats(sums)
+        for image, sums in _unpack(value).items()
+    }
+    if WHOLE_QUEUE not in by_image:
+        raise ValueError("the sums of the whole queue are missing")
+    return by_image
+
+
+def _unpack_run_time_stats(sums: Sequence[Any]) -> RunTimeStats:
+    numbers = [float(number) for number in sums[: len(fields(RunTimeStats))]]
+    stats = RunTimeStats(*numbers)
+    if not all(map(math.isfinite, numbers)) or not stats.is_possible:
+        raise ValueError("no steps have such sums")
+    return stats
+
+
 def _unpack_step_record(
     done: list[Any],
     failed: dict[int, list[int]],
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/ordering.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/ordering.py
@@ -16,7 +16,7 @@
 from corianderpitch.ids import JobId
 
 # Declared run times are wrong by up to half. A job counts as late only if it would
-# be late even with this share of its estimate.
+# be late even with this share of its estimate, or the larger one that is learned.
 MIN_SHARE_OF_ESTIMATE = 0.5
 
 
@@ -27,7 +27,8 @@
 
 def will_miss_objective(job: ActiveJob, queue: Queue, now_ms: float) -> bool:
     """Return whether a job can no longer meet its latency objective."""
-    min_remaining_ms = MIN_SHARE_OF_ESTIMATE * job.remaining_path_ms
+    share = max(MIN_SHARE_OF_ESTIMATE, job.least_share)
+    min_remaining_ms = share * job.remaining_path_ms
     due_ms = job.accepted_ms + objective_ms(job, queue)
     return now_ms + min_remaining_ms > due_ms
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -1,12 +1,13 @@
 """Progress of active jobs, and the records from which a successor resumes them."""
 
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping, Set
+from collections.abc import Collection, Iterable, Mapping, Sequence, Set
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple
 
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.indexes import IndexSet
+from corianderpitch.domain.scheduling.runtimes import ExpectedRunTime, ObservedRuns
 from corianderpitch.domain.scheduling.workers import EndRef, Run
 from corianderpitch.domain.scheduling.workloads import (
     Step,
@@ -105,7 +106,8 @@
     of each task's runs soon after whose start the worker has crashed, since a run
     last passed its probation. ``unconfirmed`` holds those of them for which this is
     only possible, and ``late_crashed`` those of all runs that may have
-    passed their probation before the worker crashed.
+    passed their probation before the worker crashed. ``observed`` are the run times of
+    finished tasks, ``None`` if there are none to learn from.
     """
 
     step: Step
@@ -122,6 +124,7 @@
     crashed: dict[int, set[int]] = field(default_factory=dict)
     unconfirmed: dict[int, set[int]] = field(default_factory=dict)
     late_crashed: dict[int, set[int]] = field(default_factory=dict)
+    observed: ObservedRuns | None = None
 
     @property
     def is_done(self) -> bool:
@@ -261,8 +264,10 @@
     ``accepted_ms`` is the time of its acceptance by the holder's clock. ``version``
     is the store's version of the job's row, and ``progress_version`` that of its
     progress row, 0 while there is none. ``uncommitted_ends`` are the ends processed
-    since the last record of its progress. ``step_paths_ms`` holds, for each step,
-    the length of the longest chain of steps that begins with it.
+    since the last record of its progress. ``expected`` holds the run times expected
+    of each step, and ``step_paths_ms`` the length of the longest chain of steps that
+    begins with it. ``least_share`` is the share of these times that the job takes in
+    most cases, 0 if nothing is known.
     ``may_have_unknown_runs`` is true for a job that a predecessor may have started.
     ``record_age_ms`` is the age of the progress record from which it was restored.
     ``awaits_group_since_ms`` is the time since when suspects of the job have waited
@@ -281,8 +286,14 @@
         self.state = JobState.QUEUED
         self.finished = 0
         self.occurrences: dict[int, list[ActiveStep]] = {}
-        self.step_paths_ms = critical_path_ms(workload.steps)
-        self.critical_path_ms = max(self.step_paths_ms, default=0.0)
+        self.expected = [
+            ExpectedRunTime(float(step.estimate_ms), float(step.estimate_ms))
+            for step in workload.steps
+        ]
+        self.least_share = 0.0
+        self.step_paths_ms: tuple[float, ...] = ()
+        self.critical_path_ms = 0.0
+        self._update_paths()
         self.is_dirty = False
         self.may_have_unknown_runs = False
         self.record_age_ms = 0.0
@@ -410,7 +421,27 @@
         if step.is_done:
             self.update_remaining_work()
         else:
-            self.remaining_core_ms -= count * step.step.work_core_ms
+            self.remaining_core_ms -= count * self.work_core_ms(step.number)
+
+    def set_expected(self, expected: Sequence[ExpectedRunTime]) -> None:
+        """Set the run times that are expected of each step."""
+        self.expected = list(expected)
+        self._update_paths()
+        self.update_remaining_work()
+
+    def update_expected(self, step: int, expected: ExpectedRunTime) -> None:
+        """Set the run times that are expected of one step."""
+        self.set_expected([*self.expected[:step], expected, *self.expected[step + 1 :]])
+
+    def _update_paths(self) -> None:
+        self.least_share = min((e.least_share for e in self.expected), default=0.0)
+        durations_ms = [expected.slowest_ms for expected in self.expected]
+        self.step_paths_ms = critical_path_ms(self.workload.steps, durations_ms)
+        self.critical_path_ms = max(self.step_paths_ms, default=0.0)
+
+    def work_core_ms(self, step: int) -> float:
+        """Return the expected work of one task of a step, in core-milliseconds."""
+        return self.expected[step].task_ms * self.workload.steps[step].shape.processors
 
     def update_remaining_work(self) -> None:
         """Update the remaining work, in total and along the critical path."""
@@ -419,7 +450,7 @@
         for step in self.steps():
             remaining = step.step.count - len(step.done)
             if remaining:
-                work += remaining * step.step.work_core_ms
+                work += remaining * self.work_core_ms(step.number)
                 path = max(path, self.step_paths_ms[step.number])
         self.remaining_core_ms = work
         self.remaining_path_ms = path
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -16,6 +16,7 @@
 )
 from corianderpitch.domain.scheduling.crashtracker import CrashTracker
 from corianderpitch.domain.scheduling.ends import new_ends
+from corianderpitch.domain.scheduling.learning import RunTimeLearner
 from corianderpitch.domain.scheduling.orders import (
     LossCause,
     Order,
@@ -99,6 +100,7 @@
         self.usage = TeamUsage()
         self._shares = ShareMeter()
         self._unmetered: list[ActiveJob] = []
+        self.run_times = RunTimeLearner()
 
     # Inputs from the store.
 
@@ -141,6 +143,7 @@
         job.may_have_unknown_runs = job.version < self.term.version
         self.jobs[job.job_id] = job
         self._unmetered.append(job)
+        self.run_times.expect(job)
         if job.workload.has_fillers:
             self.filler_jobs.add(job.job_id)
         self.crashes.add_job(job)
@@ -411,6 +414,7 @@
             ordered_ms=now_ms,
             team=job.workload.team,
             usage=step.step.shape,
+            was_resumed=bool(step.checkpoint_of(index)),
         )
         self.usage.add(run.team, run.usage)
         worker.add_run(run)
@@ -598,6 +602,8 @@
         match end.kind:
             case EndKind.DONE:
                 worker.consecutive_failed_jobs.clear()
+                if run is not None and run.number == end.number:
+                    self.run_times.observe_done(job, step, run, worker, now_ms)
                 self._finish_task(job, step, index, now_ms)
                 return
             case EndKind.FAILED if not step.step.is_lasting:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
@@ -152,8 +152,8 @@
 def _work_ms(job: ActiveJob, capacity: Shape) -> float:
     """Return a job's total work, in worker-milliseconds."""
     return sum(
-        worker_share(step.reservation, capacity) * step.count * step.estimate_ms
-        for step in job.workload.steps
+        worker_share(step.reservation, capacity) * step.count * expected.task_ms
+        for step, expected in zip(job.workload.steps, job.expected, strict=True)
     )
 
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/usage.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/usage.py
@@ -6,7 +6,7 @@
 that a predecessor has started, and runs that were being stopped when it took over.
 """
 
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Collection, Iterable, Mapping, Set
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.progress import ActiveJob
@@ -31,6 +31,11 @@
             self._configured = teams
             self._teams |= teams
 
+    @property
+    def teams(self) -> Collection[Team]:
+        """Return the teams that a configuration has named in this term."""
+        return self._teams.values()
+
     def team(self, name: TeamName | None) -> Team | None:
         """Return a team, ``None`` if no configuration has named it."""
         return self._teams.get(name) if name is not None else None
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -150,7 +150,7 @@
     ``may_have_stopped`` is set once an order to stop it may have had an effect.
     ``start`` tells how far the order to start it has got, and ``is_attributed`` is set
     once it is known which process of the worker has begun it. ``usage`` counts towards
-    the quota of ``team``.
+    the quota of ``team``. ``was_resumed`` tells that it started from a checkpoint.
     """
 
     task: TaskRef
@@ -173,6 +173,7 @@
     is_attributed: bool = False
     team: TeamName | None = None
     usage: Shape = NOTHING
+    was_resumed: bool = False
 
     @property
     def key(self) -> RunKey:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
@@ -1,5 +1,7 @@
 """Multi-step jobs as callers submit them, and the queues that hold them."""
 
+import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -60,9 +62,9 @@
         return Shape(0.0, self.shape.memory_mb, self.shape.accelerators)
 
     @property
-    def work_core_ms(self) -> float:
-        """Return the estimated work of one task, in core-milliseconds."""
-        return self.estimate_ms * self.shape.processors
+    def log_estimate(self) -> float:
+        """Return the logarithm to the base 2 of the declared run time."""
+        return math.log2(self.estimate_ms)
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,19 +149,20 @@
         return any(step.is_filler for step in self.steps)
 
 
-def critical_path_ms(steps: tuple[Step, ...]) -> tuple[float, ...]:
+def critical_path_ms(
+    steps: Sequence[Step], durations_ms: Sequence[float]
+) -> tuple[float, ...]:
     """Return, for each step, the duration of the critical path that begins with it.
 
-    It is the step's own estimate plus the longest chain of later steps, in ms.
+    It is the step's own duration plus the longest chain of later steps, in ms.
 
     >>> steps = (Step(2, Shape(1, 1), 100), Step(1, Shape(1, 1), 50, after=(0,)))
-    >>> critical_path_ms(steps)
+    >>> critical_path_ms(steps, [100.0, 50.0])
     (150.0, 50.0)
     """
     paths_ms = [0.0] * len(steps)
     for number in range(len(steps) - 1, -1, -1):
-        step = steps[number]
-        paths_ms[number] += float(step.estimate_ms)
-        for earlier in step.after:
+        paths_ms[number] += durations_ms[number]
+        for earlier in steps[number].after:
             paths_ms[earlier] = max(paths_ms[earlier], paths_ms[number])
     return tuple(paths_ms)
