Limit a team to its share once its surplus cannot be served

A flood was accepted whole and waited without end. Once a job beyond its team's share has missed its objective before it began, the team's jobs are limited to its weight in that queue, and the surplus is refused at once with 429 and a Retry-After of the team's own. A refusal writes the rows of the limit, so that no earlier submission of the job can be stored later.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/closing.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/closing.py
@@ -4,9 +4,11 @@
 entries need not read anything to learn of it.
 """
 
+import abc
 from collections.abc import Set
+from typing import Generic, TypeVar
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from corianderpitch.daemon.logs import logger
 from corianderpitch.daemon.roles import RoleLease
@@ -15,6 +17,7 @@
     queue_of,
     queue_partitions,
 )
+from corianderpitch.errors import PlatformError
 from corianderpitch.ids import QueueName
 from corianderpitch.ports import RowStore, Write
 
@@ -24,14 +27,16 @@
 
 log = logger("admission")
 
+Item = TypeVar("Item")
 
-class ClosedQueues:
-    """The queues that are closed in one table, for all entries.
+
+class ClosedItems(abc.ABC, Generic[Item]):
+    """What is closed in one table, for all entries.
 
     Attributes
     ----------
-    names : set of QueueName
-        The closed queues, as far as they are known after ``read``.
+    names : set
+        What is closed, as far as it is known after ``read``.
     """
 
     def __init__(self, store: RowStore, role: RoleLease, table: str):
@@ -40,41 +45,67 @@
         self._table = table
         self._is_read = False
         self._rounds_in_doubt = 0
-        self.names: set[QueueName] = set()
+        self.names: set[Item] = set()
 
     def read(self) -> bool:
-        """Read which queues are closed, unless it is known; return whether it is."""
+        """Read what is closed, unless it is known; return whether it is."""
         if self._is_read and not self._rounds_in_doubt:
             return True
         self._rounds_in_doubt = max(0, self._rounds_in_doubt - 1)
-        match self._store.list_partitions(self._table):
-            case Success(parts):
-                self.names = {queue_of(part) for part in parts}
+        match self._read_names():
+            case Success(names):
+                self.names = names
                 self._is_read = True
                 return True
         return False
 
-    def update(self, wanted: Set[QueueName]) -> None:
-        """Close and open queues until exactly the wanted ones are closed."""
-        for queue in sorted(wanted ^ self.names):
-            if not self._write(queue, is_closed=queue in wanted):
+    def update(self, wanted: Set[Item]) -> None:
+        """Close and open items until exactly the wanted ones are closed."""
+        for item in sorted(wanted ^ self.names):
+            if not self._write(item, is_closed=item in wanted):
                 return
 
-    def _write(self, queue: QueueName, is_closed: bool) -> bool:
-        value = b"" if is_closed else None
-        keys = [closed_key(self._table, part) for part in queue_partitions(queue)]
-        writes = tuple(Write(key, value) for key in keys)
+    def _write(self, item: Item, is_closed: bool) -> bool:
+        writes = self._writes(item, is_closed)
         match self._store.commit((self._role.partitioned_fence(),), writes):
             case Success(_):
-                self.names = self.names ^ {queue}
-                log.warning(
-                    "Queue closed." if is_closed else "Queue opened.",
-                    queue=queue,
-                    table=self._table,
-                )
+                self.names = self.names ^ {item}
+                self._log_change(item, is_closed)
                 return True
             case Failure(error):
                 self._is_read = False
                 self._rounds_in_doubt = ROUNDS_IN_DOUBT
                 log.warning("Could not close or open a queue.", cause=repr(error))
         return False
+
+    @abc.abstractmethod
+    def _read_names(self) -> Result[set[Item], PlatformError]:
+        """Read what is closed from the store."""
+
+    @abc.abstractmethod
+    def _writes(self, item: Item, is_closed: bool) -> tuple[Write, ...]:
+        """Return the writes that close an item, or open it."""
+
+    @abc.abstractmethod
+    def _log_change(self, item: Item, is_closed: bool) -> None:
+        """Log that an item was closed or opened."""
+
+
+class ClosedQueues(ClosedItems[QueueName]):
+    """The queues that are closed in one table."""
+
+    def _read_names(self) -> Result[set[QueueName], PlatformError]:
+        parts = self._store.list_partitions(self._table)
+        return parts.map(lambda names: {queue_of(part) for part in names})
+
+    def _writes(self, item: QueueName, is_closed: bool) -> tuple[Write, ...]:
+        value = b"" if is_closed else None
+        keys = [closed_key(self._table, part) for part in queue_partitions(item)]
+        return tuple(Write(key, value) for key in keys)
+
+    def _log_change(self, item: QueueName, is_closed: bool) -> None:
+        log.warning(
+            "Queue closed." if is_closed else "Queue opened.",
+            queue=item,
+            table=self._table,
+        )
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intake.py
@@ -1,5 +1,8 @@
 """Calls of callers: any entry accepts, shows and cancels jobs through the store."""
 
+import random
+from dataclasses import dataclass
+
 from returns.result import Failure, Result, Success
 
 from corianderpitch.clock import Clock
@@ -34,6 +37,11 @@
     queue_partitions,
     unpack_state,
 )
+from corianderpitch.daemon.scheduling.sharelimits import (
+    EntryLimits,
+    OverShare,
+    Reservation,
+)
 from corianderpitch.domain.jobs import JobState
 from corianderpitch.domain.scheduling.workloads import Workload
 from corianderpitch.errors import (
@@ -41,7 +49,6 @@
     JobIdTaken,
     MalformedData,
     OutcomeLost,
-    PlatformError,
     QueueFull,
     RateLimited,
     RowConflict,
@@ -50,15 +57,25 @@
 from corianderpitch.ports import Check, Row, RowStore, Write
 
 MAX_SUBMIT_ATTEMPTS = 3
+MAX_RETRY_JITTER_MS = 2000.0
 
 log = logger("intake")
 
 
+@dataclass(frozen=True, slots=True)
+class LimitChanged:
+    """The limit of a team's jobs is not the one that a submission required."""
+
+
+SubmitError = CommitError | QueueFull | JobIdTaken | OverShare
+
+
 class Intake:
     """Answers the calls of callers from the store."""
 
     def __init__(self, store: RowStore, clock: Clock):
         self._store = GuardedStore(store, clock)
+        self._limits = EntryLimits(self._store)
 
     def submit(self, workload: Workload) -> IntakeResult:
         """Accept a job; it is stored before the call returns.
@@ -88,6 +105,8 @@
                     return IntakeResult(IntakeKind.DONE)
                 case Failure(JobIdTaken()):
                     return _refuse_taken_id(workload)
+                case Failure(OverShare() as limit) if lost_answer is None:
+                    return _refuse_over_share(workload, limit)
                 case Failure(OutcomeLost() as error):
                     lost_answer = error
                 case Failure(QueueFull() as error) if lost_answer is None:
@@ -105,7 +124,7 @@
 
     def _store_job(
         self, workload: Workload, part: str, value: bytes
-    ) -> Result[int | None, CommitError | QueueFull | JobIdTaken]:
+    ) -> Result[int | None, SubmitError]:
         """Store a job; returns its row's version, ``None`` if it exists already.
 
         A job that was cancelled before it came is stored beside its cancel row.
@@ -120,30 +139,68 @@
             match explained:
                 case Success(Row(version=version)):
                     cancel_version = version
+                case Failure(LimitChanged()):
+                    continue
                 case _:
                     return explained
         return Failure(OutcomeLost("too many conflicts"))
 
     def _write_job(
         self, workload: Workload, part: str, value: bytes, cancel_version: int
-    ) -> Result[int, CommitError]:
+    ) -> Result[int, CommitError | OverShare]:
         key = job_key(part, workload.job_id)
+        match self._limits.reserve(part, workload.team):
+            case Failure(limit):
+                return self._commit_refusal(workload, limit)
+            case Success(reservation):
+                pass
         checks = (
             Check(key, 0),
             Check(progress_key(part, workload.job_id), 0),
             Check(cancel_key(part, workload.job_id), cancel_version),
             Check(closed_key(INTAKE_TABLE, part), 0),
         )
-        return self._store.commit(checks, (Write(key, value),))
+        return self._commit(checks, (Write(key, value),), reservation)
+
+    def _commit(
+        self,
+        checks: tuple[Check, ...],
+        writes: tuple[Write, ...],
+        reservation: Reservation,
+    ) -> Result[int, CommitError]:
+        """Commit writes together with a reservation."""
+        result = self._store.commit(
+            (*checks, *reservation.checks), (*writes, *reservation.writes)
+        )
+        if isinstance(result, Success):
+            self._limits.note_written(reservation, result.unwrap())
+        return result
+
+    def _commit_refusal(
+        self, workload: Workload, limit: OverShare
+    ) -> Result[int, CommitError | OverShare]:
+        """Make sure that a job which is to be refused is not stored, now or later."""
+        parts = job_partitions(workload.queue, workload.job_id)
+        checks = tuple(
+            Check(key, 0)
+            for part in parts
+            for key in (
+                job_key(part, workload.job_id),
+                progress_key(part, workload.job_id),
+            )
+        )
+        reservation = self._limits.refusal(parts, workload.team)
+        result = self._commit(checks, (), reservation)
+        return result.bind(lambda _: Failure(limit))
 
     def _explain_conflict(
         self, workload: Workload, conflicting: str, cancel_version: int
-    ) -> Result[Row | None, PlatformError | QueueFull | JobIdTaken]:
+    ) -> Result[Row | None, SubmitError | LimitChanged]:
         """Find why a job was not stored in a partition.
 
         Returns ``None`` if it was accepted before, in either partition, and the cancel
         row if it was cancelled before it came, unless the write knew of that row.
-        Otherwise its queue is closed.
+        Otherwise its team's limit has changed, or its queue is closed.
         """
         home, fallback = job_partitions(workload.queue, workload.job_id)
         other = fallback if conflicting == home else home
@@ -161,6 +218,9 @@
                     return Failure(
                         OutcomeLost(f"a conflict without a cause: {error!r}")
                     )
+        changes = [self._limits.refresh(p, workload.team) for p in (home, fallback)]
+        if any(change.value_or(False) for change in changes):
+            return Failure(LimitChanged())
         return Failure(QueueFull(workload.queue))
 
     def _resolve_lost_submit(
@@ -210,6 +270,21 @@
         return IntakeResult(IntakeKind.DONE, waiting=waiting)
 
 
+def _refuse_over_share(workload: Workload, limit: OverShare) -> IntakeResult:
+    """Refuse a job of a team that has sent too many; it may come back at its rate.
+
+    The jitter keeps the callers of a team from coming back together.
+    """
+    retry_ms = limit.retry_ms + random.uniform(0.0, MAX_RETRY_JITTER_MS)
+    log.info(
+        "Job over its team's share.",
+        job=workload.job_id,
+        team=workload.team,
+        retry_ms=round(retry_ms),
+    )
+    return IntakeResult(IntakeKind.OVER_SHARE, retry_after_ms=round(retry_ms))
+
+
 def _refuse_taken_id(workload: Workload) -> IntakeResult:
     """Refuse a job whose id another team's job has; nothing is told of that one."""
     log.warning("Job id taken.", job=workload.job_id, team=workload.team)
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/intakeresults.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/intakeresults.py
@@ -19,7 +19,8 @@
 
     After ``NOT_DONE`` the call certainly had no effect; after ``UNKNOWN`` it may
     have had its effect. A job that is ``TOO_LARGE`` is never accepted, and neither is
-    one whose id another team's job has (``ID_TAKEN``).
+    one whose id another team's job has (``ID_TAKEN``). ``OVER_SHARE`` refuses a job
+    like ``NOT_DONE``, because its team has sent too many.
     """
 
     DONE = "done"
@@ -27,6 +28,7 @@
     TOO_LARGE = "too_large"
     ID_TAKEN = "id_taken"
     NOT_DONE = "not_done"
+    OVER_SHARE = "over_share"
     UNKNOWN = "unknown"
 
 
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -55,6 +55,7 @@
 RUN_TIMES_TABLE = "runtimes"
 INTAKE_TABLE = "intake"
 EARLY_CANCELS_TABLE = "early"
+LIMITS_TABLE = "limits"
 CLOSED_NAME = "full"
 RANGE_END = "/"  # sorts after the dot that begins every suffix
 
@@ -170,6 +171,11 @@
     return PartitionedKey(table, part, CLOSED_NAME)
 
 
+def limit_key(part: str, team: TeamName) -> PartitionedKey:
+    """Return the key of the row that limits a team's jobs in a partition."""
+    return PartitionedKey(LIMITS_TABLE, part, team)
+
+
 def run_times_key(queue: QueueName) -> PartitionedKey:
     """Return the key of the row with the learned run times of a queue."""
     return PartitionedKey(RUN_TIMES_TABLE, "", queue)
@@ -214,6 +220,31 @@
     return _pack(sorted(worker_ids))
 
 
+@dataclass(frozen=True, slots=True)
+class ShareLimit:
+    """A limit of a team's jobs in a partition to ``rate_per_s``.
+
+    ``due_ms`` is the store's time at which the next job is due.
+    """
+
+    due_ms: float
+    rate_per_s: float
+
+
+def pack_limit(limit: ShareLimit) -> bytes:
+    """Encode the limit of a team's jobs."""
+    return msgpack.packb([limit.due_ms, limit.rate_per_s])
+
+
+@_decodes("a limit")
+def unpack_limit(value: bytes) -> ShareLimit:
+    """Decode the limit of a team's jobs."""
+    due_ms, rate_per_s, *_ = map(float, msgpack.unpackb(value))
+    if not math.isfinite(due_ms) or not rate_per_s > 0:
+        raise ValueError("not a rate")
+    return ShareLimit(due_ms, rate_per_s)
+
+
 @dataclass(frozen=True, slots=True)
 class Cancellation:
     """A cancellation, at a time of the store's clock in milliseconds.
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/admission.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/admission.py
@@ -4,14 +4,19 @@
 has a bound (see ``progress``), but callers choose how many jobs they submit. Jobs that
 no holder could remember would end one holder after the other, so that they are refused
 before they are accepted. The queues with the most open jobs are refused first.
+
+Jobs beyond their team's share are accepted while they are served in time. Once one has
+missed its objective before it began, the team's further surplus is as hopeless.
 """
 
 from collections import Counter
 from collections.abc import Iterable, Mapping, Set
 
+from corianderpitch.domain.jobs import JobState
+from corianderpitch.domain.scheduling.ordering import will_miss_objective
 from corianderpitch.domain.scheduling.progress import ActiveJob
-from corianderpitch.domain.scheduling.workloads import Workload
-from corianderpitch.ids import QueueName
+from corianderpitch.domain.scheduling.workloads import Queue, Workload
+from corianderpitch.ids import QueueName, TeamName
 
 JOB_BYTES = 6000
 STEP_BYTES = 500
@@ -65,6 +70,20 @@
     return largest_queues(by_queue)
 
 
+def hopeless_surpluses(
+    jobs: Iterable[ActiveJob], queues: Mapping[QueueName, Queue], now_ms: float
+) -> set[tuple[QueueName, TeamName]]:
+    """Return the queues and teams of jobs beyond their share that waited in vain."""
+    return {
+        (queue.name, job.workload.team)
+        for job in jobs
+        if job.is_beyond_share
+        and job.state is JobState.QUEUED
+        and (queue := queues.get(job.workload.queue)) is not None
+        and will_miss_objective(job, queue, now_ms)
+    }
+
+
 def largest_queues(by_queue: Mapping[QueueName, int]) -> set[QueueName]:
     """Return the queues that take the mean of all or more of something."""
     mean = sum(by_queue.values()) / max(1, len(by_queue))
--- a/packages/corianderpitch/tests/test_job_sizes.py
+++ b/packages/corianderpitch/tests/test_job_sizes.py
@@ -215,7 +215,7 @@
     clock = ManualClock(NOW_MS)
     role = RoleLease("scheduler", EntryId("e1"), table, clock, 50.0, 2000.0, store)
     assert role.try_acquire()
-    return AdmissionTask(store, scheduler, role, memory_bytes), role
+    return AdmissionTask(store, scheduler, role, memory_bytes, clock), role
 
 
 def test_jobs_are_refused_while_a_holder_could_not_remember_them(store):
--- a/tests/adapter/test_front.py
+++ b/tests/adapter/test_front.py
@@ -283,3 +283,11 @@
     assert (good["status"], bad["status"]) == (409, 401)
     assert KEY not in str(records.formatted_records)
     assert KEY.encode() not in good["body"] + bad["body"]
+
+
+def test_a_job_over_its_teams_share_is_told_when_to_come_back():
+    result = IntakeResult(IntakeKind.OVER_SHARE, retry_after_ms=3400)
+    response = call(app_with_result(result), "POST", body=job())
+    assert response["status"] == 429
+    assert ("Retry-After", "3") in response["headers"]
+    assert "Connection" not in dict(response["headers"])
