--- a/packages/corianderpitch/tests/test_sharelimits.py
+++ b/packages/corianderpitch/tests/test_sharelimits.py
@@ -19,7 +19,6 @@
     job_partitions,
     limit_key,
     pack_limit,
-    queue_partitions,
 )
 from corianderpitch.domain.scheduling.admission import hopeless_surpluses
 from corianderpitch.domain.scheduling.shares import SHARE_WINDOW_MS
@@ -131,29 +130,23 @@
 
 
 def test_a_submission_on_its_way_is_not_stored_after_its_refusal(store, clock, intake):
-    """The answer that a job never runs was untrue if an earlier write came late."""
+    """It may reach the fallback partition, while the home partition refuses the job."""
     make_admission(store, clock).check()
-    late = Intake(store, clock)
-    submit(late, "a")  # it knows the limit from now on
-    clock.advance(60_000.0)
-    store.deferred = []
-    assert submit(late, "x").kind is IntakeKind.UNKNOWN
-    deferred, store.deferred = store.deferred, None
-    store.commit((), tuple(_used_up(store, clock)))
+    home, _ = job_partitions(QUEUE.name, JobId("x"))
+    earlier = Intake(store, clock)
+    submit_many(earlier, clock, 40, 500.0)  # it has met the limits of all partitions
+    store.unavailable, store.deferred = {home}, []
+    assert submit(earlier, "x").kind is IntakeKind.UNKNOWN
+    deferred, store.unavailable, store.deferred = store.deferred, set(), None
+    due_ms = clock.now_ms() + 2 * SHARE_WINDOW_MS
+    used_up = pack_limit(ShareLimit(due_ms, 1.0))
+    store.commit((), (Write(limit_key(home, TEAM), used_up),))
     assert submit(intake, "x").kind is IntakeKind.OVER_SHARE
     for checks, writes in deferred:
         store.commit(checks, writes)
     assert not is_stored(intake, "x")
 
 
-def _used_up(store, clock):
-    """Return the writes that use up the team's rate in all partitions of its queue."""
-    for part in queue_partitions(QUEUE.name):
-        due_ms = clock.now_ms() + 2 * SHARE_WINDOW_MS
-        value = pack_limit(ShareLimit(due_ms, 1.0))
-        yield Write(limit_key(part, TEAM), value)
-
-
 def test_a_job_that_was_accepted_before_is_not_refused(store, clock, intake):
     assert submit(intake, "a").kind is IntakeKind.DONE
     make_admission(store, clock).check()
