Let the soak have teams, whose keys come and go and whose caps sink and rise

Checked from outside: what a team has running against all caps that may be in force, keys in force that are refused, and jobs that are shown to strangers.

--- a/packages/corianderpitch-standins/corianderpitch_standins/simulatedworkers.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/simulatedworkers.py
@@ -40,6 +40,15 @@
     is_acknowledged: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class TextStart:
+    """A start, and how many tasks with the same description run on all workers."""
+
+    text: str
+    at_ms: float
+    at_work: int
+
+
 @dataclass
 class RunLedger:
     """Runs and ends of all workers; raises if a task runs more often than allowed.
@@ -53,6 +62,18 @@
     starts_after_completion: dict[TaskRef, int] = field(default_factory=dict)
     failed: dict[TaskRef, int] = field(default_factory=dict)
     started_ms: dict[TaskRef, float] = field(default_factory=dict)
+    texts: dict[TaskRef, str] = field(default_factory=dict)
+    starts_by_text: list[TextStart] = field(default_factory=list)
+
+    def record_text(self, task: TaskRef, text: str, now_ms: float) -> None:
+        """Record the description of a task that was just started."""
+        self.texts[task] = text
+        at_work = sum(
+            1
+            for other, workers in self.running.items()
+            if workers and self.texts.get(other) == text
+        )
+        self.starts_by_text.append(TextStart(text, now_ms, at_work))
 
     def last_start_ms(self) -> dict[JobId, float]:
         """Return the time of the last start of each job's tasks."""
@@ -203,6 +224,7 @@
         if run is not None or order.number <= highest_number:
             return OrderResult.OLD_RUN
         self.ledger.record_start(order.task, self.name, now_ms)
+        self.ledger.record_text(order.task, order.text, now_ms)
         self.runs[order.task] = SimulatedRun(order.number, now_ms + run_ms, fails)
         return OrderResult.DONE
 
--- a/packages/corianderpitch-standins/corianderpitch_standins/soak.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soak.py
@@ -143,7 +143,9 @@
         for wave, down in report["most_down"].items():
             if down > self.waves[wave]:
                 self.findings.append(f"wave {wave}: {down} VMs down at once")
-        started_ms = self._fleet.control("runs")["started_ms"]
+        runs = self._fleet.control("runs")
+        started_ms = runs["started_ms"]
+        self.findings += self._fleet.teams.find_excess(runs["starts"])
         for job in self._jobs():
             self._check_job(job, started_ms.get(job.path.rpartition("/")[2]))
         orders = self._orders()
--- a/packages/corianderpitch-standins/corianderpitch_standins/soakcallers.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soakcallers.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from corianderpitch_standins.soakfleet import SERVICES, SoakEntry, SoakFleet
+from corianderpitch_standins.soakteams import TEAMS
 
 CALL_TIMEOUT_S = 5.0
 RETRY_S = 0.1
@@ -27,7 +28,11 @@
 GIVE_UP_S = 0.3
 ENDED_STATES = ("completed", "failed", "cancelled")
 UNKNOWN = (None, 502, 504)
+UNAUTHORIZED = 401
+NEW_KEY = (UNAUTHORIZED,)  # a key that was just added may not be known everywhere
 HEADERS = {"Host": "shop.example", "Content-Type": "application/json"}
+STRANGER_SHARE = 0.1  # of the calls that ask for a state, with a key that sees no job
+FALSE_KEY = {"Authorization": "Token no-key-of-any-team"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,6 +49,7 @@
     """A job and the answers to the attempts to hand it in; ``None`` is no answer."""
 
     path: str
+    team: str = ""
     answers: list[int | None] = field(default_factory=list)
     accepted_ms: float = 0.0
     cancelled_ms: float = 0.0
@@ -90,7 +96,8 @@
         """Return a job for the service whose turn it is, mostly."""
         service = self._is_busy() if self._rng.random() < 0.8 else SERVICES[0]
         number = self._number * 100_000 + len(self.jobs) + 1
-        job = Job(f"/{service}/{number:016x}")
+        team = TEAMS[self._number % len(TEAMS)] if service == SERVICES[0] else ""
+        job = Job(f"/{service}/{number:016x}", team)
         self.jobs.append(job)
         return job
 
@@ -103,38 +110,40 @@
         steps = [step | {"count": self._rng.randint(1, 8)}]
         if self._rng.random() < 0.5:
             steps.append(step | {"count": 2, "after": [0]})
-        body = {"spec": "soak", "steps": steps}
+        body = {"spec": job.team or "soak", "steps": steps}
         timeout_s = GIVE_UP_S if gives_up else CALL_TIMEOUT_S
         while not self.is_stopped:
-            status, _ = self._call("POST", job.path, body, timeout_s)
+            status, _ = self._call("POST", job, body, timeout_s)
             job.answers.append(status)
             if status == 200:
                 job.accepted_ms = self._fleet.clock.now_ms()
             if status not in UNKNOWN or gives_up:
                 break
             time.sleep(RETRY_S)
-        if job.answers[-1] not in (200, *REFUSALS, *UNKNOWN):
+        if job.answers[-1] not in (200, *REFUSALS, *UNKNOWN, *NEW_KEY):
             self.findings.append(f"{job.path}: answered {job.answers[-1]}")
 
     def _cancel(self, job: Job) -> None:
         """Cancel a job, again until that is acknowledged."""
         while not self.is_stopped:
-            status, _ = self._call("DELETE", job.path)
+            status, _ = self._call("DELETE", job)
             if status in CANCELLED:
                 job.cancelled_ms = self._fleet.clock.now_ms()
                 return
-            if status not in (*REFUSALS, *UNKNOWN):
+            if status not in (*REFUSALS, *UNKNOWN, *NEW_KEY):
                 self.findings.append(f"{job.path}: cancelling answered {status}")
                 return
             time.sleep(RETRY_S)
 
     def _ask(self, job: Job) -> None:
-        status, fields = self._call("GET", job.path)
+        if job.team and self._rng.random() < STRANGER_SHARE:
+            self._ask_as_stranger(job)
+        status, fields = self._call("GET", job)
         if status == 200 and "state" not in fields:
             self.findings.append(f"{job.path}: {self._entry.name} answers {fields}")
         elif status == 200 and fields["state"] in ENDED_STATES:
             job.state = fields["state"]
-        if status in (200, *REFUSALS, *UNKNOWN):
+        if status in (200, *REFUSALS, *UNKNOWN, *NEW_KEY):
             return
         now_ms = self._fleet.clock.now_ms()
         age_ms = now_ms - job.accepted_ms
@@ -144,14 +153,45 @@
                 f"{job.path}: accepted {age_ms:.0f} ms before, {name} answers {status}"
             )
 
+    def _ask_as_stranger(self, job: Job) -> None:
+        """Ask for a job with a key of another team, and with one of no team."""
+        (other,) = (team for team in TEAMS if team != job.team)
+        for key in (self._fleet.teams.authorization(other), FALSE_KEY):
+            status, _ = self._exchange("GET", job.path, key)
+            if status == 200:
+                self.findings.append(f"{job.path}: shown to a stranger")
+
     def _call(
+        self,
+        method: str,
+        job: Job,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int | None, Any]:
+        """Make a call with the newest key of the job's team, if it has one.
+
+        The status is ``None`` if there was no complete answer.
+        """
+        teams = self._fleet.teams
+        began_ms = self._fleet.clock.now_ms()
+        must_be_known = teams.is_in_force(began_ms)
+        key = teams.authorization(job.team) if job.team else {}
+        status, fields = self._exchange(method, job.path, key, body, timeout_s)
+        if status == UNAUTHORIZED and must_be_known:
+            name = self._entry.name
+            if not self._fleet.is_disturbed(name, began_ms, began_ms):
+                self.findings.append(f"{job.path}: {name} refuses a key in force")
+        return status, fields
+
+    def _exchange(
         self,
         method: str,
         path: str,
+        key: dict[str, str],
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int | None, Any]:
-        """Make a call; the status is ``None`` if there was no complete answer."""
+        """Send a request; the status is ``None`` if there was no complete answer."""
         connection = self._connect()
         if connection is None:
             time.sleep(RETRY_S)
@@ -160,7 +200,7 @@
         sent_ms = self._fleet.clock.now_ms()
         try:
             content = json.dumps(body) if body is not None else None
-            connection.request(method, path, content, HEADERS)
+            connection.request(method, path, content, HEADERS | key)
             sent_ms = self._fleet.clock.now_ms()
             response = connection.getresponse()
             data = response.read()
--- a/packages/corianderpitch-standins/corianderpitch_standins/soakfleet.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soakfleet.py
@@ -22,6 +22,7 @@
 from corianderpitch.clock import SystemClock
 from corianderpitch_standins.localfleet import PROXY, Process, wait_until
 from corianderpitch_standins.ordercheck import Disturbance
+from corianderpitch_standins.soakteams import SoakTeams
 
 ROOT = Path(__file__).resolve().parents[3]
 HOST = "127.0.0.1"
@@ -44,6 +45,7 @@
             "max_attempts": 2,
             "stretch": 1.6,
             "target_duration_ms": 600,
+            "public": service != SERVICES[0],
         }
         for service in SERVICES
     ],
@@ -133,11 +135,12 @@
         self._maps: dict[str, dict[str, dict[str, Any]]] = {}
         self._rules: list[dict[str, Any]] = []
         self._starts = 0
+        self.teams = SoakTeams(CONFIG, self.clock, self._write_config)
         command = [sys.executable, "-m", "corianderpitch_standins.userplatform"]
         counts = [str(WORKERS), str(STANDBY_MACHINES)]
         with open(self.folder / "platform.log", "w") as log:
             self._platform = subprocess.Popen(
-                [*command, json.dumps(CONFIG), *counts],
+                [*command, json.dumps(self.teams.fields()), *counts],
                 stdout=subprocess.PIPE,
                 stderr=log,
                 text=True,
@@ -175,6 +178,9 @@
         self.entries.append(entry)
         return entry
 
+    def _write_config(self, fields: dict[str, Any]) -> None:
+        self.control("write", table="op", name="config", fields=fields)
+
     def _open_maps(self) -> dict[str, dict[str, Any]]:
         return {
             service: self._control_proxy("/maps", {"target": self._addresses[service]})
--- a/packages/corianderpitch-standins/corianderpitch_standins/soaktroubles.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soaktroubles.py
@@ -19,6 +19,7 @@
     SoakEntry,
     SoakFleet,
 )
+from corianderpitch_standins.soakteams import OLD_KEY_S
 
 POLL_S = 0.02
 MAX_PAUSE_S = 2.5
@@ -46,6 +47,10 @@
     "silent partitions",
     "refusing partitions",
     "late orders",
+    "new key",
+    "new key",
+    "new cap",
+    "new cap",
 )
 PARTITIONS_SHARE = 0.3
 CUT_MODES = ("cut", "freeze", "one_way", "delay")
@@ -150,6 +155,11 @@
             case "late orders":
                 fleet.disturb("", 1000.0 * length_s)
                 self._set_faults("order-faults", length_s, silent_share=0.1)
+            case "new key":
+                team = fleet.teams.add_key(rng)
+                self.later(OLD_KEY_S, partial(fleet.teams.drop_old_keys, team))
+            case "new cap":
+                fleet.teams.change_cap(rng)
 
     def _set_faults(self, service: str, length_s: float, **faults: Any) -> None:
         self._fleet.control(service, **faults)
--- a/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
@@ -361,7 +361,9 @@
                 orders = [asdict(order) for order in self.machines.arrivals]
                 return Reply(200, {"orders": orders})
             case "runs":
-                return Reply(200, {"started_ms": self.ledger.last_start_ms()})
+                starts = [asdict(start) for start in self.ledger.starts_by_text]
+                started_ms = self.ledger.last_start_ms()
+                return Reply(200, {"started_ms": started_ms, "starts": starts})
             case "history":
                 self.rows.truncate_history()
             case "crash":
