--- a/packages/corianderpitch-standins/corianderpitch_standins/benchtasks.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/benchtasks.py
@@ -1,8 +1,9 @@
 """Benchmark of an entry on the users' platform: processor time for each task.
 
 One entry with the scheduler's role runs in one process, and the platform's stand-in
-in another. Jobs of eight tasks are submitted at a fixed rate. The processor time that
-the kernel counts for the entry is divided by the number of completed tasks.
+in another. Jobs of eight tasks are submitted by twenty teams at a fixed rate. The
+processor time that the kernel counts for the entry is divided by the number of
+completed tasks.
 """
 
 import json
@@ -34,6 +35,16 @@
 MAX_GROWTH_SHARE = 0.2
 SERVICE = "counter"
 CALLER_HEADERS = {"Host": "shop.example", "Content-Type": "application/json"}
+TEAMS = 20
+_TENANTS = [
+    {
+        "name": f"team{number}",
+        "api_keys": [f"key{number}"],
+        "weight": JOBS_PER_S,
+        "cap": {"cpu": 1_000_000},
+    }
+    for number in range(TEAMS)
+]
 
 _CONFIG = {
     "version": 1,
@@ -46,8 +57,10 @@
             "max_attempts": 2,
             "stretch": 1.6,
             "target_duration_ms": 600,
+            "public": False,
         }
     ],
+    "tenants": _TENANTS,
     "services": [{"name": SERVICE, "standby": False}],
     "limits": {"header_bytes": 16384, "body_bytes": 4096},
 }
@@ -139,8 +152,9 @@
         step: dict[str, Any] = {"count": TASKS_PER_JOB, "cpu": 1000, "mem_mb": 100}
         body = {"spec": "x", "steps": [step | {"estimate_ms": 150}]}
         url = f"http://{self._front}/quotes/{self._job_count:016x}"
+        key = {"Authorization": f"Token key{self._job_count % TEAMS}"}
         answer = self._http.request(
-            "POST", url, body=json.dumps(body).encode(), headers=CALLER_HEADERS
+            "POST", url, body=json.dumps(body).encode(), headers=CALLER_HEADERS | key
         )
         if answer.status != 200:
             raise RuntimeError(
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/admission.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/admission.py
@@ -24,6 +24,8 @@
 DEPENDENCY_BYTES = 40
 OPEN_TASK_BYTES = 1000
 
+MAX_SURPLUS_AGE_MS = 30_000.0  # some times the objective of a usual job
+
 MAX_SHARE = 0.2  # of a holder's memory, which also holds rows that are being read
 REOPEN_SHARE = 0.8  # of what makes a queue full
 CLOSE_ALL_SHARE = 1.5  # queues with few open jobs are refused above that
@@ -73,12 +75,16 @@
 def hopeless_surpluses(
     jobs: Iterable[ActiveJob], queues: Mapping[QueueName, Queue], now_ms: float
 ) -> set[tuple[QueueName, TeamName]]:
-    """Return the queues and teams of jobs beyond their share that waited in vain."""
+    """Return the queues and teams of jobs beyond their share that waited in vain.
+
+    Old jobs tell nothing of the present load; there are some that can never be done.
+    """
     return {
         (queue.name, job.workload.team)
         for job in jobs
         if job.is_beyond_share
         and job.state is JobState.QUEUED
+        and now_ms - job.accepted_ms < MAX_SURPLUS_AGE_MS
         and (queue := queues.get(job.workload.queue)) is not None
         and will_miss_objective(job, queue, now_ms)
     }
--- a/packages/corianderpitch/tests/test_sharelimits.py
+++ b/packages/corianderpitch/tests/test_sharelimits.py
@@ -20,13 +20,17 @@
     limit_key,
     pack_limit,
 )
-from corianderpitch.domain.scheduling.admission import hopeless_surpluses
+from corianderpitch.domain.scheduling.admission import (
+    MAX_SURPLUS_AGE_MS,
+    hopeless_surpluses,
+)
 from corianderpitch.domain.scheduling.shares import SHARE_WINDOW_MS
 from corianderpitch.errors import PlatformUnavailable
 from corianderpitch.ids import JobId
 from corianderpitch.ports import Write
 
 WEIGHT = 4.0
+LATE_MS = 10_000.0
 
 
 @pytest.fixture
@@ -53,7 +57,7 @@
     if is_flooded:
         job = team_job("surplus")
         job.is_beyond_share = True
-        job.accepted_ms = clock.now_ms() - 60_000.0
+        job.accepted_ms = clock.now_ms() - LATE_MS
         scheduler.add_job(job)
     return AdmissionTask(store, scheduler, holder.role, 1e9, clock)
 
@@ -76,12 +80,14 @@
 
 def test_only_a_surplus_that_missed_its_objective_before_it_began_is_hopeless():
     scheduler = make_scheduler()
-    jobs = {name: team_job(name) for name in ("hopeless", "new", "begun", "within")}
+    names = ("hopeless", "new", "begun", "within", "old")
+    jobs = {name: team_job(name) for name in names}
     for job in jobs.values():
-        job.accepted_ms = NOW_MS - 60_000.0
+        job.accepted_ms = NOW_MS - LATE_MS
         job.is_beyond_share = job.job_id != "within"
         scheduler.add_job(job)
     jobs["new"].accepted_ms = NOW_MS
+    jobs["old"].accepted_ms = NOW_MS - MAX_SURPLUS_AGE_MS
     scheduler._mark_begun(JobId("begun"))
     found = hopeless_surpluses([*jobs.values()], scheduler.queues, NOW_MS)
     assert found == {(QUEUE.name, TEAM)}
@@ -208,6 +214,6 @@
     assert not starts(scheduler, clock.now_ms())  # there are no workers
     admission.check()
     assert submit(intake, "a").kind is IntakeKind.DONE
-    clock.advance(60_000.0)
+    clock.advance(LATE_MS)
     admission.check()
     assert flood(intake)
