--- a/packages/corianderpitch/corianderpitch/domain/scheduling/usage.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/usage.py
@@ -62,12 +62,14 @@
         if not self._teams:
             return
         self._used = {}
+        unexplained = NOTHING
         for worker in workers.values():
             for run in worker.runs.values():
                 self.add(run.team, run.usage)
-        unexplained = _sum(
-            _room(w) for w in workers.values() if w.has_unknown_reservations
-        )
+            if worker.has_unread_runs or worker.has_unneeded_runs:
+                unexplained = unexplained.plus(_room(worker))
+        if not awaiting_report and unexplained == NOTHING:
+            return
         awaited = _room_of(awaiting_report, workers)
         may_run = _startable_by_team(jobs.values()) if awaiting_report else {}
         for name in self._teams:
