Find slow workers and tasks that stand still, and move tasks off them

Nothing was learned of workers' speeds, and the progress of runs was read for lasting tasks only: a task on a worker that had turned slow, or on which it stood still, ended late with its whole job. A worker counts as slow if most of the steps at work there go far slower than expected; its tasks, and those that stand still, are stopped and started elsewhere from their checkpoints where that ends them sooner.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -12,6 +12,7 @@
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.shares import has_headroom
+from corianderpitch.domain.scheduling.speeds import without_slow
 from corianderpitch.domain.scheduling.starting import start_tasks
 from corianderpitch.domain.scheduling.workers import WorkerView
 from corianderpitch.domain.scheduling.workloads import Queue
@@ -48,7 +49,7 @@
     # One order for all services: a team's quota is shared between them.
     waiting.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
     for queue, job in waiting:
-        workers = schedulable[queue.service]
+        workers = schedulable.get(queue.service, [])
         if job.is_beyond_share and not has_headroom(workers):
             continue
         for step in steps_to_try(job, wall_ms):
@@ -98,4 +99,7 @@
             continue
         if is_schedulable(worker, now_ms, service in guarded):
             schedulable[service].append(worker)
-    return schedulable
+    return {
+        service: without_slow(workers, now_ms)
+        for service, workers in schedulable.items()
+    }
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -649,7 +649,7 @@
         if run.incarnation != worker.incarnation:
             run.incarnation = worker.incarnation or ""
             self._mark_changed(job)
-        run.percent = reported.percent
+        run.note_progress(reported.percent, now_ms)
         run.load = reported.load
         confirm_start(run, now_ms)
         self._mark_begun(job.job_id)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -15,6 +15,7 @@
 FAILED_JOBS_BEFORE_BACKOFF = 2
 NOTHING = Shape(0.0, 0)
 
+MIN_RATED_MS = 300.0  # between reports, which show progress in percent
 USUAL_ANSWER_MS = 50.0  # of a worker; most answers take a few ms
 CLOCK_SLACK_MS = 50.0  # far below the age that a process reaches
 
@@ -151,6 +152,9 @@
     ``start`` tells how far the order to start it has got, and ``is_attributed`` is set
     once it is known which process of the worker has begun it. ``usage`` counts towards
     the quota of ``team``. ``was_resumed`` tells that it started from a checkpoint.
+    ``progress_ms`` is the time of the last report of its progress, ``changed_ms`` that
+    of the first one that showed the present progress, and ``rate_per_ms`` the percent
+    that it made a millisecond between two reports, ``None`` if not known.
     """
 
     task: TaskRef
@@ -174,6 +178,11 @@
     team: TeamName | None = None
     usage: Shape = NOTHING
     was_resumed: bool = False
+    progress_ms: float | None = None
+    changed_ms: float = -math.inf
+    rate_per_ms: float | None = None
+    _rated_ms: float = 0.0
+    _rated_percent: float = 0.0
 
     @property
     def key(self) -> RunKey:
@@ -191,6 +200,19 @@
         is_confirmed = self.start is StartState.CONFIRMED
         return RunState.RUNNING if is_confirmed else RunState.STARTING
 
+    def note_progress(self, percent: float, now_ms: float) -> None:
+        """Note the progress in a report that has just arrived."""
+        if self.progress_ms is None:
+            self._rated_ms, self._rated_percent = now_ms, percent
+        elif now_ms - self._rated_ms >= MIN_RATED_MS:
+            made = max(0.0, percent - self._rated_percent)
+            self.rate_per_ms = made / (now_ms - self._rated_ms)
+            self._rated_ms, self._rated_percent = now_ms, percent
+        if self.progress_ms is None or percent != self.percent:
+            self.changed_ms = now_ms
+        self.progress_ms = now_ms
+        self.percent = percent
+
     def is_overdue(self, now_ms: float) -> bool:
         """Return whether the answer to its start is late, or did not come."""
         if self.start is StartState.SENT:
@@ -218,7 +240,8 @@
     platform's list or an answer showed a new process that has not sent a report yet,
     and nothing is started until it has. By ``stray_leases_end_ms`` all leases have
     expired that were meant for an earlier process: a new one counts them by its own
-    clock, and so for longer.
+    clock, and so for longer. Until ``slow_until_ms`` the worker counts as slow, and
+    ``asked_ms`` is the time of the last report requested for tasks that are overdue.
     """
 
     info: WorkerInfo
@@ -249,12 +272,18 @@
     has_unread_runs: bool = False  # of jobs that could not be read yet
     has_unneeded_runs: bool = False  # reported ones that are not in ``runs``
     backoff_until_ms: float = 0.0
+    slow_until_ms: float = 0.0
+    asked_ms: float = 0.0
     consecutive_failed_jobs: list[str] = field(default_factory=list)
 
     def __post_init__(self):
         self.heard_ms = self.known_since_ms
         self._update_free()
 
+    def is_slow(self, now_ms: float) -> bool:
+        """Return whether the worker was found to be slow a short while ago."""
+        return now_ms < self.slow_until_ms
+
     @property
     def is_leaving(self) -> bool:
         """Return whether the end of the worker's process is planned."""
@@ -332,6 +361,7 @@
         self.clock_ms = None
         self.leased_until_ms = 0.0
         self.consecutive_failed_jobs.clear()
+        self.slow_until_ms = 0.0
 
     def shows_other_process(self, clock_ms: float, sent_ms: float) -> bool:
         """Return whether the answer to an order of ``sent_ms`` is another process's.
