--- a/packages/corianderpitch/corianderpitch/domain/scheduling/speeds.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/speeds.py
@@ -80,7 +80,7 @@
         if _awaits_report(worker, runs, now_ms):
             worker.asked_ms = now_ms
             scheduler.request_report(worker.info.worker)
-        if worker.info.worker not in isolated and not worker.is_leaving:
+        if worker.info.worker not in isolated:
             due[worker.info.service] += [r for r in runs if _is_due(r, worker, now_ms)]
     for service, service_runs in due.items():
         _move(scheduler, service, service_runs, now_ms)
--- a/packages/corianderpitch/tests/test_speeds.py
+++ b/packages/corianderpitch/tests/test_speeds.py
@@ -112,6 +112,13 @@
     assert stopped_jobs(stops) == {"a"}
 
 
+def test_a_task_that_stands_still_on_a_worker_to_be_emptied_is_moved():
+    """Nothing else moves it if it does not save its progress, and its VM would wait."""
+    pool = Pool(("a", "b"))
+    pool.worker.is_evacuating = True
+    assert stopped_jobs(pool.run({"a": 0.0, "b": 1.0}, 900.0)) == {"a"}
+
+
 def test_a_task_that_is_many_times_as_long_as_declared_does_not_stand_still():
     pool = Pool(("a",))
     assert not pool.run({"a": 1 / 20}, 5000.0)
