--- a/packages/corianderpitch-standins/corianderpitch_standins/simulatedworkers.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/simulatedworkers.py
@@ -22,6 +22,12 @@
     number: int
     done_ms: float
     will_fail: bool
+    started_ms: float = 0.0
+
+    def percent(self, now_ms: float) -> float:
+        """Return its progress in whole percents."""
+        length_ms = max(1.0, self.done_ms - self.started_ms)
+        return float(int(min(99.0, 100.0 * (now_ms - self.started_ms) / length_ms)))
 
 
 @dataclass
@@ -134,6 +140,7 @@
     def __init__(self, name: str, ledger: RunLedger):
         self.name = name
         self.ledger = ledger
+        self.slowness = 1.0  # by which all new runs take longer
         self.incarnation_count = 0
         self.start_incarnation(0.0)
 
@@ -225,7 +232,8 @@
             return OrderResult.OLD_RUN
         self.ledger.record_start(order.task, self.name, now_ms)
         self.ledger.record_text(order.task, order.text, now_ms)
-        self.runs[order.task] = SimulatedRun(order.number, now_ms + run_ms, fails)
+        done_ms = now_ms + run_ms * self.slowness
+        self.runs[order.task] = SimulatedRun(order.number, done_ms, fails, now_ms)
         return OrderResult.DONE
 
     def stop(self, order: StopRun, now_ms: float) -> OrderResult:
@@ -258,7 +266,8 @@
         )
         self.ends = [end for end in self.ends if end.sequence > committed_sequence]
         running = tuple(
-            ReportedRun(task, run.number, "", 50.0) for task, run in self.runs.items()
+            ReportedRun(task, run.number, "", run.percent(now_ms))
+            for task, run in self.runs.items()
         )
         return WorkerReport(
             self.incarnation_id, self.clock_ms(now_ms), running, tuple(self.ends)
--- a/packages/corianderpitch-standins/corianderpitch_standins/soaktroubles.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soaktroubles.py
@@ -47,12 +47,16 @@
     "silent partitions",
     "refusing partitions",
     "late orders",
+    "slow worker",
+    "still worker",
     "new key",
     "new key",
     "new cap",
     "new cap",
 )
 PARTITIONS_SHARE = 0.3
+SLOW_FACTOR = 8.0
+STILL_FACTOR = 10_000.0  # a task ends long after the soak, unless it is moved
 CUT_MODES = ("cut", "freeze", "one_way", "delay")
 CUT_SERVICES = (["store"], ["machines"], ["store", "machines"])
 
@@ -155,6 +159,14 @@
             case "late orders":
                 fleet.disturb("", 1000.0 * length_s)
                 self._set_faults("order-faults", length_s, silent_share=0.1)
+            case "slow worker" | "still worker":
+                factor = SLOW_FACTOR if kind.startswith("slow") else STILL_FACTOR
+                worker = f"i-{rng.randrange(WORKERS)}"
+                fleet.control("slow", worker=worker, factor=factor)
+                self.later(
+                    length_s,
+                    partial(fleet.control, "slow", worker=worker, factor=1.0),
+                )
             case "new key":
                 team = fleet.teams.add_key(rng)
                 self.later(OLD_KEY_S, partial(fleet.teams.drop_old_keys, team))
--- a/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/userplatform.py
@@ -371,6 +371,8 @@
                 if worker.is_up:
                     worker.crash()
                     worker.start_incarnation(self.clock.now_ms())
+            case "slow":
+                self.workers[body["worker"]].slowness = body["factor"]
             case "replace":
                 machine = self.machines.machines[f"m-{body['worker']}"]
                 if machine.worker:
