--- a/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
@@ -20,11 +20,11 @@
 from corianderpitch.domain.scheduling.arrivals import Arrival, ArrivalForecast
 from corianderpitch.domain.scheduling.maintenance import PoolVm, VmCondition, is_empty
 from corianderpitch.domain.scheduling.ordering import will_miss_objective
-from corianderpitch.domain.scheduling.progress import ActiveJob
+from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.usage import times
 from corianderpitch.domain.scheduling.workers import NOTHING, WorkerView
-from corianderpitch.ids import ServiceName, TeamName, VmId, WorkerId
+from corianderpitch.ids import JobId, ServiceName, TeamName, VmId, WorkerId
 
 MIN_WORKERS = 3  # after the loss of a VM, lasting tasks still have two workers
 PACKING_HEADROOM = 1.1  # tasks of different sizes do not fill a VM completely
@@ -107,7 +107,8 @@
     The forecast records the jobs that arrived since the last call.
     """
     capacities = _capacities(scheduler.workers.values())
-    admitted = _admitted_shares(scheduler, wall_ms)
+    ready = {job.job_id: [*job.ready_steps(wall_ms)] for job in scheduler.jobs.values()}
+    admitted = _admitted_shares(scheduler, ready)
     loads = {queue.service: PoolLoad() for queue in scheduler.queues.values()}
     arrivals: list[Arrival] = []
     for job in scheduler.jobs.values():
@@ -117,7 +118,7 @@
             continue
         is_late = job.is_beyond_share or will_miss_objective(job, queue, now_ms)
         share = admitted.get(job.workload.team, 1.0)
-        load = _job_load(job, capacity, is_late, share, wall_ms)
+        load = _job_load(job, ready[job.job_id], capacity, is_late, share)
         loads[queue.service] = loads[queue.service].plus(load)
         is_recent = forecast.covers(job.accepted_ms, now_ms)
         if is_recent and not (job.workload.is_lasting or job.is_beyond_share):
@@ -133,13 +134,13 @@
 
 
 def _admitted_shares(
-    scheduler: Scheduler, wall_ms: float
+    scheduler: Scheduler, ready: Mapping[JobId, Iterable[ActiveStep]]
 ) -> dict[TeamName | None, float]:
     """Return the share of each team's waiting tasks that its quota admits."""
     waiting: dict[TeamName, Shape] = defaultdict(lambda: NOTHING)
     for job in scheduler.jobs.values():
         team = job.workload.team
-        for step in job.ready_steps(wall_ms) if team is not None else ():
+        for step in ready[job.job_id] if team is not None else ():
             waiting[team] = waiting[team].plus(
                 times(step.step.shape, len(step.pending))
             )
@@ -158,7 +159,11 @@
 
 
 def _job_load(
-    job: ActiveJob, capacity: Shape, is_late: bool, admitted: float, wall_ms: float
+    job: ActiveJob,
+    ready: Iterable[ActiveStep],
+    capacity: Shape,
+    is_late: bool,
+    admitted: float,
 ) -> PoolLoad:
     """Return the load of a job; its team's quota admits a share of what waits."""
     running = lasting = waiting = 0.0
@@ -168,7 +173,7 @@
             lasting += occupied
         else:
             running += occupied
-    for step in job.ready_steps(wall_ms):
+    for step in ready:
         needed = worker_share(step.step.reservation, capacity) * len(step.pending)
         if step.step.is_lasting:
             lasting += needed
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/speeds.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/speeds.py
@@ -13,7 +13,6 @@
 worker has listed the end of its run.
 """
 
-import statistics
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass
@@ -122,7 +121,8 @@
             speeds[movable.job.job_id, movable.step.number].append(speed)
     if len(speeds) < MIN_STEPS:
         return None
-    return statistics.median_high(map(statistics.mean, speeds.values()))
+    means = sorted(sum(samples) / len(samples) for samples in speeds.values())
+    return means[len(means) // 2]
 
 
 def without_slow(workers: list[WorkerView], now_ms: float) -> list[WorkerView]:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/usage.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/usage.py
@@ -61,11 +61,9 @@
         """Count what runs, and what may run, at the beginning of a round."""
         if not self._teams:
             return
-        self._used = {}
+        self._used = _used_by_team(workers.values())
         unexplained = NOTHING
         for worker in workers.values():
-            for run in worker.runs.values():
-                self.add(run.team, run.usage)
             if worker.has_unread_runs or worker.has_unneeded_runs:
                 unexplained = unexplained.plus(_room(worker))
         if not awaiting_report and unexplained == NOTHING:
@@ -130,6 +128,22 @@
     )
 
 
+def _used_by_team(workers: Iterable[WorkerView]) -> dict[TeamName, Shape]:
+    """Return the sum of each team's runs; there are hundreds in each round."""
+    sums: dict[TeamName, list[float]] = {}
+    for worker in workers:
+        for run in worker.runs.values():
+            if run.team is None:
+                continue
+            usage, total = run.usage, sums.get(run.team)
+            if total is None:
+                total = sums[run.team] = [0.0, 0, 0]
+            total[0] += usage.processors
+            total[1] += usage.memory_mb
+            total[2] += usage.accelerators
+    return {team: Shape(*total) for team, total in sums.items()}
+
+
 def _startable_by_team(jobs: Iterable[ActiveJob]) -> dict[TeamName, Shape]:
     """Return the most that a predecessor may have running of each team's open jobs."""
     startable: dict[TeamName, Shape] = {}
