--- a/packages/corianderpitch-standins/corianderpitch_standins/soak.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soak.py
@@ -56,7 +56,7 @@
 
     def run(self) -> list[str]:
         """Run the soak to its end and return the findings."""
-        self._fleet = SoakFleet(self.folder)
+        self._fleet = SoakFleet(self.folder, has_teams=True)
         self._rng = random.Random(self.seed + 1)
         self._callers = [
             Caller(self._fleet, number, self.seed, _busy_service)
@@ -112,6 +112,7 @@
             self._fleet.start_entry(f"last{number}")
         for caller in self._callers:
             caller.is_submitting = False
+        self._fleet.teams.raise_caps()
         try:
             self._fleet.wait_ready()
             wait_until(self._is_settled, SETTLE_S, "all jobs and waves done")
