--- a/packages/corianderpitch/corianderpitch/domain/scheduling/speeds.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/speeds.py
@@ -92,13 +92,13 @@
 def movable_runs(scheduler: Scheduler, worker: WorkerView) -> list[MovableRun]:
     """Return the runs on a worker whose progress shows its speed.
 
-    Others last, wait for each other, run beside a copy, or were not seen to begin.
+    Others last, wait for each other, or run beside a copy.
     """
     runs: list[MovableRun] = []
     for run in worker.runs.values():
         job = scheduler.jobs.get(run.task.job_id)
         step = job.find_step(run.task) if job is not None else None
-        if step is None or run.state is not RunState.RUNNING or run.begun_ms is None:
+        if step is None or run.state is not RunState.RUNNING:
             continue
         kind = step.step
         is_alone = not (kind.is_gang or kind.is_speculative)
@@ -143,10 +143,15 @@
     run = movable.run
     if run.progress_ms is None or not _is_recent(run, now_ms):
         return False
-    still_ms = run.progress_ms - max(run.begun_ms, run.changed_ms)
+    still_ms = run.progress_ms - max(_known_since_ms(run), run.changed_ms)
     return still_ms >= max(STILL_MS, STILL_SHARE * movable.expected_ms)
 
 
+def _known_since_ms(run: Run) -> float:
+    """Return since when a run is known to be at work, by this holder."""
+    return run.begun_ms if run.begun_ms is not None else run.state_since_ms
+
+
 def _is_recent(run: Run, now_ms: float) -> bool:
     return run.progress_ms is not None and now_ms - run.progress_ms < EVIDENCE_MS
 
@@ -158,7 +163,8 @@
     if now_ms - max(worker.asked_ms, worker.clock_received_ms) < ASK_INTERVAL_MS:
         return False
     return any(
-        now_ms - run.begun_ms > max(STILL_MS, job.expected[step.number].slowest_ms)
+        now_ms - _known_since_ms(run)
+        > max(STILL_MS, job.expected[step.number].slowest_ms)
         for job, step, run in runs
     )
 
--- a/packages/corianderpitch/tests/test_speeds.py
+++ b/packages/corianderpitch/tests/test_speeds.py
@@ -120,6 +120,14 @@
     assert stopped_jobs(pool.run({"a": 0.0, "b": 1.0}, 900.0)) == {"a"}
 
 
+def test_a_task_that_a_predecessor_has_started_is_moved_if_it_stands_still():
+    """After a change of the holder such tasks were at work for ever."""
+    pool = Pool(("a", "b"))
+    for run in pool.worker.runs.values():
+        run.begun_ms = None
+    assert stopped_jobs(pool.run({"a": 0.0, "b": 1.0}, 900.0)) == {"a"}
+
+
 def test_a_task_that_is_many_times_as_long_as_declared_does_not_stand_still():
     pool = Pool(("a",))
     assert not pool.run({"a": 1 / 20}, 5000.0)
