Use one piece of code where the change had written a second

The limits kept a copy of the teams, and headroom was summed for each job of a flood. Behaviour is unchanged. Passed: all unit and adapter tests, those of the client, test_userplatform, test_stops and test_soak, the linter. Not run: the other integration tests and the demo.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/admissions.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/admissions.py
@@ -35,7 +35,7 @@
         self._role = role
         self._memory_bytes = memory_bytes
         self._closed = ClosedQueues(store, role, INTAKE_TABLE)
-        self._limited = LimitedTeams(store, role)
+        self._limited = LimitedTeams(store, role, scheduler.usage)
         self._clock = clock
 
     def run(self) -> None:
@@ -55,11 +55,9 @@
         self._limit_teams()
 
     def _limit_teams(self) -> None:
-        teams = {team.name: team for team in self._scheduler.usage.teams}
-        if not teams and not self._limited.names:
+        if not self._scheduler.usage.teams and not self._limited.names:
             return
         if self._limited.read():
-            self._limited.teams |= teams
             jobs = self._scheduler.jobs.values()
             queues = self._scheduler.queues
             self._limited.update(hopeless_surpluses(jobs, queues, self._clock.now_ms()))
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/cancelling.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/cancelling.py
@@ -40,16 +40,10 @@
     job_partitions,
     pack_cancellation,
     progress_key,
-    unpack_cancellation,
+    read_cancellation,
 )
 from corianderpitch.domain.jobs import JobState
-from corianderpitch.errors import (
-    CommitError,
-    MalformedData,
-    OutcomeLost,
-    QueueFull,
-    RowConflict,
-)
+from corianderpitch.errors import CommitError, OutcomeLost, QueueFull, RowConflict
 from corianderpitch.ids import JobId, QueueName, TeamName
 from corianderpitch.ports import Check, Row, Write
 
@@ -169,20 +163,12 @@
                 checks.append(
                     Check(cancel_key(part, job_id), row.version if row else 0)
                 )
-                earlier += [_cancellation_in(row)] if row else []
+                earlier += [read_cancellation(row.value)] if row else []
             case failure:
                 return failure
     return Success((earlier, tuple(checks)))
 
 
-def _cancellation_in(row: Row) -> Cancellation:
-    """Return the cancellation in a row; one that cannot be read binds all teams."""
-    try:
-        return unpack_cancellation(row.value)
-    except MalformedData:
-        return Cancellation(0.0)
-
-
 def _joined(cancellations: Sequence[Cancellation]) -> Cancellation:
     """Return a cancellation that binds all that one of several binds."""
     teams: frozenset[TeamName] | None = frozenset()
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/catalogs.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/catalogs.py
@@ -1,5 +1,7 @@
 """Follows the configuration and the waves that operators have written."""
 
+import math
+
 import eventlet
 from eventlet.semaphore import Semaphore
 from returns.result import Failure, Success
@@ -34,7 +36,7 @@
         self.waves: dict[int, WaveOrder] = {}
         self._version = 0
         self._is_read = False
-        self._confirmed_ms: float | None = None
+        self._confirmed_ms = -math.inf
         self._confirm_lock = Semaphore()
         self._next_confirm_ms = 0.0
 
@@ -64,7 +66,7 @@
         """
         with self._confirm_lock:
             now_ms = self._clock.now_ms()
-            if self._is_confirmed(now_ms - max_age_ms):
+            if self._confirmed_ms >= now_ms - max_age_ms:
                 return True
             if now_ms < self._next_confirm_ms:
                 return False
@@ -75,13 +77,10 @@
             self._next_confirm_ms = self._clock.now_ms() + CONFIRM_RETRY_MS
             return False
 
-    def _is_confirmed(self, since_ms: float) -> bool:
-        return self._confirmed_ms is not None and self._confirmed_ms >= since_ms
-
     def _apply_changes(self, changes: OperatorChanges, asked_ms: float) -> None:
         """Apply rows that the store has answered after ``asked_ms``."""
         self._is_read = True
-        self._confirmed_ms = max(asked_ms, self._confirmed_ms or asked_ms)
+        self._confirmed_ms = max(asked_ms, self._confirmed_ms)
         self._version = max(self._version, changes.version)
         for wave in changes.waves:
             self.waves[wave.number] = wave
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobreader.py
@@ -18,10 +18,10 @@
     CANCEL_SUFFIX,
     JOBS_TABLE,
     PROGRESS_SUFFIX,
-    cancels_team,
     is_job_key,
     job_partitions,
     queue_of,
+    read_cancellation,
     split_row_name,
     unpack_progress,
     unpack_workload,
@@ -340,7 +340,7 @@
         """Cancel a job if one of its cancel rows binds its team."""
         job = self._scheduler.jobs.get(job_id)
         for row in rows if job is not None else ():
-            if cancels_team(row.value, job.workload.team):
+            if read_cancellation(row.value).binds(job.workload.team):
                 self._scheduler.cancel_job(job_id)
             else:
                 job.has_other_cancel = True
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/jobrows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/jobrows.py
@@ -10,8 +10,8 @@
     JOBS_TABLE,
     PROGRESS_SUFFIX,
     RANGE_END,
-    cancels_team,
     job_partitions,
+    read_cancellation,
     unpack_progress,
     unpack_team,
 )
@@ -71,7 +71,7 @@
         return merged
     team = team_of(merged)
     cancels = [rows.get(CANCEL_SUFFIX) for rows in (preferred, other or {})]
-    binding = [row for row in cancels if row and cancels_team(row.value, team)]
+    binding = [r for r in cancels if r and read_cancellation(r.value).binds(team)]
     del merged[CANCEL_SUFFIX]
     return merged | ({CANCEL_SUFFIX: binding[0]} if binding else {})
 
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/rows.py
@@ -278,15 +278,12 @@
             return Cancellation(float(time_ms))
 
 
-def cancels_team(value: bytes, team: TeamName | None) -> bool:
-    """Return whether the value of a cancel row cancels a job of a team.
-
-    One that cannot be read does: it was acknowledged.
-    """
+def read_cancellation(value: bytes) -> Cancellation:
+    """Decode a cancellation; one that cannot be read was acknowledged and binds all."""
     try:
-        return unpack_cancellation(value).binds(team)
+        return unpack_cancellation(value)
     except MalformedData:
-        return True
+        return Cancellation(0.0)
 
 
 @_decodes("a list of workers")
--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/sharelimits.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/sharelimits.py
@@ -17,6 +17,7 @@
 from returns.result import Failure, Result, Success
 
 from corianderpitch.daemon.logs import logger
+from corianderpitch.daemon.roles import RoleLease
 from corianderpitch.daemon.scheduling.closing import ClosedItems
 from corianderpitch.daemon.scheduling.guardedstore import GuardedStore
 from corianderpitch.daemon.scheduling.rows import (
@@ -30,11 +31,11 @@
     queue_partitions,
     unpack_limit,
 )
-from corianderpitch.domain.scheduling.shares import SHARE_WINDOW_MS
-from corianderpitch.domain.scheduling.teams import Team
+from corianderpitch.domain.scheduling.shares import SHARE_WINDOW_MS, place_in_rate
+from corianderpitch.domain.scheduling.usage import TeamUsage
 from corianderpitch.errors import MalformedData, PlatformError
 from corianderpitch.ids import QueueName, TeamName
-from corianderpitch.ports import Check, Row, Write
+from corianderpitch.ports import Check, Row, RowStore, Write
 
 MIN_WEIGHT = 0.01  # a limit needs a rate, also for a team without weight
 
@@ -83,11 +84,10 @@
         check = Check(key, version)
         if limit is None:
             return Success(Reservation((check,)))
-        now_ms = self._store.time_ms()
-        due_ms = max(limit.due_ms, now_ms)
-        if due_ms - now_ms > SHARE_WINDOW_MS:
-            return Failure(OverShare(due_ms - now_ms - SHARE_WINDOW_MS))
-        moved = replace(limit, due_ms=due_ms + 1000.0 / limit.rate_per_s)
+        place = place_in_rate(limit.due_ms, self._store.time_ms(), limit.rate_per_s)
+        if place.early_ms > 0:
+            return Failure(OverShare(place.early_ms))
+        moved = replace(limit, due_ms=place.next_due_ms)
         return Success(Reservation((check,), (Write(key, pack_limit(moved)),)))
 
     def refusal(self, parts: Iterable[str], team: TeamName) -> Reservation:
@@ -137,16 +137,11 @@
 
 
 class LimitedTeams(ClosedItems[LimitedTeam]):
-    """The teams that the holder limits, by queue.
+    """The teams that the holder limits to the rate of their weights, by queue."""
 
-    ``teams`` are the configured ones; a limit is at the rate of the team's weight.
-    """
-
-    teams: dict[TeamName, Team]
-
-    def __init__(self, store, role):
+    def __init__(self, store: RowStore, role: RoleLease, usage: TeamUsage):
         super().__init__(store, role, LIMITS_TABLE)
-        self.teams = {}
+        self._usage = usage
 
     def _read_names(self) -> Result[set[LimitedTeam], PlatformError]:
         names: set[LimitedTeam] = set()
@@ -168,7 +163,7 @@
 
     def _new_limit(self, team: TeamName) -> ShareLimit:
         """Return a limit of which the window is used up."""
-        weight = max(MIN_WEIGHT, self.teams[team].weight)
+        weight = max(MIN_WEIGHT, self._usage.team(team).weight)
         rate_per_s = weight / PARTITIONS_PER_QUEUE
         return ShareLimit(self._store.time_ms() + SHARE_WINDOW_MS, rate_per_s)
 
--- a/packages/corianderpitch/corianderpitch/domain/jobs.py
+++ b/packages/corianderpitch/corianderpitch/domain/jobs.py
@@ -52,6 +52,14 @@
             self.accelerators + other.accelerators,
         )
 
+    def times(self, count: int) -> "Shape":
+        """Return the sum of ``count`` such shapes."""
+        return Shape(
+            self.processors * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+        )
+
     def minus(self, other: "Shape") -> "Shape":
         """Return the difference of two shapes; it may be negative."""
         return Shape(
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/evacuation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/evacuation.py
@@ -31,8 +31,7 @@
             and is_schedulable(other, now_ms)
         ]
         for run in list(worker.runs.values()):
-            job = scheduler.jobs.get(run.task.job_id)
-            step = job.find_step(run.task) if job is not None else None
+            job, step = scheduler.find_step(run.task)
             if step is not None and _may_move(scheduler, job, step, run, others):
                 scheduler.stop(run, now_ms)
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/fitting.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/fitting.py
@@ -5,17 +5,18 @@
 that require the same.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
+from corianderpitch.domain.scheduling.shares import has_headroom
 from corianderpitch.domain.scheduling.workers import WorkerView
 
 MAX_STEPS_PER_ROUND = 100  # of a job
 
 
 class RoundFits:
-    """Requirements that no worker of a service meets in this round.
+    """What no worker of a service has room for in this round.
 
     During a round the workers only get fuller, so that what did not fit once does not
     fit later.
@@ -23,6 +24,12 @@
 
     def __init__(self):
         self._unfit: set[tuple[Shape, str]] = set()
+        self._is_crowded = False
+
+    def has_headroom(self, workers: Collection[WorkerView]) -> bool:
+        """Return whether there is room for jobs beyond their team's share."""
+        self._is_crowded = self._is_crowded or not has_headroom(workers)
+        return not self._is_crowded
 
     def may_fit(self, step: ActiveStep, workers: Iterable[WorkerView]) -> bool:
         """Return whether some worker has room, and the label, for a task of a step."""
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -339,8 +339,7 @@
         return False
     free: Shape = worker.info.capacity
     for run in worker.runs.values():
-        job = scheduler.jobs.get(run.task.job_id)
-        other = job.find_step(run.task) if job is not None else None
+        _, other = scheduler.find_step(run.task)
         if other is not None and other.step.is_lasting:
             free = free.minus(run.reservation)
     return step.step.reservation.fits_in(free)
@@ -363,8 +362,7 @@
 
 
 def _is_due(scheduler: Scheduler, run: Run, now_ms: float) -> bool:
-    job = scheduler.jobs.get(run.task.job_id)
-    step = job.find_step(run.task) if job is not None else None
+    _, step = scheduler.find_step(run.task)
     if run.is_proven or step is None:
         return False
     return has_passed_probation(step, run, now_ms)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/learning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/learning.py
@@ -75,7 +75,7 @@
     is_near = not kind.data_rack or kind.data_rack in worker.info.labels
     return (
         is_near
-        and not (kind.is_lasting or kind.is_gang or kind.is_filler)
+        and kind.has_own_run_time
         and kind.estimate_ms >= MIN_RUN_MS
         and not run.was_resumed
         and run.pace_percent == FULL_SPEED_PERCENT
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/pacing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/pacing.py
@@ -72,12 +72,10 @@
 
 
 def _target_ms(scheduler: Scheduler, run: Run) -> float:
-    job = scheduler.jobs.get(run.task.job_id)
-    step = job.find_step(run.task) if job is not None else None
+    _, step = scheduler.find_step(run.task)
     return step.step.target_ms if step is not None else 0.0
 
 
 def _is_filler(scheduler: Scheduler, run: Run) -> bool:
-    job = scheduler.jobs.get(run.task.job_id)
-    step = job.find_step(run.task) if job is not None else None
+    _, step = scheduler.find_step(run.task)
     return step is not None and step.step.is_filler and run.state is RunState.RUNNING
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -11,7 +11,6 @@
 from corianderpitch.domain.scheduling.placing import is_schedulable, workers_in_doubt
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.scheduler import Scheduler
-from corianderpitch.domain.scheduling.shares import has_headroom
 from corianderpitch.domain.scheduling.speeds import without_slow
 from corianderpitch.domain.scheduling.starting import start_tasks
 from corianderpitch.domain.scheduling.workers import WorkerView
@@ -50,7 +49,7 @@
     waiting.sort(key=lambda pair: order_key(pair[1], pair[0], now_ms))
     for queue, job in waiting:
         workers = schedulable.get(queue.service, [])
-        if job.is_beyond_share and not has_headroom(workers):
+        if job.is_beyond_share and not fits[queue.service].has_headroom(workers):
             continue
         for step in steps_to_try(job, wall_ms):
             if step.step.is_gang and may_restart:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -475,7 +475,7 @@
 
     # Transitions.
 
-    def _find_step(self, task: TaskRef) -> tuple[ActiveJob | None, ActiveStep | None]:
+    def find_step(self, task: TaskRef) -> tuple[ActiveJob | None, ActiveStep | None]:
         """Return the open job and the step of a task, if there are such."""
         job = self.jobs.get(task.job_id)
         return job, job.find_step(task) if job is not None else None
@@ -564,7 +564,7 @@
         if run is not None and run.number == end.number:
             worker.remove_run(run)
         self._changes.retain_end(worker, end)
-        job, step = self._find_step(end.task)
+        job, step = self.find_step(end.task)
         if job is None or step is None:
             return
         index = end.task.index
@@ -637,7 +637,7 @@
     ) -> None:
         """Apply a reported run, which was at work some time after ``requested_ms``."""
         run = worker.runs.get(reported.task)
-        job, step = self._find_step(reported.task)
+        job, step = self.find_step(reported.task)
         is_known = run is not None and run.number == reported.number
         if not is_known and step is not None and may_adopt(step, reported):
             self._adopt(worker, job, step, reported, now_ms)
@@ -718,7 +718,7 @@
         how = f"lost_{run.state.value}"
         self._notices.add(worker, run.task, run.number, how, cause)
         self._stops.forget(run.key)
-        job, step = self._find_step(run.task)
+        job, step = self.find_step(run.task)
         if job is None or step is None:
             return
         self._remove_run(step, run)
@@ -750,7 +750,7 @@
         Before the run is stopped again, the budget of unavailable tasks is checked.
         """
         _, run = self._find_run(order)
-        _, step = self._find_step(order.task)
+        _, step = self.find_step(order.task)
         if run is None or step is None:
             return
         if result not in (OrderResult.UNHEALTHY, OrderResult.NOT_SENT):
@@ -813,7 +813,7 @@
 
     def _drop_ticket(self, order: StartRun) -> None:
         """Drop a ticket that a worker has refused, so that a new one is requested."""
-        _, step = self._find_step(order.task)
+        _, step = self.find_step(order.task)
         if step is not None:
             step.tickets.pop(order.worker, None)
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/shares.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/shares.py
@@ -12,6 +12,7 @@
 
 import math
 from collections.abc import Collection
+from dataclasses import dataclass
 
 from corianderpitch.domain.scheduling.progress import ActiveJob
 from corianderpitch.domain.scheduling.teams import Team
@@ -25,6 +26,25 @@
 HEADROOM_SHARE = 0.2  # of the processors of a pool
 
 
+@dataclass(frozen=True, slots=True)
+class RatePlace:
+    """A job's place in its team's rate.
+
+    The job comes ``early_ms`` too early, 0 if it is within the share. If it is, the
+    next one is due at ``next_due_ms``.
+    """
+
+    early_ms: float
+    next_due_ms: float
+
+
+def place_in_rate(due_ms: float, now_ms: float, rate_per_s: float) -> RatePlace:
+    """Return the place of a job that comes now and was due at ``due_ms``."""
+    due_ms = max(due_ms, now_ms)
+    early_ms = max(0.0, due_ms - now_ms - SHARE_WINDOW_MS)
+    return RatePlace(early_ms, due_ms + 1000.0 / rate_per_s)
+
+
 class ShareMeter:
     """Counts the jobs of each team against its weight, in the order of acceptance."""
 
@@ -49,10 +69,13 @@
 
     def is_beyond_share(self, team: Team, accepted_ms: float) -> bool:
         """Count a job, unless it is beyond its team's share; return whether it is."""
-        due_ms = max(self._due_ms.get(team.name, -math.inf), accepted_ms)
-        if team.weight <= 0 or due_ms - accepted_ms > SHARE_WINDOW_MS:
+        if team.weight <= 0:
+            return True
+        due_ms = self._due_ms.get(team.name, -math.inf)
+        place = place_in_rate(due_ms, accepted_ms, team.weight)
+        if place.early_ms > 0:
             return True
-        self._due_ms[team.name] = due_ms + 1000.0 / team.weight
+        self._due_ms[team.name] = place.next_due_ms
         return False
 
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
@@ -22,7 +22,6 @@
 from corianderpitch.domain.scheduling.ordering import will_miss_objective
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.scheduler import Scheduler
-from corianderpitch.domain.scheduling.usage import times
 from corianderpitch.domain.scheduling.workers import NOTHING, WorkerView
 from corianderpitch.ids import JobId, ServiceName, TeamName, VmId, WorkerId
 
@@ -38,8 +37,8 @@
     ``running`` and ``lasting`` tasks occupy capacity, and ``lasting`` includes
     lasting tasks that wait. ``waiting`` tasks need capacity. ``late`` tasks wait
     too, but their jobs can no longer meet their objective, or are beyond their team's
-    share. ``arriving`` is the
-    average load that the recent arrivals and their growth lead to.
+    share. ``arriving`` is the average load that the recent arrivals and their growth
+    lead to.
     """
 
     running: float = 0.0
@@ -141,9 +140,8 @@
     for job in scheduler.jobs.values():
         team = job.workload.team
         for step in ready[job.job_id] if team is not None else ():
-            waiting[team] = waiting[team].plus(
-                times(step.step.shape, len(step.pending))
-            )
+            needed = step.step.shape.times(len(step.pending))
+            waiting[team] = waiting[team].plus(needed)
     return {
         team: scheduler.usage.admitted_share(team, shape)
         for team, shape in waiting.items()
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/speeds.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/speeds.py
@@ -96,17 +96,11 @@
     """
     runs: list[MovableRun] = []
     for run in worker.runs.values():
-        job = scheduler.jobs.get(run.task.job_id)
-        step = job.find_step(run.task) if job is not None else None
+        job, step = scheduler.find_step(run.task)
         if step is None or run.state is not RunState.RUNNING:
             continue
         kind = step.step
-        is_alone = not (kind.is_gang or kind.is_speculative)
-        if (
-            is_alone
-            and kind.estimate_ms > 0
-            and not (kind.is_lasting or kind.is_filler)
-        ):
+        if kind.has_own_run_time and kind.estimate_ms > 0 and not kind.is_speculative:
             runs.append(MovableRun(job, step, run))
     return runs
 
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/usage.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/usage.py
@@ -93,7 +93,7 @@
         used = self.used(team.name)
         if count == 1 and used == NOTHING:
             return True
-        return team.quota.admits(used.plus(times(shape, count)))
+        return team.quota.admits(used.plus(shape.times(count)))
 
     def admitted_share(self, name: TeamName | None, waiting: Shape) -> float:
         """Return the share of some waiting tasks that a quota admits at present.
@@ -122,7 +122,7 @@
     """
     team = teams.get(workload.team) if workload.team is not None else None
     return team is None or all(
-        team.quota.admits(times(step.shape, step.count))
+        team.quota.admits(step.shape.times(step.count))
         for step in workload.steps
         if step.is_gang
     )
@@ -153,7 +153,7 @@
             continue
         for step in job.steps():
             count = step.step.count - len(step.done) - len(step.runs)
-            needed = times(step.step.shape, max(0, count))
+            needed = step.step.shape.times(max(0, count))
             startable[team] = startable.get(team, NOTHING).plus(needed)
     return startable
 
@@ -180,13 +180,6 @@
     return total
 
 
-def times(shape: Shape, count: int) -> Shape:
-    """Return the sum of some equal shapes."""
-    return Shape(
-        shape.processors * count, shape.memory_mb * count, shape.accelerators * count
-    )
-
-
 def _least(one: Shape, other: Shape) -> Shape:
     return Shape(
         min(one.processors, other.processors),
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workloads.py
@@ -61,6 +61,15 @@
             return self.shape
         return Shape(0.0, self.shape.memory_mb, self.shape.accelerators)
 
+    @property
+    def has_own_run_time(self) -> bool:
+        """Return whether the run time of a task depends on its own work alone.
+
+        Lasting tasks do not end, members of a gang wait for each other, and fillers
+        get what others leave.
+        """
+        return not (self.is_lasting or self.is_gang or self.is_filler)
+
     @property
     def log_estimate(self) -> float:
         """Return the logarithm to the base 2 of the declared run time."""
