--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -11,6 +11,7 @@
 import subprocess
 import tempfile
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -48,6 +49,7 @@
     minion: Minion | None
     state: str = "up"
     waves: set[int] = field(default_factory=set)
+    wave: int = 0  # for which it is down
     lives: int = 1
 
 
@@ -272,6 +274,13 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def until(self, condition: Callable[[], bool], within_s: float) -> bool:
+        """Wait until a condition holds; return whether it does."""
+        until_s = time.monotonic() + within_s
+        while not condition() and time.monotonic() < until_s:
+            await asyncio.sleep(0.02)
+        return condition()
+
     def leader(self) -> Entry:
         """Return the entry that last wrote to the store under a condition."""
         return max(self.entries, key=lambda entry: entry.door.wrote_s)
@@ -345,6 +354,7 @@
         if machine.state != "up":
             return Reply(409, {"reason": "busy"})
         machine.waves.add(body["wave"])
+        machine.wave = body["wave"]
         self.spawn(self._replace(machine, machine.pool, "upkeep", UPKEEP_S))
         return Reply(200)
 
