--- a/review/standins-3/httpserver.py
+++ b/review/standins-3/httpserver.py
@@ -62,6 +62,7 @@
         self.port = port
         self._server: asyncio.base_events.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._mute: set[asyncio.StreamWriter] = set()
 
     @property
     def address(self) -> str:
@@ -91,6 +92,10 @@
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
             writer.close()
 
+    def mute_connections(self) -> None:
+        """Let all connections that are open now go silent, without a reset."""
+        self._mute |= self._writers
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -100,6 +105,8 @@
         )
         try:
             while (request := await _read_request(reader)) is not None:
+                if writer in self._mute:
+                    await asyncio.sleep(SILENCE_S)
                 try:
                     reply = await self._handler(request)
                 except NoAnswer:
@@ -109,6 +116,8 @@
                     sock = writer.get_extra_info("socket")
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
                     return
+                if writer in self._mute:
+                    await asyncio.sleep(SILENCE_S)
                 body = json.dumps(reply.body).encode()
                 head = (
                     f"HTTP/1.1 {reply.status} Status\r\n"
@@ -121,6 +130,7 @@
             pass  # the connection has ended, or the script
         finally:
             self._writers.discard(writer)
+            self._mute.discard(writer)
             writer.close()
 
 
--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -281,6 +281,15 @@
             await asyncio.sleep(0.02)
         return condition()
 
+    def silence_channels(self) -> None:
+        """Let all open channels of entries go silent for good; new ones work."""
+        servers = [door.server for door in self.store.doors]
+        servers += [minion.server for minion in self.minions.values()]
+        servers.append(self._cloud)
+        self.record.write("all open channels go silent", servers=len(servers))
+        for server in servers:
+            server.mute_connections()
+
     def leader(self) -> Entry:
         """Return the entry that last wrote to the store under a condition."""
         return max(self.entries, key=lambda entry: entry.door.wrote_s)
