--- a/review/11/case.py
+++ b/review/11/case.py
@@ -17,12 +17,13 @@
 MINIONS = 16  # of one rack
 ENTRIES = 3
 TIMED_JOBS = 32
-SUBMIT_WITHIN_S = 3.0
-PRESENT_BEFORE_S = 0.7  # the holder renews its role twice a second
+SUBMIT_WITHIN_S = 4.5
+PRESENT_BEFORE_S = 2.2
+PRESENT_S = 2.7  # it ends after the cut, before the crash
 CRASH_AFTER_S = 1.2  # after the cut
 CRASH_SPREAD_S = 0.3
 DOWN_S = 2.5
-RETURN_SPREAD_S = 1.0
+RETURN_SPREAD_S = 0.4
 DUE_AFTER_S = 3.6  # after the cut
 CUT_S = 5.5
 SETTLE_S = 30.0
@@ -72,8 +73,8 @@
         )
         for _ in range(TIMED_JOBS)
     ]
-    fields = {"count": MINIONS, "cpu": 500, "mem_mb": 100, "estimate_ms": 1200}
-    step = Step(fields | {"max_per_server": 1}, work_s=1.2)
+    fields = {"count": MINIONS, "cpu": 500, "mem_mb": 100, "estimate_ms": 2700}
+    step = Step(fields | {"max_per_server": 1}, work_s=PRESENT_S)
     present = world.new_job("quotes", [step])
     for job in timed:
         if not await world.submit(job):
