--- a/review/standins-3/minions.py
+++ b/review/standins-3/minions.py
@@ -183,6 +183,8 @@
         self.guards = guards
         self.work_factor = work_factor
         self.server = HttpServer(self._serve, host)
+        self.gates: dict[str, HttpServer] = {}
+        self.cut_from: set[str] = set()
         self.is_up = False
         self.is_draining = False
         self.is_dark = False
@@ -191,6 +193,21 @@
         self.born = 0
         self._ended = asyncio.Event()
 
+    async def open_gate(self, entry: str) -> None:
+        """Listen on a port of its own for one entry, whose path may be cut."""
+
+        async def serve(request: Request) -> Reply:
+            if entry in self.cut_from:
+                raise NoAnswer
+            reply = await self._serve(request)
+            if entry in self.cut_from:
+                raise NoAnswer
+            return reply
+
+        self.gates[entry] = HttpServer(serve, self.server.host)
+        if self.is_up:
+            await self.gates[entry].start()
+
     async def boot(self) -> None:
         """Start a process that holds and knows nothing of before."""
         self.born = max(int(time.time() * 1000), self.born + 1)
@@ -205,6 +222,8 @@
         self.is_draining = False
         self.is_dark = False
         await self.server.start()
+        for gate in self.gates.values():
+            await gate.start()
         self.is_up = True
         self.ledger.record.write("minion up", id=self.name, born=self.born)
 
@@ -218,7 +237,12 @@
             self.ledger.note_end(self, run, "lost")
         self.runs = {}
         self._lapse()
-        await self.server.stop()
+        await self.close()
+
+    async def close(self) -> None:
+        """Close all listeners and connections."""
+        for server in (self.server, *self.gates.values()):
+            await server.stop()
 
     def _lapse(self) -> None:
         for ends in self.ledger.done.values():
--- a/review/standins-3/scenario.py
+++ b/review/standins-3/scenario.py
@@ -22,18 +22,19 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-async def start_entries(world: World, count: int) -> None:
-    """Start entries and wait until all of them are ready.
+async def start_entries(world: World, count: int = 0) -> None:
+    """Add entries, start all, and wait until all of them are ready.
 
     Raises
     ------
     CannotRun
         If one does not become ready.
     """
-    entries = [await world.add_entry() for _ in range(count)]
-    for entry in entries:
+    for _ in range(count):
+        await world.add_entry()
+    for entry in world.entries:
         world.start_entry(entry)
-    for entry in entries:
+    for entry in world.entries:
         if not await world.until_ready(entry):
             raise CannotRun(f"{entry.name} does not become ready")
 
--- a/review/standins-3/store.py
+++ b/review/standins-3/store.py
@@ -27,6 +27,7 @@
     """
 
     server: HttpServer
+    entry: str = ""
     mode: str = ""
     slow_s: float = 0.0
     wrote_s: float = 0.0  # when it last wrote under a condition
@@ -45,12 +46,14 @@
         self.forgotten = 0
         self._changed = asyncio.Condition()
         self.doors: list[Door] = []
+        # The address of a minion as an entry reaches it, by entry and address.
+        self.paths: dict[tuple[str, str], str] = {}
         self.away_parts: frozenset[str] = frozenset()
         self.rng = random.Random(1)
 
-    async def open_door(self) -> Door:
+    async def open_door(self, entry: str = "") -> Door:
         """Open an address of the store for one entry."""
-        door = Door(HttpServer(lambda request: self._serve(door, request)))
+        door = Door(HttpServer(lambda request: self._serve(door, request)), entry)
         await door.server.start()
         self.doors.append(door)
         return door
@@ -124,16 +127,30 @@
                 await asyncio.sleep(TXN_S / 2)
                 if request.query.get("part", "") in self.away_parts:
                     return Reply(503)
-                return self._read(request.query)
+                return self._on_paths(door, self._read(request.query))
             case "rows-parts":
                 return self._parts(request.query)
             case "rows-feed":
                 reply = await self._feed(request.query)
                 if door.mode == "silent":
                     raise NoAnswer
-                return reply
+                return self._on_paths(door, reply)
         return Reply(404)
 
+    def _on_paths(self, door: Door, reply: Reply) -> Reply:
+        """Name the addresses at which the entry reaches the minions."""
+        for row in reply.body.get("rows", []):
+            if row["table"] == "servers" and "value" in row and self.paths:
+                try:
+                    fields = json.loads(base64.b64decode(row["value"]))
+                    path = self.paths.get((door.entry, fields["address"]))
+                except (ValueError, LookupError, TypeError):
+                    continue
+                if path is not None:
+                    text = json.dumps(fields | {"address": path}).encode()
+                    row["value"] = base64.b64encode(text).decode()
+        return reply
+
     def _answer(self, body: dict[str, Any]) -> Reply:
         now_ms = int((time.monotonic() - self._began_s) * 1000) + 50_000
         return Reply(200, {"row_version": self.version} | body | {"now_ms": now_ms})
--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -195,11 +195,43 @@
         ports = {
             name: _free_port(ip) for name in ("front", "ready", "control", "metrics")
         }
-        door = await self.store.open_door()
-        entry = Entry(f"edge-{zone}-{number}", zone, ip, ports, door)
+        name = f"edge-{zone}-{number}"
+        entry = Entry(name, zone, ip, ports, await self.store.open_door(name))
         self.entries.append(entry)
         return entry
 
+    async def open_paths(self) -> None:
+        """Give each entry a path of its own to each minion, so that it can be cut."""
+        for entry in self.entries:
+            for minion in self.minions.values():
+                await minion.open_gate(entry.name)
+                path = minion.gates[entry.name].address
+                self.store.paths[entry.name, minion.server.address] = path
+
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone off from the others and from the platform."""
+        self.record.write("zone cut", zone=zone)
+        for entry in self.entries:
+            if entry.zone == zone:
+                entry.door.mode = "silent"
+            for minion in self.minions.values():
+                if (entry.zone == zone) != (minion.zone == zone):
+                    minion.cut_from.add(entry.name)
+        for minion in self.minions.values():
+            minion.is_cut_from_store |= minion.zone == zone
+
+    def heal_zones(self) -> None:
+        """End all cuts; bytes that they held up are lost."""
+        self.record.write("zones whole")
+        for entry in self.entries:
+            entry.door.mode = ""
+            entry.door.server.reset_connections()
+        for minion in self.minions.values():
+            minion.is_cut_from_store = False
+            for name in minion.cut_from:
+                minion.gates[name].reset_connections()
+            minion.cut_from.clear()
+
     def start_entry(self, entry: Entry) -> None:
         """Start the process of an entry as the deploy file tells."""
         settings = self.temporary / f"{entry.name}.toml"
@@ -234,6 +266,8 @@
     def _settings(self, entry: Entry) -> str:
         bounds = "".join(f"{k} = {json.dumps(v)}\n" for k, v in BOUNDS.items())
         ip, ports = entry.ip, entry.ports
+        names = sorted({other.zone for other in self.entries})
+        zones = "".join(f'{name} = "region"\n' for name in names)
         return (
             f'node = "{entry.name}"\nrole = "entry"\nmachine_class = "edge"\n'
             f'serves = ["edge"]\nip = "{ip}"\nzone = "{entry.zone}"\n'
@@ -243,7 +277,7 @@
             'heartbeat_ms = 1500\norders = "push"\n'
             'contracts = ["base", "drain", "config", "cost", "recover", "sched", '
             '"platform", "advice", "upkeep", "sharing"]\n'
-            f'[zones]\n{entry.zone} = "region"\n'
+            f"[zones]\n{zones}"
             f'[listen]\nfront = "{ip}:{ports["front"]}"\n'
             f'ready = "{ip}:{ports["ready"]}"\n'
             f'control = "{ip}:{ports["control"]}"\n'
@@ -287,7 +321,8 @@
     def silence_channels(self) -> None:
         """Let all open channels of entries go silent for good; new ones work."""
         servers = [door.server for door in self.store.doors]
-        servers += [minion.server for minion in self.minions.values()]
+        for minion in self.minions.values():
+            servers += [minion.server, *minion.gates.values()]
         servers.append(self._cloud)
         self.record.write("all open channels go silent", servers=len(servers))
         for server in servers:
@@ -307,7 +342,7 @@
                 entry.process.kill()
                 entry.process.wait()
         for minion in self.minions.values():
-            await minion.server.stop()
+            await minion.close()
         for door in self.store.doors:
             await door.server.stop()
         await self._cloud.stop()
