Send orders of a former holder only to processes that it had reached in time

Cause: a holder whose lease has lapsed goes on with tasks that never ran, and relies on the workers to refuse its fence. A process that began since the lapse has seen no fence and obeys it. The successor cannot wait for such a process, as it may begin at any moment.

Now an order is sent only over a connection that was opened while the lease was valid, checked once the connection is there. A connection leads to one process for ever: each process that a former holder can reach was there when its successor read which workers to wait for.

Ruled out: a successor that does not wait for recorded workers; workers that let an old fence pass. Weighed: no starts at all after the lapse (none while the store is down for everybody), and a successor that waits (each kill of a holder would cost callers 6 s).

--- a/packages/corianderpitch/corianderpitch/ports.py
+++ b/packages/corianderpitch/corianderpitch/ports.py
@@ -357,7 +357,13 @@
 
 
 class WorkerLink(abc.ABC):
-    """Client of the workers: sends orders and fetches reports."""
+    """Client of the workers: sends orders and fetches reports.
+
+    A holder's lease may have lapsed. Its successor then waits for the processes that it
+    could reach before, but knows nothing of one that has just begun, which no fence
+    protects yet. Orders are therefore sent to a process only if it was reached while
+    the holder's lease was valid.
+    """
 
     @abc.abstractmethod
     def report(
--- a/tests/adapter/test_holder_changes.py
+++ b/tests/adapter/test_holder_changes.py
@@ -127,7 +127,7 @@
         return SchedulerTerm(
             self._store,
             PlatformWorkerList(self._store),
-            PlatformWorkerLink(),
+            PlatformWorkerLink(lambda: self._role.has_valid_lease),
             self._role,
             self._clock,
             JobMeters(),
--- a/tests/adapter/test_oddreplies.py
+++ b/tests/adapter/test_oddreplies.py
@@ -58,7 +58,7 @@
 
 
 def report(body):
-    link = PlatformWorkerLink()
+    link = PlatformWorkerLink(lambda: True)
     link._report_clients[ADDRESS] = FixedClient(body)
     return link.report(INFO, 7, 57, None, 0)
 
@@ -120,7 +120,7 @@
 
 @pytest.mark.parametrize("reason", [None, 7, ["fence"], {"a": 1}, "unheard"])
 def test_a_refusal_for_an_odd_reason_is_malformed(reason):
-    link = PlatformWorkerLink()
+    link = PlatformWorkerLink(lambda: True)
     link._order_clients[ADDRESS] = FixedClient({"reason": reason}, status=409)
     order = StopRun(INFO.worker, TaskRef(JobId(JOB), 0, 1, 17), 2, 7)
     assert link.stop(INFO, order) is OrderResult.MALFORMED
