Withdraw repeated starts that wait in a queue while the holder's lease lapses

A start that was planned in time and waits behind others to its worker was still sent afterwards, and could run a task again that was done. The order now tells whether it repeats a task, and is withdrawn then.

The new test failed for the repeat on the code before, and held for a first start.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/links.py
@@ -197,6 +197,8 @@
         worker = self._scheduler.workers[self._worker_id]
         if not self._scheduler.is_awaiting_start(order):
             return StartReply(OrderResult.WITHDRAWN)
+        if order.is_repeat and not self._role.has_valid_lease:
+            return StartReply(OrderResult.WITHDRAWN)  # a successor may know of its end
         length_ms = self._bound_lease_ms(START_LEASE_MS)
         if length_ms <= 0:
             return StartReply(OrderResult.NOT_SENT)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/orders.py
@@ -12,7 +12,7 @@
     """Order to start a task; ``checkpoint`` is empty for a start from scratch.
 
     ``text`` is the job's description, passed on unchanged. ``ticket`` is empty if
-    the queue has no advice policy.
+    the queue has no advice policy. ``is_repeat`` is set if the task was started before.
     """
 
     worker: WorkerId
@@ -22,6 +22,7 @@
     checkpoint: str
     fence: int
     ticket: str = ""
+    is_repeat: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/runs.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/runs.py
@@ -1,5 +1,6 @@
 """Runs as a holder plans them, and as it adopts those of its predecessors."""
 
+from corianderpitch.domain.scheduling.orders import StartRun
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.workers import (
     ReportedRun,
@@ -37,6 +38,21 @@
     )
 
 
+def start_order(job: ActiveJob, step: ActiveStep, run: Run) -> StartRun:
+    """Return the order to start a run, which its step does not count as open yet."""
+    index = run.task.index
+    return StartRun(
+        run.worker,
+        run.task,
+        run.number,
+        job.workload.text,
+        step.checkpoint_of(index),
+        run.fence,
+        step.ticket_for(run.worker),
+        is_repeat=index in step.open,
+    )
+
+
 def adopted_run(
     job: ActiveJob,
     step: ActiveStep,
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -45,6 +45,7 @@
     adopted_run,
     may_adopt,
     planned_run,
+    start_order,
 )
 from corianderpitch.domain.scheduling.shares import ShareMeter
 from corianderpitch.domain.scheduling.stops import RecentStops
@@ -408,21 +409,11 @@
         run = planned_run(job, step, index, number, worker, fence, now_ms)
         self.usage.add(run.team, run.usage)
         worker.add_run(run)
+        self._orders.append(start_order(job, step, run))
         step.runs.setdefault(index, []).append(run)
         step.pending.discard(index)
         step.open.add(index)
         self._mark_changed(job)
-        self._orders.append(
-            StartRun(
-                worker.info.worker,
-                run.task,
-                run.number,
-                job.workload.text,
-                step.checkpoint_of(index),
-                fence,
-                step.ticket_for(worker.info.worker),
-            )
-        )
 
     def stop(self, run: Run, now_ms: float) -> None:
         """Order a run to stop, unless it was ordered a short while ago."""
--- a/packages/corianderpitch/tests/test_links.py
+++ b/packages/corianderpitch/tests/test_links.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+import pytest
 from returns.result import Success
 from schedulers import NOW_MS, add_worker, make_job, make_scheduler, starts
 
@@ -68,7 +69,7 @@
 
 
 def make_task(scheduler, link, clock=None, worker="w1"):
-    role = SimpleNamespace(renewal_age_ms=0.0)
+    role = SimpleNamespace(renewal_age_ms=0.0, has_valid_lease=True)
     clock = clock or ManualClock(NOW_MS)
     return WorkerTask(
         WorkerId(worker),
@@ -156,6 +157,26 @@
     assert worker.free.processors == 0.0
 
 
+@pytest.mark.parametrize("is_repeat", [False, True], ids=["first", "repeat"])
+def test_a_queued_repeat_is_not_sent_once_the_lease_may_have_lapsed(is_repeat):
+    """A task ran again after its end: only the successor knew that it was done."""
+    scheduler = make_scheduler(("w1",))
+    scheduler.add_job(make_job("a"))
+    link = SilentOnceLink(scheduler)
+    link.fences.append(0)  # the first start has been answered
+    task = make_task(scheduler, link)
+    (order,) = starts(scheduler)
+    worker = scheduler.workers[WorkerId("w1")]
+    if is_repeat:
+        run = worker.runs[order.task]
+        scheduler._mark_run_lost(worker, run, LossCause.LEASE_EXPIRED)
+        (order,) = starts(scheduler)
+    task._role.has_valid_lease = False
+    task._execute(order)
+    assert len(link.fences) == 1 + (not is_repeat)
+    assert (order.task in worker.runs) is not is_repeat
+
+
 def test_a_crash_soon_after_a_start_that_was_sent_late_names_its_cause():
     """Beside a busy holder, a task crashed one worker after the other for ever."""
     scheduler = make_scheduler(())
