Spread lasting steps where that can be had, not by a limit

Cause: per_worker_limit allowed one worker half of a lasting step, like a limit that the job had asked for. It also kept evacuations, isolation groups, advice and lasting gangs waiting where only one worker was left.

Now only max_per_worker is a limit. The spread is a preference: tasks exceed a worker's share if fewer than two workers could take them, or after one second; later they move apart one by one within the step's budget of unavailable tasks.

Ruled out: tasks not known as lost, the worker not usable, suspects of a crash.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -30,6 +30,7 @@
 from corianderpitch.domain.scheduling.planning import plan
 from corianderpitch.domain.scheduling.scheduler import Notice, Scheduler
 from corianderpitch.domain.scheduling.speeds import CHECK_INTERVAL_MS, relocate
+from corianderpitch.domain.scheduling.spreading import RESPREAD_INTERVAL_MS, respread
 from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.errors import HistoryLost
@@ -160,6 +161,7 @@
         self._workers_without_service: dict[WorkerId, WorkerInfo] = {}
         self._next_expiry_ms = 0.0
         self._next_relocation_ms = 0.0
+        self._next_respread_ms = 0.0
 
     def run(self) -> None:
         """Serve until the role is lost or the term is stopped."""
@@ -365,6 +367,7 @@
         if is_renewed:
             evacuate(self.scheduler, now_ms)
             self._relocate(now_ms)
+            self._respread(now_ms)
         plan(self.scheduler, now_ms, self._clock.wall_ms(), is_renewed)
         self._meters.set_open_jobs(len(self.scheduler.jobs))
         self._dispatch_orders()
@@ -376,6 +379,11 @@
         for slow in relocate(self.scheduler, now_ms):
             log.info("Worker slow.", worker=slow.worker, speed=round(slow.speed, 2))
 
+    def _respread(self, now_ms: float) -> None:
+        if now_ms >= self._next_respread_ms:
+            self._next_respread_ms = now_ms + RESPREAD_INTERVAL_MS
+            respread(self.scheduler, now_ms)
+
     def _drop_ended_threads(self) -> None:
         """Drop the tasks and ended threads of workers that were removed."""
         removed = set(self._tasks) - set(self.scheduler.workers)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/advice.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/advice.py
@@ -13,11 +13,12 @@
 from corianderpitch.domain.scheduling.ordering import order_key
 from corianderpitch.domain.scheduling.placing import (
     count_runs_on,
+    has_label,
     is_schedulable,
-    per_worker_limit,
 )
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep, Ticket
 from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.spreading import is_within_share
 from corianderpitch.domain.scheduling.workers import WorkerView
 from corianderpitch.domain.scheduling.workloads import AdvicePolicy
 from corianderpitch.ids import JobId, WorkerId
@@ -101,15 +102,16 @@
     The result is empty while a fitting worker has a valid ticket.
     """
     reservation = step.step.reservation
-    label = step.step.label
-    limit = per_worker_limit(step.step) or math.inf
+    limit = step.step.max_per_worker or math.inf
     fitting = [
         worker
         for worker in schedulable
         if reservation.fits_in(worker.free)
-        and (not label or label in worker.info.labels)
+        and has_label(step, worker)
         and count_runs_on(step, worker.info.worker) < limit
     ]
+    within_share = [w for w in fitting if is_within_share(step, w.info.worker)]
+    fitting = within_share or fitting
     if any(has_ticket(step, worker, now_ms) for worker in fitting):
         return ()
     unknown = [
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/evacuation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/evacuation.py
@@ -2,21 +2,16 @@
 
 A task that cannot save its progress runs to its end. A task that saves its progress
 is stopped with a checkpoint as soon as it fits on another worker. A lasting task is
-moved only while fewer other tasks of its step are away than its budget of unavailable
-tasks allows. A step without a budget moves a small share of its tasks at a time.
+moved only as far as its step's budget of unavailable tasks allows.
 """
 
-import math
 from collections.abc import Iterable
 
+from corianderpitch.domain.scheduling.availability import may_stop_lasting
 from corianderpitch.domain.scheduling.placing import choose_worker, is_schedulable
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.workers import Run, RunState, WorkerView
-from corianderpitch.domain.scheduling.workloads import Step
-
-SERVING_PERCENT = 100.0
-MIN_SERVING_SHARE = 7 / 8  # of the tasks of a lasting step without a budget
 
 
 def evacuate(scheduler: Scheduler, now_ms: float) -> None:
@@ -54,36 +49,6 @@
         return False
     if not (step.step.is_lasting or step.step.saves_progress) or step.step.is_gang:
         return False
-    if step.step.is_lasting and (
-        _count_others_away(scheduler, step, run) >= _unavailability_budget(step.step)
-    ):
+    if step.step.is_lasting and not may_stop_lasting(scheduler, step, run):
         return False
     return choose_worker(step, run.task.index, others, frozenset()) is not None
-
-
-def _unavailability_budget(step: Step) -> int:
-    """Return how many tasks of a lasting step may be away at the same time."""
-    if step.max_unavailable:
-        return step.max_unavailable
-    return max(1, math.floor((1.0 - MIN_SERVING_SHARE) * step.count))
-
-
-def _count_others_away(scheduler: Scheduler, step: ActiveStep, moved: Run) -> int:
-    """Return how many other tasks of a step do not serve, for any cause."""
-    return sum(
-        1
-        for index in range(step.step.count)
-        if index != moved.task.index
-        and not any(is_serving(scheduler, run) for run in step.runs.get(index, ()))
-    )
-
-
-def is_serving(scheduler: Scheduler, run: Run) -> bool:
-    """Return whether a run of a lasting task serves its users."""
-    worker = scheduler.workers.get(run.worker)
-    return (
-        run.state is RunState.RUNNING
-        and run.percent >= SERVING_PERCENT
-        and worker is not None
-        and not worker.is_silent
-    )
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/fitting.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/fitting.py
@@ -8,6 +8,7 @@
 from collections.abc import Collection, Iterable
 
 from corianderpitch.domain.jobs import Shape
+from corianderpitch.domain.scheduling.placing import has_label
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.shares import has_headroom
 from corianderpitch.domain.scheduling.workers import WorkerView
@@ -33,13 +34,12 @@
 
     def may_fit(self, step: ActiveStep, workers: Iterable[WorkerView]) -> bool:
         """Return whether some worker has room, and the label, for a task of a step."""
-        reservation, label = step.step.reservation, step.step.label
-        key = (reservation, label)
+        reservation = step.step.reservation
+        key = (reservation, step.step.label)
         if key in self._unfit:
             return False
         for worker in workers:
-            has_label = not label or label in worker.info.labels
-            if has_label and reservation.fits_in(worker.free):
+            if has_label(step, worker) and reservation.fits_in(worker.free):
                 return True
         self._unfit.add(key)
         return False
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/gangs.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/gangs.py
@@ -12,7 +12,7 @@
 from corianderpitch.domain.scheduling.placing import (
     MAX_RUNS_OF_WORKER,
     choose_worker,
-    per_worker_limit,
+    has_label,
 )
 from corianderpitch.domain.scheduling.progress import (
     MAX_OPEN_TASKS,
@@ -72,10 +72,10 @@
 
 def gang_fits(step: ActiveStep, workers: Iterable[WorkerView]) -> bool:
     """Return whether all tasks of a gang fit on the workers together."""
-    limit = per_worker_limit(step.step) or step.step.count
+    limit = step.step.max_per_worker or step.step.count
     missing = step.step.count
     for worker in workers:
-        if step.step.label and step.step.label not in worker.info.labels:
+        if not has_label(step, worker):
             continue
         most = min(limit, missing, MAX_RUNS_OF_WORKER - len(worker.runs))
         missing -= _tasks_that_fit(step.step.reservation, worker.free, most)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/isolation.py
@@ -25,10 +25,7 @@
     stop_incomplete_gang,
 )
 from corianderpitch.domain.scheduling.ordering import order_key
-from corianderpitch.domain.scheduling.placing import (
-    count_runs_on,
-    per_worker_limit,
-)
+from corianderpitch.domain.scheduling.placing import count_runs_on, has_label
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.starting import start_tasks
@@ -184,7 +181,8 @@
         stop_incomplete_gang(scheduler, step, now_ms)
         start_gang(scheduler, job, step, chosen, now_ms)
     else:
-        start_tasks(scheduler, job, step, tasks, chosen, now_ms)
+        # A lasting suspect is not spread: others are to be spared.
+        start_tasks(scheduler, job, step, tasks, chosen, now_ms, may_crowd=True)
 
 
 def _group_for(
@@ -332,9 +330,9 @@
 
     Lasting tasks do not end.
     """
-    if step.step.label and step.step.label not in worker.info.labels:
+    if not has_label(step, worker):
         return False
-    limit = per_worker_limit(step.step)
+    limit = step.step.max_per_worker
     if limit and count_runs_on(step, worker.info.worker) >= limit:
         return False
     free: Shape = worker.info.capacity
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -1,15 +1,12 @@
 """Placement: the choice of a worker for a task."""
 
-import math
 from collections.abc import Iterable
 
 from corianderpitch.domain.scheduling.progress import ActiveStep
 from corianderpitch.domain.scheduling.workers import WorkerView
-from corianderpitch.domain.scheduling.workloads import Step
 from corianderpitch.ids import WorkerId
 
 MAX_RUNS_OF_WORKER = 500  # tasks may reserve next to nothing
-LASTING_SPREAD = 2  # minimum number of workers for a lasting step
 RACK_CHECK_MS = 500.0  # until all workers of a rack have answered or are silent
 
 
@@ -89,13 +86,12 @@
     A worker on which a task of the step is placed moves towards the front, so the
     order stays valid for the step's next task.
     """
-    label = step.step.label
     fits_in = step.step.reservation.fits_in
     fitting = [
         worker
         for worker in workers
         if fits_in(worker.free)
-        and (not label or label in worker.info.labels)
+        and has_label(step, worker)
         and len(worker.runs) < MAX_RUNS_OF_WORKER
     ]
     fitting.sort(key=lambda worker: _rank(step, worker))
@@ -117,20 +113,13 @@
     runs = step.runs.get(index)
     if runs and any(run.worker == worker.info.worker for run in runs):
         return False
-    limit = per_worker_limit(step.step)
+    limit = step.step.max_per_worker
     return not limit or count_runs_on(step, worker.info.worker) < limit
 
 
-def per_worker_limit(step: Step) -> int:
-    """Return how many tasks of a step may run on one worker, 0 for no limit.
-
-    A lasting step is spread over at least two workers, so that the loss of one
-    worker does not end all of its tasks.
-    """
-    if not step.is_lasting:
-        return step.max_per_worker
-    spread = math.ceil(step.count / LASTING_SPREAD)
-    return min(spread, step.max_per_worker) if step.max_per_worker else spread
+def has_label(step: ActiveStep, worker: WorkerView) -> bool:
+    """Return whether a worker has the label that a step requires, if any."""
+    return not step.step.label or step.step.label in worker.info.labels
 
 
 def _interference(step: ActiveStep, worker: WorkerView) -> int:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/planning.py
@@ -9,9 +9,10 @@
 from corianderpitch.domain.scheduling.isolation import must_be_isolated, plan_isolated
 from corianderpitch.domain.scheduling.ordering import order_key
 from corianderpitch.domain.scheduling.placing import is_schedulable, workers_in_doubt
-from corianderpitch.domain.scheduling.progress import ActiveJob
+from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.scheduler import Scheduler
 from corianderpitch.domain.scheduling.speeds import without_slow
+from corianderpitch.domain.scheduling.spreading import may_crowd
 from corianderpitch.domain.scheduling.starting import start_tasks
 from corianderpitch.domain.scheduling.workers import WorkerView
 from corianderpitch.domain.scheduling.workloads import Queue
@@ -64,7 +65,23 @@
             if step.step.is_gang:
                 start_gang(scheduler, job, step, permitted, now_ms)
             else:
-                start_tasks(scheduler, job, step, step.pending, permitted, now_ms)
+                _start_spread(scheduler, job, step, queue, permitted, now_ms)
+
+
+def _start_spread(
+    scheduler: Scheduler,
+    job: ActiveJob,
+    step: ActiveStep,
+    queue: Queue,
+    workers: list[WorkerView],
+    now_ms: float,
+) -> None:
+    """Start waiting tasks of a step, spread over workers if that can be had."""
+    start_tasks(scheduler, job, step, step.pending, workers, now_ms)
+    if step.pending and may_crowd(scheduler, step, queue.service, now_ms):
+        start_tasks(scheduler, job, step, step.pending, workers, now_ms, may_crowd=True)
+    if not step.pending:
+        step.awaits_spread_since_ms = None
 
 
 def backlogged_services(scheduler: Scheduler) -> frozenset[ServiceName]:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/progress.py
@@ -107,7 +107,9 @@
     last passed its probation. ``unconfirmed`` holds those of them for which this is
     only possible, and ``late_crashed`` those of all runs that may have
     passed their probation before the worker crashed. ``observed`` are the run times of
-    finished tasks, ``None`` if there are none to learn from.
+    finished tasks, ``None`` if there are none to learn from. Waiting tasks of a lasting
+    step have found no further worker since ``awaits_spread_since_ms``, ``None`` if they
+    do not wait for one.
     """
 
     step: Step
@@ -125,6 +127,7 @@
     unconfirmed: dict[int, set[int]] = field(default_factory=dict)
     late_crashed: dict[int, set[int]] = field(default_factory=dict)
     observed: ObservedRuns | None = None
+    awaits_spread_since_ms: float | None = None
 
     @property
     def is_done(self) -> bool:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/starting.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/starting.py
@@ -15,6 +15,7 @@
     ActiveStep,
 )
 from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.spreading import is_within_share
 from corianderpitch.domain.scheduling.workers import WorkerView
 from corianderpitch.ids import WorkerId
 
@@ -28,12 +29,14 @@
     indexes: Set[int],
     workers: list[WorkerView],
     now_ms: float,
+    may_crowd: bool = False,
 ) -> None:
     """Start waiting tasks of a step while there is free capacity and quota.
 
     ``indexes`` are in ascending order. Tasks that have not failed anywhere share one
     ranking of the workers. Workers are dropped from its front as they fill up. Where a
-    job has many open tasks, only these are started again.
+    job has many open tasks, only these are started again. Unless they ``may_crowd``, no
+    worker gets more than its share of a lasting step.
     """
     ranked = deque(rank_workers(step, workers))
     for index in _startable(job, step, indexes) if ranked else ():
@@ -42,7 +45,7 @@
         if failed_workers := _failed_workers(job, step, index):
             worker = choose_worker(step, index, workers, failed_workers)
         else:
-            worker = _first_able_worker(step, index, ranked)
+            worker = _first_able_worker(step, index, ranked, may_crowd)
         if worker is None:
             return
         scheduler.start(job, step, index, worker, now_ms)
@@ -56,12 +59,16 @@
 
 
 def _first_able_worker(
-    step: ActiveStep, index: int, ranked: deque[WorkerView]
+    step: ActiveStep, index: int, ranked: deque[WorkerView], may_crowd: bool
 ) -> WorkerView | None:
     """Return the first worker that can run a task, and drop the ones before it."""
-    while ranked and not can_run(step, index, ranked[0]):
+    while ranked:
+        if can_run(step, index, ranked[0]) and (
+            may_crowd or is_within_share(step, ranked[0].info.worker)
+        ):
+            return ranked[0]
         ranked.popleft()
-    return ranked[0] if ranked else None
+    return None
 
 
 def _failed_workers(
