--- a/packages/corianderpitch/tests/test_spreading.py
+++ b/packages/corianderpitch/tests/test_spreading.py
@@ -1,4 +1,4 @@
-"""Lasting steps are spread over two workers where that can be had, and run in any case."""
+"""Lasting steps are spread over two workers if that can be had, and run in any case."""
 
 from dataclasses import replace
 
--- a/tests/adapter/simulation.py
+++ b/tests/adapter/simulation.py
@@ -19,7 +19,7 @@
 
 from corianderpitch.adapters.memorystore import MemoryRowStore
 from corianderpitch.clock import Clock
-from corianderpitch_platform.connections import ExchangeError, NotSentError
+from corianderpitch_platform.connections import ExchangeTimeout, NotSentError
 from corianderpitch_standins.ordercheck import Disturbance
 from corianderpitch_standins.usermachines import MachineService
 from corianderpitch_standins.userprotocol import Reply
@@ -145,6 +145,7 @@
     store_faults: ServiceFaults = field(default_factory=ServiceFaults)
     machine_faults: ServiceFaults = field(default_factory=ServiceFaults)
     disturbances: list[Disturbance] = field(default_factory=list)
+    silenced_ms: float = -math.inf  # connections opened before are silent for good
 
     def __post_init__(self):
         self.rows = SimulatedRows(self.clock)
@@ -167,6 +168,10 @@
     def connect(self, host, port, *timeouts_ms):
         return SimulatedConnection(self, self.links[host], port, *timeouts_ms)
 
+    def silence(self):
+        """Let all open connections go silent, while new ones work."""
+        self.silenced_ms = self.clock.now_ms()
+
     def pause(self, link):
         """Hold back a frozen process, and end a thread of a killed one."""
         while not link.is_dead and self.clock.now_ms() < link.frozen_until_ms:
@@ -269,6 +274,7 @@
         network.pause(link)
         if needed_ms >= timeout_ms:
             raise NotSentError("TimeoutError")
+        self._opened_ms = network.clock.now_ms()
 
     def is_stale(self):
         self._network.note_call(self._port)
@@ -277,13 +283,15 @@
 
     def exchange(self, request, timeout_ms):
         answer = Event()
-        eventlet.spawn_n(self._deliver, Call.from_request(request), answer)
+        if self._opened_ms > self._network.silenced_ms:
+            eventlet.spawn_n(self._deliver, Call.from_request(request), answer)
         reply = None
         with eventlet.Timeout(timeout_ms / 1000.0, False):
             reply = answer.wait()
         self._network.pause(self._link)
-        if reply is None or self._network.is_cut(self._link, self._port):
-            raise ExchangeError("TimeoutError")
+        is_silent = self._opened_ms <= self._network.silenced_ms
+        if reply is None or is_silent or self._network.is_cut(self._link, self._port):
+            raise ExchangeTimeout("TimeoutError")
         return reply.status, json.dumps(reply.body).encode()
 
     def _deliver(self, call, answer):
--- a/tests/adapter/test_http.py
+++ b/tests/adapter/test_http.py
@@ -118,7 +118,9 @@
 def test_connection_is_not_reused_after_a_timeout():
     server = Server([[], COMPLETE_RESPONSE], [COMPLETE_RESPONSE])
     client = JsonClient(server.address)
-    assert call(client, timeout_ms=60.0) == NoResponse(True, "TimeoutError")
+    assert call(client, timeout_ms=60.0) == NoResponse(
+        True, "TimeoutError", is_timeout=True
+    )
     assert call(client) == Response(200, {"a": 1})
     assert server.accepted == 2
 
@@ -134,7 +136,7 @@
     if is_killed:
         task.kill()
     else:
-        assert task.wait() == NoResponse(True, "TimeoutError")
+        assert task.wait() == NoResponse(True, "TimeoutError", is_timeout=True)
     trampoline(connection, read=True, timeout=5.0)
     with pytest.raises(ConnectionResetError):
         connection.fd.recv(1)  # a green socket reports a reset as the end
@@ -144,8 +146,8 @@
     server = Server([COMPLETE_RESPONSE])
     pools = PlatformVmPools(server.address)
     pools.move(VmId("m"), ServiceName("s"), EntryId("e"), 1, lambda: True)
-    (connection,) = pools._client._idle
-    timeout_ms = connection._socket.getsockopt(
+    (idle,) = pools._client._idle
+    timeout_ms = idle.connection._socket.getsockopt(
         green.IPPROTO_TCP, plain_socket.TCP_USER_TIMEOUT
     )
     assert timeout_ms == pools.order_timeout_ms
--- a/tests/adapter/test_oddreplies.py
+++ b/tests/adapter/test_oddreplies.py
@@ -20,7 +20,7 @@
 from corianderpitch_platform.http import Response
 from corianderpitch_platform.machines import PlatformVmPools
 from corianderpitch_platform.operators import OPERATORS_TABLE, PlatformOperatorRows
-from corianderpitch_platform.workers import PlatformWorkerLink
+from corianderpitch_platform.workers import PlatformWorkerLink, WorkerClients
 
 ADDRESS = "10.1.0.9:8080"
 INFO = WorkerInfo(
@@ -59,7 +59,8 @@
 
 def report(body):
     link = PlatformWorkerLink(lambda: True)
-    link._report_clients[ADDRESS] = FixedClient(body)
+    client = FixedClient(body)
+    link._clients[ADDRESS] = WorkerClients(client, client)
     return link.report(INFO, 7, 57, None, 0)
 
 
@@ -121,7 +122,8 @@
 @pytest.mark.parametrize("reason", [None, 7, ["fence"], {"a": 1}, "unheard"])
 def test_a_refusal_for_an_odd_reason_is_malformed(reason):
     link = PlatformWorkerLink(lambda: True)
-    link._order_clients[ADDRESS] = FixedClient({"reason": reason}, status=409)
+    client = FixedClient({"reason": reason}, status=409)
+    link._clients[ADDRESS] = WorkerClients(client, client)
     order = StopRun(INFO.worker, TaskRef(JobId(JOB), 0, 1, 17), 2, 7)
     assert link.stop(INFO, order) is OrderResult.MALFORMED
 
