Start tasks only where entry and report of a worker are of one process

Cause: the report of the new process made the worker schedulable, while label, capacity and service were those of its earlier process: nothing compared the two incarnations. The same led to overfilled workers that do not guard their capacity, and to calls for advice and moves of lasting tasks to places of unknown kind.

is_schedulable now asks for one incarnation of both. Ruled out: a holder that does not notice the new process; a start that was queued for the earlier one.

Two tests that started tasks on a process without an entry reach their state another way and ask the same.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -15,15 +15,17 @@
 ) -> bool:
     """Return whether new tasks may be started on a worker.
 
-    A worker that does not guard its capacity, and would start whatever it is told to,
-    gets none while the reservations of some of its runs are unknown.
+    Its label, capacity and service must be those of the process that has sent the last
+    report: after a restart its kind may be another one. A worker that does not guard
+    its capacity, and would start whatever it is told to, gets none while the
+    reservations of some of its runs are unknown.
     """
     return (
         worker.is_listed
         and worker.is_recorded
         and not worker.is_evacuating
         and worker.draining_since_ms is None
-        and worker.incarnation is not None
+        and worker.incarnation == worker.info.incarnation
         and worker.restarted_ms is None
         and not worker.is_silent
         and (guards_capacity or not worker.has_unknown_reservations)
--- a/packages/corianderpitch/tests/test_restarts.py
+++ b/packages/corianderpitch/tests/test_restarts.py
@@ -107,8 +107,10 @@
 
 
 def test_a_list_of_an_earlier_process_does_not_end_the_runs_of_a_later_one(scheduler):
-    report(scheduler, "w1", (), (), NOW_MS, "3")
-    report(scheduler, "w2", (), (), NOW_MS, "3")
+    for name in ("w1", "w2"):
+        info = scheduler.workers[WorkerId(name)].info
+        scheduler.set_worker(replace(info, incarnation="3"), NOW_MS)
+        report(scheduler, name, (), (), NOW_MS, "3")
     order = start(scheduler)
     report(scheduler, order.worker, [running(order)], (), LATER_MS + 2.0, "3")
     list_process(scheduler, order, "2", LATER_MS + 3.0)
--- a/packages/corianderpitch/tests/test_scheduler.py
+++ b/packages/corianderpitch/tests/test_scheduler.py
@@ -128,9 +128,9 @@
 
 def test_a_late_list_entry_of_a_known_incarnation_keeps_its_runs():
     scheduler = make_scheduler(("w1",))
-    report(scheduler, "w1", incarnation="2")
     scheduler.add_job(make_job())
     (order,) = starts(scheduler)
+    report(scheduler, "w1", [running(order)], incarnation="2")
     info = scheduler.workers[WorkerId("w1")].info
     restarted = WorkerInfo(
         info.worker, info.service, info.address, info.zone, info.capacity,
