Keep and bring workers for lasting tasks that have no other place

In the log, its new place was a VM that had just come back; the VM was moved to the standby pool 50 ms after the stop, as idle and to spare. Another worker stayed marked for evacuation for 41 s, and took no task meanwhile.

Cause: pools are sized by the sum of reservations, which does not tell whether a task has a place: not beside workers to be emptied, limits, labels and tasks of different sizes.

stranded.py places such tasks one by one; idle workers that they would take stay, and a VM is moved to the pool where one has no place, with its label if it requires one.

Ruled out: an end that was not noticed; a place that another task had taken.

--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/maintainers.py
@@ -23,9 +23,11 @@
     DemandWindow,
     MoveVm,
     plan_moves,
+    pool_capacities,
     pool_loads,
     pool_needs,
 )
+from corianderpitch.domain.scheduling.stranded import find_places
 from corianderpitch.ids import ServiceName, VmId, WorkerId
 from corianderpitch.ports import VmOrderResult
 
@@ -237,7 +239,11 @@
         fixed_pools |= {v: None for v, vm in vms.items() if vm.worker in evacuating}
         unavailable = self._orders.held_by_predecessor() | self._orders.busy()
         fixed_pools |= {vm: vms[vm].pool for vm in unavailable if vm in vms}
-        moves = plan_moves(vms, self._scheduler.workers, needs, standby, fixed_pools)
+        capacities = pool_capacities(self._scheduler.workers.values())
+        places = find_places(self._scheduler, capacities, self._clock.wall_ms())
+        moves = plan_moves(
+            vms, self._scheduler.workers, needs, standby, fixed_pools, places
+        )
         return [move for move in moves if move not in self._refused]
 
     def _detect_ended_workers(self, asked_ms: float) -> None:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/maintenance.py
@@ -34,12 +34,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolVm:
-    """A VM of a pool, and the worker that runs on it."""
+    """A VM of a pool, and the worker that runs on it.
+
+    ``labels`` holds the VM's kind and its rack, also while no worker runs on it.
+    """
 
     vm: VmId
     pool: ServiceName
     condition: VmCondition
     worker: WorkerId | None
+    labels: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/sizing.py
@@ -13,8 +13,9 @@
 
 import math
 from collections import defaultdict, deque
-from collections.abc import Iterable, Mapping, Set
+from collections.abc import Collection, Iterable, Mapping, Set
 from dataclasses import dataclass
+from types import MappingProxyType
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.arrivals import Arrival, ArrivalForecast
@@ -22,6 +23,7 @@
 from corianderpitch.domain.scheduling.ordering import will_miss_objective
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.scheduler import Scheduler
+from corianderpitch.domain.scheduling.stranded import Places
 from corianderpitch.domain.scheduling.workers import NOTHING, WorkerView
 from corianderpitch.ids import JobId, ServiceName, TeamName, VmId, WorkerId
 
@@ -105,7 +107,7 @@
 
     The forecast records the jobs that arrived since the last call.
     """
-    capacities = _capacities(scheduler.workers.values())
+    capacities = pool_capacities(scheduler.workers.values())
     ready = {job.job_id: [*job.ready_steps(wall_ms)] for job in scheduler.jobs.values()}
     admitted = _admitted_shares(scheduler, ready)
     loads = {queue.service: PoolLoad() for queue in scheduler.queues.values()}
@@ -182,7 +184,7 @@
     return PoolLoad(running, lasting, waiting)
 
 
-def _capacities(workers: Iterable[WorkerView]) -> dict[ServiceName, Shape]:
+def pool_capacities(workers: Iterable[WorkerView]) -> dict[ServiceName, Shape]:
     """Return the capacity of the median worker of each pool, by its processors.
 
     Some of a pool's workers may have shrunk for a while.
@@ -243,26 +245,31 @@
     needs: Mapping[ServiceName, PoolNeed],
     standby: Set[ServiceName],
     planned: Mapping[VmId, ServiceName | None],
+    places: Mapping[ServiceName, Places] = MappingProxyType({}),
 ) -> list[MoveVm]:
     """Return the moves to order now.
 
-    VMs go first to pools with jobs that can meet their objective, and then to pools
-    with late ones. ``planned`` names VMs with other plans, each with the pool that it
-    will serve, or ``None`` if it only leaves its own pool for a while.
+    VMs go first to pools with tasks that no worker of theirs can take, then to pools
+    with jobs that can meet their objective, and then to those with late ones.
+    ``planned`` names VMs with other plans, each with the pool that it will serve, or
+    ``None`` if it only leaves its own pool for a while. ``places`` are what pools need
+    for stranded tasks.
     """
     sizes = _pool_sizes(vms, workers, planned)
     surpluses = {
         service: sizes.get(service, 0) - need.recent_peak
         for service, need in needs.items()
     }
-    free = [vm for vm in vms.values() if vm.vm not in planned]
+    kept = {worker for of_pool in places.values() for worker in of_pool.kept}
+    free = [vm for vm in vms.values() if vm.vm not in planned and vm.worker not in kept]
     donors = [
         *(vm for vm in free if vm.pool in standby and _is_up(vm)),
         *_idle_vms(free, workers, surpluses),
     ]
     required = {service: need.required for service, need in needs.items()}
     useful = {service: need.useful for service, need in needs.items()}
-    moves: list[MoveVm] = []
+    coming = _coming_vms(vms, workers, planned)
+    moves = _assign_places(places, sizes, donors, coming)
     for goals in (required, useful):
         moves += _assign_donors(goals, sizes, donors)
     if standby:
@@ -273,6 +280,47 @@
     return moves
 
 
+def _assign_places(
+    places: Mapping[ServiceName, Places],
+    sizes: dict[ServiceName, int],
+    donors: list[PoolVm],
+    coming: Mapping[ServiceName, Collection[PoolVm]],
+) -> list[MoveVm]:
+    """Assign donor VMs to pools for their stranded tasks, as far as they are of use.
+
+    VMs that are ``coming`` to a pool count as some of those that it misses. ``sizes``
+    and ``donors`` are updated.
+    """
+    moves: list[MoveVm] = []
+    for service, of_pool in sorted(places.items()):
+        for label, count in of_pool.missing.items():
+            count -= len(_vms_with(label, coming[service]))
+            for vm in _vms_with(label, donors)[: max(0, count)]:
+                donors.remove(vm)
+                moves.append(MoveVm(vm.vm, service))
+                sizes[service] = sizes.get(service, 0) + 1
+    return moves
+
+
+def _vms_with(label: str, vms: Iterable[PoolVm]) -> list[PoolVm]:
+    return [vm for vm in vms if not label or label in vm.labels]
+
+
+def _coming_vms(
+    vms: Mapping[VmId, PoolVm],
+    workers: Mapping[WorkerId, WorkerView],
+    planned: Mapping[VmId, ServiceName | None],
+) -> dict[ServiceName, list[PoolVm]]:
+    """Return the VMs of each pool whose worker is not known yet."""
+    coming: dict[ServiceName, list[PoolVm]] = defaultdict(list)
+    for vm in vms.values():
+        pool = planned.get(vm.vm, vm.pool)
+        has_worker = pool == vm.pool and vm.worker in workers
+        if pool is not None and not has_worker and vm.condition is not VmCondition.DOWN:
+            coming[pool].append(vm)
+    return coming
+
+
 def _assign_donors(
     goals: Mapping[ServiceName, int],
     sizes: dict[ServiceName, int],
