Pace fillers of a predecessor again after a change of the holder

Cause: the successor took an adopted run for one at full speed, so that a good tail latency led to no order. Reports do not show the pace. An adopted filler now counts as paced down to 30 percent: the next good tail speeds it up in steps, from wherever it is.

What it costs: a filler at full speed is slowed to 40 percent for some seconds after a change of the holder. The new test failed before: no order in forty reports.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/pacing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/pacing.py
@@ -11,9 +11,13 @@
 
 from corianderpitch.domain.scheduling.orders import PaceRun
 from corianderpitch.domain.scheduling.scheduler import Scheduler
-from corianderpitch.domain.scheduling.workers import Run, RunState, WorkerView
+from corianderpitch.domain.scheduling.workers import (
+    FULL_PERCENT,
+    Run,
+    RunState,
+    WorkerView,
+)
 
-FULL_PERCENT = 100
 SLOWED_PERCENT = 30
 STEP_PERCENT = 10
 SPEED_UP_SHARE = 0.8  # of the target; fillers speed up below it
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/runs.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/runs.py
@@ -3,6 +3,7 @@
 from corianderpitch.domain.scheduling.orders import StartRun
 from corianderpitch.domain.scheduling.progress import ActiveJob, ActiveStep
 from corianderpitch.domain.scheduling.workers import (
+    FULL_PERCENT,
     ReportedRun,
     Run,
     RunState,
@@ -11,6 +12,9 @@
 )
 from corianderpitch.domain.scheduling.workloads import TaskRef
 
+# The predecessor may have stopped the filler altogether, and reports do not show it.
+ADOPTED_FILLER_PERCENT = 30
+
 
 def planned_run(
     job: ActiveJob,
@@ -72,6 +76,7 @@
         now_ms,
         reported.percent,
         reported.load,
+        ADOPTED_FILLER_PERCENT if step.step.is_filler else FULL_PERCENT,
         incarnation=worker.incarnation or "",
         start=StartState.CONFIRMED,
         is_attributed=True,
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -14,6 +14,7 @@
 BACKOFF_AFTER_FAILURES_MS = 4000.0
 FAILED_JOBS_BEFORE_BACKOFF = 2
 NOTHING = Shape(0.0, 0)
+FULL_PERCENT = 100  # of the pace of a run
 
 MIN_RATED_MS = 300.0  # between reports, which show progress in percent
 USUAL_ANSWER_MS = 50.0  # of a worker; most answers take a few ms
@@ -141,8 +142,9 @@
 
     ``fence`` is the fence number of the start order. Reports that were requested
     before ``state_since_ms`` may not reflect ``state`` yet. ``pace_percent`` is
-    the share of full speed that the worker last confirmed, and ``paced_ms`` the time
-    of the last order to change it. ``incarnation`` is the worker's at the start.
+    the share of full speed that the worker last confirmed (a guess for a filler that a
+    predecessor has started), and ``paced_ms`` the time of the last order to change it.
+    ``incarnation`` is the worker's at the start.
     ``ordered_ms`` is the time at which the order to start it was sent, before that the
     time of its planning, and ``begun_ms`` the time by which the worker had confirmed
     that it runs, ``None`` until then. Neither is known for a run that a predecessor
@@ -166,7 +168,7 @@
     state_since_ms: float
     percent: float = 0.0
     load: float = 0.0
-    pace_percent: int = 100
+    pace_percent: int = FULL_PERCENT
     paced_ms: float = 0.0
     incarnation: str = ""
     ordered_ms: float = -math.inf
--- a/packages/corianderpitch/tests/test_pacing.py
+++ b/packages/corianderpitch/tests/test_pacing.py
@@ -1,6 +1,6 @@
 """Throttling of fillers that share a worker with user-serving tasks."""
 
-from schedulers import NOW_MS, make_job, make_scheduler, report, starts
+from schedulers import NOW_MS, add_worker, make_job, make_scheduler, report, starts
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.orders import OrderResult
@@ -83,3 +83,16 @@
     assert needs_frequent_reports(shared.scheduler, shared.scheduler.workers[W1])
     plain = make_scheduler(("w1",))
     assert not needs_frequent_reports(plain, plain.workers[W1])
+
+
+def test_a_filler_that_the_predecessor_had_stopped_goes_on_under_its_successor():
+    """It stayed at 0 percent for good: its run was taken for one at full speed."""
+    shared = SharedWorker()
+    successor = make_scheduler(())
+    add_worker(successor, "w1")
+    successor.add_job(make_job(steps=(SERVING, FILLER), version=3))
+    shared.scheduler = successor
+    percents = []
+    for _ in range(40):
+        percents += shared.apply_orders(shared.report_tail(0.5 * TARGET_MS))
+    assert percents == [40, 50, 60, 70, 80, 90, 100]
