--- a/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
+++ b/packages/corianderpitch/corianderpitch/daemon/scheduling/terms.py
@@ -31,7 +31,7 @@
 from corianderpitch.domain.scheduling.scheduler import Notice, Scheduler
 from corianderpitch.domain.scheduling.speeds import CHECK_INTERVAL_MS, relocate
 from corianderpitch.domain.scheduling.spreading import RESPREAD_INTERVAL_MS, respread
-from corianderpitch.domain.scheduling.term import Term
+from corianderpitch.domain.scheduling.term import DEFAULT_STOP_MS, Term
 from corianderpitch.domain.scheduling.workers import WorkerInfo
 from corianderpitch.errors import HistoryLost
 from corianderpitch.ids import WorkerId
@@ -92,6 +92,8 @@
         requests a planning round.
     has_larger_candidate : callable
         Tells whether this entry should yield the role to a much larger entry.
+    stop_ms : float
+        How long a worker takes at most to end a run, in milliseconds.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
             Callable[[Scheduler, Callable[[], None]], BackgroundTask]
         ],
         has_larger_candidate: Callable[[], bool],
+        stop_ms: float = DEFAULT_STOP_MS,
     ):
         self._store = store
         self._workers = workers
@@ -123,7 +126,9 @@
         self._has_larger_candidate = has_larger_candidate
         began_ms = clock.now_ms()
         wait_ms = lease_ms * LEASE_EXPIRY_FACTOR
-        term = Term(role.epoch, role.fence().version, began_ms + wait_ms, wait_ms)
+        term = Term(
+            role.epoch, role.fence().version, began_ms + wait_ms, wait_ms, stop_ms
+        )
         self.scheduler = Scheduler(term)
         diverted = DivertedJobs(store, role, self.scheduler)
         cleanup = RowCleanup(
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/term.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/term.py
@@ -4,6 +4,7 @@
 
 FENCES_PER_TERM = 1_000_000  # fence numbers available within one term
 RUNS_PER_TERM = 1_000_000  # the run numbers of a later term are always higher
+DEFAULT_STOP_MS = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,13 +15,15 @@
     that began the term, so it is larger than that of any earlier term, of any role.
     ``leases_end_ms`` is the time at which all leases that earlier holders granted
     to workers have expired. ``max_lease_ms`` is the longest lease that a worker grants
-    itself, whatever end it was told.
+    itself, whatever end it was told. ``stop_ms`` is the longest time that a worker
+    takes to end a run after an order to stop it.
     """
 
     number: int
     version: int
     leases_end_ms: float
     max_lease_ms: float = 0.0
+    stop_ms: float = DEFAULT_STOP_MS
 
     @property
     def fence(self) -> int:
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -196,6 +196,11 @@
         """Return whether the order to start it was not sent yet."""
         return self.start is StartState.PLANNED
 
+    @property
+    def is_adopted(self) -> bool:
+        """Return whether a predecessor has started it."""
+        return self.ordered_ms == -math.inf
+
     @property
     def state_before_stop(self) -> RunState:
         """Return the state that it has unless it is to stop."""
--- a/packages/corianderpitch/tests/test_evacuation.py
+++ b/packages/corianderpitch/tests/test_evacuation.py
@@ -1,14 +1,21 @@
 """Evacuation of lasting tasks within their budget of unavailable tasks."""
 
+from dataclasses import replace
+
 import pytest
 from schedulers import NOW_MS, make_job, make_scheduler, report, starts
 
 from corianderpitch.domain.jobs import Shape
 from corianderpitch.domain.scheduling.evacuation import evacuate
 from corianderpitch.domain.scheduling.orders import OrderResult, StopRun
-from corianderpitch.domain.scheduling.workers import ReportedRun, RunState
-from corianderpitch.domain.scheduling.workloads import Step
-from corianderpitch.ids import WorkerId
+from corianderpitch.domain.scheduling.workers import (
+    EndKind,
+    ReportedEnd,
+    ReportedRun,
+    RunState,
+)
+from corianderpitch.domain.scheduling.workloads import Step, TaskRef
+from corianderpitch.ids import JobId, WorkerId
 
 WORKERS = ("w1", "w2", "w3", "w4")
 
@@ -108,3 +115,38 @@
     assert {order.task for order in stops} <= {stop.task}
     run = scheduler.workers[WorkerId("w1")].runs[stop.task]
     assert run.state is RunState.STOPPING
+
+
+STOP_MS = 900.0
+
+
+def successor_of(running, budget=2):
+    """Return the next holder, which has just heard of the runs of a step."""
+    scheduler = make_scheduler(WORKERS, processors=1.0)
+    scheduler.term = replace(scheduler.term, stop_ms=STOP_MS)
+    step = Step(8, Shape(0.1, 1), 1.0, is_lasting=True, max_unavailable=budget)
+    scheduler.add_job(make_job("a", [step], version=3))
+    for name, runs in running.items():
+        report(scheduler, name, running=runs)
+    scheduler.workers[WorkerId("w1")].is_evacuating = True
+    return scheduler
+
+
+def test_a_successor_does_not_count_tasks_as_serving_that_may_have_been_stopped():
+    """Its predecessor had just stopped two, and it stopped a third one beside them."""
+    tasks = [TaskRef(JobId("a"), 0, 0, index) for index in range(8)]
+    runs = [ReportedRun(task, 7, "", 100.0) for task in tasks]
+    running = {"w1": runs[:4], "w2": runs[4:]}
+    scheduler = successor_of(running)
+    for passed_ms in (0.0, 500.0, STOP_MS - 100.0):
+        for name, of_worker in running.items():
+            report(scheduler, name, of_worker, requested_ms=NOW_MS + passed_ms)
+        evacuate(scheduler, NOW_MS + passed_ms)
+        assert scheduler.pop_orders() == []
+    settled_ms = NOW_MS + STOP_MS + 200.0
+    ended = ReportedEnd(1, tasks[5], 7, EndKind.STOPPED, "")
+    left = [run for run in running["w2"] if run.task != tasks[5]]
+    report(scheduler, "w1", running["w1"], requested_ms=settled_ms)
+    report(scheduler, "w2", left, [ended], requested_ms=settled_ms)
+    evacuate(scheduler, settled_ms)
+    assert sum(isinstance(o, StopRun) for o in scheduler.pop_orders()) == 1
