--- a/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/scheduler.py
@@ -22,7 +22,6 @@
     LossCause,
     Order,
     OrderResult,
-    PaceRun,
     RequestReport,
     RunNotice,
     RunOrder,
@@ -35,12 +34,12 @@
 )
 from corianderpitch.domain.scheduling.queues import served_queues
 from corianderpitch.domain.scheduling.restarts import (
-    attribute,
     is_restart_overdue,
     runs_from_before,
     runs_of_ended_process,
     unsent_starts,
 )
+from corianderpitch.domain.scheduling.results import apply_result
 from corianderpitch.domain.scheduling.runs import (
     adopted_run,
     may_adopt,
@@ -52,7 +51,6 @@
 from corianderpitch.domain.scheduling.term import Term
 from corianderpitch.domain.scheduling.unanswered import (
     confirm_start,
-    give_up_answer,
     is_certainly_missing,
 )
 from corianderpitch.domain.scheduling.usage import TeamUsage
@@ -70,10 +68,6 @@
 from corianderpitch.domain.scheduling.workloads import Queue, TaskRef
 from corianderpitch.ids import JobId, QueueName, WorkerId
 
-BACKOFF_AFTER_REFUSAL_MS = 100.0
-BACKOFF_AFTER_ERROR_MS = 1000.0
-
-
 Notice = RunNotice | CrashNotice
 
 
@@ -172,7 +166,7 @@
             )
             self.workers[info.worker] = worker
         elif info.incarnation not in (worker.info.incarnation, worker.incarnation):
-            self._note_restart(worker, now_ms)
+            self.note_restart(worker, now_ms)
         worker.set_info(info)
         worker.is_listed = True
         if not info.is_draining:
@@ -259,18 +253,7 @@
         clock_ms: float | None = None,
     ) -> None:
         """Apply the result of an order; an answer may show the worker's clock."""
-        worker = self.workers.get(order.worker)
-        if worker is not None and result.is_answer:
-            worker.heard_ms = now_ms
-        if isinstance(order, StopRun):
-            self._apply_stop_result(order, result)
-        match order:
-            case StartRun():
-                self._apply_start_result(order, result, now_ms, clock_ms)
-            case PaceRun() if result is OrderResult.DONE:
-                self._apply_pace(order)
-            case StopRun() | PaceRun() if result is OrderResult.SUPERSEDED:
-                self._check_superseded(order.worker, order.fence)
+        apply_result(self, order, result, now_ms, clock_ms)
 
     def extend_lease(
         self, worker_id: WorkerId, length_ms: float, now_ms: float
@@ -302,7 +285,7 @@
                 worker.has_unread_runs = False
                 self.crashes.count(worker, ended)
             for run in ended:
-                self._mark_run_lost(worker, run, LossCause.PROCESS_ENDED)
+                self.mark_run_lost(worker, run, LossCause.PROCESS_ENDED)
 
     def workers_to_record(self) -> set[WorkerId]:
         """Return the workers that may run something, known or awaiting a report."""
@@ -341,7 +324,7 @@
 
     def is_awaiting_start(self, order: StartRun) -> bool:
         """Return whether the run of a start order that was not sent is still wanted."""
-        _, run = self._find_run(order)
+        _, run = self.find_run(order)
         return run is not None and run.state is not RunState.STOPPING
 
     def mark_sent(self, order: StartRun, now_ms: float) -> None:
@@ -471,7 +454,7 @@
         job = self.jobs.get(task.job_id)
         return job, job.find_step(task) if job is not None else None
 
-    def _find_run(self, order: RunOrder) -> tuple[WorkerView | None, Run | None]:
+    def find_run(self, order: RunOrder) -> tuple[WorkerView | None, Run | None]:
         """Return the worker and the run that an order is about, if there still are."""
         worker = self.workers.get(order.worker)
         run = worker.runs.get(order.task) if worker is not None else None
@@ -481,14 +464,14 @@
     def _mark_changed(self, job: ActiveJob) -> None:
         job.is_dirty = True
 
-    def _mark_begun(self, job_id: JobId) -> None:
+    def mark_begun(self, job_id: JobId) -> None:
         """Record that a task of a job has begun: an order to start it is no proof."""
         job = self.jobs.get(job_id)
         if job is not None and job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
             self._mark_changed(job)
 
-    def _note_restart(self, worker: WorkerView, now_ms: float) -> None:
+    def note_restart(self, worker: WorkerView, now_ms: float) -> None:
         """Note that the list or an answer shows another process of a worker.
 
         What that process runs already, its report tells: it is requested at once, and
@@ -498,7 +481,7 @@
             self._end_process(worker, None, now_ms, now_ms)
             return
         for run in unsent_starts(worker):
-            self._mark_run_lost(worker, run, LossCause.NEW_INCARNATION)
+            self.mark_run_lost(worker, run, LossCause.NEW_INCARNATION)
         worker.restarted_ms = now_ms
         self.request_report(worker.info.worker)
 
@@ -529,19 +512,19 @@
         sent to the earlier one and arrives late.
         """
         if worker.incarnation is not None:
-            self._raise_fence(worker)
+            self.raise_fence(worker)
             ended = runs_of_ended_process(worker, report, requested_ms)
             if not worker.has_terminated:
                 self.crashes.count(worker, ended)
             for run in ended:
-                self._mark_run_lost(worker, run, LossCause.NEW_INCARNATION)
+                self.mark_run_lost(worker, run, LossCause.NEW_INCARNATION)
         worker.forget_process()
         for run in worker.runs.values():
             if run.start is StartState.UNANSWERED:
                 run.state_since_ms = now_ms  # earlier reports had the former fence
         worker.stray_leases_end_ms = now_ms + self.term.max_lease_ms
 
-    def _raise_fence(self, worker: WorkerView) -> None:
+    def raise_fence(self, worker: WorkerView) -> None:
         """Raise a worker's fence above all others of this term.
 
         These include the fences of workers that were dropped and may come back.
@@ -563,7 +546,7 @@
             self._remove_run(step, run)
         if index in step.done:
             return
-        self._mark_begun(job.job_id)
+        self.mark_begun(job.job_id)
         self._mark_changed(job)
         if end.kind is not EndKind.DONE:
             self._notices.add(worker, end.task, end.number, end.kind.value)
@@ -645,7 +628,7 @@
         self.shows_progress |= 0 < run.percent < 100 and not step.step.is_lasting
         run.load = reported.load
         confirm_start(run, now_ms)
-        self._mark_begun(job.job_id)
+        self.mark_begun(job.job_id)
         if not run.is_proven and has_passed_probation(step, run, requested_ms):
             run.is_proven = True
             self.crashes.clear(job, step, run.task.index)
@@ -674,7 +657,7 @@
         step.runs.setdefault(reported.task.index, []).append(run)
         step.pending.discard(reported.task.index)
         step.open.add(reported.task.index)
-        self._mark_begun(job.job_id)
+        self.mark_begun(job.job_id)
         self._mark_changed(job)
 
     def _stop_unneeded_run(
@@ -697,13 +680,13 @@
     ) -> None:
         """Mark a run that is missing from a report as lost, if that is certain."""
         if is_certainly_missing(worker, run, requested_ms, self.term.fence):
-            self._mark_run_lost(worker, run, LossCause.NOT_REPORTED)
+            self.mark_run_lost(worker, run, LossCause.NOT_REPORTED)
 
     def _mark_all_lost(self, worker: WorkerView, cause: LossCause) -> None:
         for run in list(worker.runs.values()):
-            self._mark_run_lost(worker, run, cause)
+            self.mark_run_lost(worker, run, cause)
 
-    def _mark_run_lost(self, worker: WorkerView, run: Run, cause: LossCause) -> None:
+    def mark_run_lost(self, worker: WorkerView, run: Run, cause: LossCause) -> None:
         """Remove a run that ended without a reported end; its task waits again."""
         worker.remove_run(run)
         how = f"lost_{run.state.value}"
@@ -734,84 +717,3 @@
         for run in list(job.runs()):
             self._order_stop(run.worker, run.task, run.number)
             run.state = RunState.STOPPING
-
-    def _apply_stop_result(self, order: StopRun, result: OrderResult) -> None:
-        """Apply the result of a stop: a lasting run serves on if it had no effect.
-
-        Before the run is stopped again, the budget of unavailable tasks is checked.
-        """
-        _, run = self._find_run(order)
-        _, step = self.find_step(order.task)
-        if run is None or step is None:
-            return
-        if result not in (OrderResult.UNHEALTHY, OrderResult.NOT_SENT):
-            run.may_have_stopped = True
-        if step.step.is_lasting:
-            run.state = (
-                RunState.STOPPING if run.may_have_stopped else run.state_before_stop
-            )
-
-    def _apply_start_result(
-        self,
-        order: StartRun,
-        result: OrderResult,
-        now_ms: float,
-        clock_ms: float | None,
-    ) -> None:
-        worker, run = self._find_run(order)
-        if worker is None or run is None:
-            return
-        match result:
-            case OrderResult.DONE:
-                if run.state is RunState.STARTING:
-                    self._mark_begun(order.task.job_id)
-                confirm_start(run, now_ms)
-                run.state_since_ms = now_ms
-                self._attribute(worker, run, clock_ms, now_ms)
-                return
-            case OrderResult.NO_ANSWER:
-                if give_up_answer(run, now_ms):
-                    self._raise_fence(worker)
-                    self._orders.append(RequestReport(order.worker))
-                return
-            case OrderResult.SUPERSEDED:
-                self._check_superseded(order.worker, order.fence)
-            case OrderResult.NOT_ALLOWED:
-                self._drop_ticket(order)
-            case OrderResult.WITHDRAWN:
-                pass  # the worker was not asked
-            case OrderResult.NO_ROOM:
-                worker.backoff_until_ms = now_ms + BACKOFF_AFTER_REFUSAL_MS
-            case _:
-                worker.backoff_until_ms = now_ms + BACKOFF_AFTER_ERROR_MS
-        if run.start is not StartState.CONFIRMED:
-            self._mark_run_lost(worker, run, LossCause.NOT_STARTED)
-
-    def _attribute(
-        self, worker: WorkerView, run: Run, clock_ms: float | None, now_ms: float
-    ) -> None:
-        """Attribute a confirmed run to the process whose clock its answer shows."""
-        is_other = attribute(worker, run, clock_ms)
-        if not run.is_attributed:
-            worker.stray_leases_end_ms = now_ms + self.term.max_lease_ms
-        if is_other:
-            self._note_restart(worker, now_ms)
-
-    def _apply_pace(self, order: PaceRun) -> None:
-        _, run = self._find_run(order)
-        if run is not None:
-            run.pace_percent = order.percent
-
-    def _drop_ticket(self, order: StartRun) -> None:
-        """Drop a ticket that a worker has refused, so that a new one is requested."""
-        _, step = self.find_step(order.task)
-        if step is not None:
-            step.tickets.pop(order.worker, None)
-
-    def _check_superseded(self, worker_id: WorkerId, fence: int) -> None:
-        """Detect from a refused fence number that another holder has taken over.
-
-        A refusal of an outdated fence number is no sign of a takeover.
-        """
-        if worker_id in self.workers and fence == self.fence_of(worker_id):
-            self.is_superseded = True
--- a/packages/corianderpitch/tests/test_links.py
+++ b/packages/corianderpitch/tests/test_links.py
@@ -114,7 +114,7 @@
     (outdated, *_) = starts(scheduler)
     run = scheduler.workers[WorkerId("w1")].runs[outdated.task]
     worker = scheduler.workers[WorkerId("w1")]
-    scheduler._mark_run_lost(worker, run, LossCause.NOT_STARTED)
+    scheduler.mark_run_lost(worker, run, LossCause.NOT_STARTED)
     assert starts(scheduler)
     task._execute(outdated)
     assert link.fences == []
@@ -169,7 +169,7 @@
     worker = scheduler.workers[WorkerId("w1")]
     if is_repeat:
         run = worker.runs[order.task]
-        scheduler._mark_run_lost(worker, run, LossCause.LEASE_EXPIRED)
+        scheduler.mark_run_lost(worker, run, LossCause.LEASE_EXPIRED)
         (order,) = starts(scheduler)
     task._role.has_valid_lease = False
     task._execute(order)
--- a/packages/corianderpitch/tests/test_sharelimits.py
+++ b/packages/corianderpitch/tests/test_sharelimits.py
@@ -88,7 +88,7 @@
         scheduler.add_job(job)
     jobs["new"].accepted_ms = NOW_MS
     jobs["old"].accepted_ms = NOW_MS - MAX_SURPLUS_AGE_MS
-    scheduler._mark_begun(JobId("begun"))
+    scheduler.mark_begun(JobId("begun"))
     found = hopeless_surpluses([*jobs.values()], scheduler.queues, NOW_MS)
     assert found == {(QUEUE.name, TEAM)}
     del jobs["hopeless"]
--- a/packages/corianderpitch/tests/test_stranded.py
+++ b/packages/corianderpitch/tests/test_stranded.py
@@ -1,4 +1,4 @@
-"""Tasks that no worker of their pool can take, though its load says that it has room."""
+"""Tasks that no worker of their pool can take, though its load shows room for them."""
 
 from collections import Counter
 from dataclasses import replace
