--- a/packages/corianderpitch-standins/corianderpitch_standins/soakfleet.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soakfleet.py
@@ -234,6 +234,10 @@
         self._rules = [other for other in self._rules if other is not rule]
         self._control_proxy("/rules", {"rules": self._rules})
 
+    def silence_connections(self, entry: SoakEntry) -> None:
+        """Let an entry's open connections to services go silent; new ones work."""
+        self.end_cut(self.begin_cut(entry, list(entry.maps), "freeze_old"))
+
     def end_faults(self) -> None:
         """End all cuts and faults of the services, and continue all processes."""
         self._rules = []
--- a/packages/corianderpitch-standins/corianderpitch_standins/soaktroubles.py
+++ b/packages/corianderpitch-standins/corianderpitch_standins/soaktroubles.py
@@ -53,6 +53,8 @@
     "new key",
     "new cap",
     "new cap",
+    "silent connections",
+    "silent connections",
 )
 PARTITIONS_SHARE = 0.3
 SLOW_FACTOR = 8.0
@@ -131,6 +133,10 @@
                 services, mode = rng.choice(CUT_SERVICES), rng.choice(CUT_MODES)
                 rule = fleet.begin_cut(entry, services, mode)
                 self.later(length_s, lambda: fleet.end_cut(rule))
+            case "silent connections":
+                fleet.disturb("", 0.0)
+                for other in fleet.serving():
+                    fleet.silence_connections(other)
             case "crash worker":
                 action = "crash" if self._keeps_ids else "replace"
                 fleet.control(action, worker=f"i-{rng.randrange(WORKERS)}")
