--- a/packages/corianderpitch/corianderpitch/domain/scheduling/stranded.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/stranded.py
@@ -23,7 +23,7 @@
 
 MAX_PLACED_TASKS = 500  # of a pool in a round; more wait than can soon be helped
 
-StepKey = tuple[str, int, int]
+StepKey = tuple[str, int, int]  # a job, an occurrence and the number of a step
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +40,11 @@
 
 @dataclass(slots=True)
 class _Room:
-    """What is free on a worker, or would be on one that is added."""
+    """What is free on a worker, or would be on one that is added.
+
+    ``worker`` is ``None`` for one that is added. Such a worker has the ``label`` of the
+    step for which it was added. ``is_taken`` tells that a task was placed here.
+    """
 
     free: Shape
     worker: WorkerView | None = None
@@ -49,6 +53,7 @@
     is_taken: bool = False
 
     def can_take(self, step: ActiveStep, key: StepKey) -> bool:
+        """Return whether one more task of a step can be placed here."""
         limit = step.step.max_per_worker
         if limit and self.tasks[key] >= limit:
             return False
@@ -59,6 +64,7 @@
         return step.step.label in ("", self.label)
 
     def take(self, step: Step, key: StepKey) -> None:
+        """Place one task of a step here."""
         self.tasks[key] += 1
         self.free = self.free.minus(step.reservation)
         self.is_taken = True
--- a/tests/adapter/test_http.py
+++ b/tests/adapter/test_http.py
@@ -252,3 +252,16 @@
     assert not server.requests
     assert send(pools, lambda: True) is VmOrderResult.DONE
     assert len(server.requests) == 1
+
+
+def test_an_error_after_the_request_was_sent_does_not_say_that_it_was_not(monkeypatch):
+    server = Server([COMPLETE_RESPONSE])
+    client = JsonClient(server.address)
+
+    def fail(self, request, timeout_ms):
+        self._socket.sendall(request)
+        raise ValueError
+
+    monkeypatch.setattr("corianderpitch_platform.http.Connection.exchange", fail)
+    with pytest.raises(ValueError):
+        call(client)
