Ask in one place whether a worker is in service

Spreading and places for stranded tasks had each written again what is_schedulable asks first: listed, answering, not to be emptied. WorkerView.is_in_service serves all three now. No change of behaviour.

--- a/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/placing.py
@@ -21,13 +21,10 @@
     reservations of some of its runs are unknown.
     """
     return (
-        worker.is_listed
+        worker.is_in_service
         and worker.is_recorded
-        and not worker.is_evacuating
-        and worker.draining_since_ms is None
         and worker.incarnation == worker.info.incarnation
         and worker.restarted_ms is None
-        and not worker.is_silent
         and (guards_capacity or not worker.has_unknown_reservations)
         and now_ms >= worker.backoff_until_ms
     )
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/spreading.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/spreading.py
@@ -81,9 +81,7 @@
 def _could_serve(step: ActiveStep, worker: WorkerView) -> bool:
     """Return whether a worker could run a task of a step if it had free capacity."""
     return (
-        worker.is_listed
-        and not worker.is_leaving
-        and not worker.is_silent
+        worker.is_in_service
         and has_label(step, worker)
         and step.step.reservation.fits_in(worker.info.capacity)
     )
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/stranded.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/stranded.py
@@ -98,10 +98,10 @@
 
 
 def _labels_of_pools(scheduler: Scheduler) -> dict[ServiceName, set[str]]:
-    """Return the labels that some usable worker of each pool has."""
+    """Return the labels that some worker in service of each pool has."""
     labels: dict[ServiceName, set[str]] = defaultdict(set)
     for worker in scheduler.workers.values():
-        if _is_usable(worker):
+        if worker.is_in_service:
             labels[worker.info.service].update(worker.info.labels)
     return labels
 
@@ -134,15 +134,11 @@
     return sum(1 for worker in workers if worker is not None and worker.is_leaving)
 
 
-def _is_usable(worker: WorkerView) -> bool:
-    return worker.is_listed and not worker.is_silent and not worker.is_leaving
-
-
 def _rooms_of(scheduler: Scheduler, service: ServiceName) -> list[_Room]:
     """Return the rooms of a pool's workers, those at work first."""
     rooms: list[_Room] = []
     for worker in scheduler.workers.values():
-        if worker.info.service != service or not _is_usable(worker):
+        if worker.info.service != service or not worker.is_in_service:
             continue
         tasks = Counter(
             (run.task.job_id, run.task.occurrence, run.task.step)
--- a/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
+++ b/packages/corianderpitch/corianderpitch/domain/scheduling/workers.py
@@ -296,6 +296,11 @@
         """Return whether the end of the worker's process is planned."""
         return self.is_evacuating or self.draining_since_ms is not None
 
+    @property
+    def is_in_service(self) -> bool:
+        """Return whether the worker is listed, answers, and is not to be emptied."""
+        return self.is_listed and not self.is_silent and not self.is_leaving
+
     @property
     def is_running(self) -> bool:
         """Return whether anything runs on the worker, or may run there."""
